--- /dev/null
+++ b/cranberrystile/membership/target_view.c
@@ -0,0 +1,60 @@
+#include "cranberrystile/target_view.h"
+
+#include "common/hash.h"
+
+static bool
+has_left (const cs_target_view_t *view, uint64_t hash)
+{
+  for (int i = 0; i < CS_TARGET_LEFT_MAX; i++)
+    if (view->left[i] == hash)
+      return true;
+  return false;
+}
+
+static void
+remember_left (cs_target_view_t *view, uint64_t hash)
+{
+  if (has_left (view, hash))
+    return;
+  view->left[view->left_next % CS_TARGET_LEFT_MAX] = hash;
+  view->left_next++;
+}
+
+static cs_view_change_t
+hear_same_instance (cs_target_view_t *view, bool leaving)
+{
+  if (!leaving || view->leaving)
+    return CS_VIEW_SAME;
+  view->leaving = true;
+  if (view->instance.len > 0)
+    remember_left (view, cs_hash (cs_name_str (&view->instance), 0));
+  return CS_VIEW_LEAVING;
+}
+
+cs_view_change_t
+cs_target_view_hear (cs_target_view_t *view, cs_str_t instance, bool leaving)
+{
+  cs_name_t name;
+  cs_name_set (&name, instance);
+  if (name.len == 0 || cs_name_equal (&name, &view->instance))
+    return hear_same_instance (view, leaving);
+  uint64_t hash = cs_hash (cs_name_str (&name), 0);
+  if (has_left (view, hash))
+    return CS_VIEW_SAME;
+  if (leaving)
+    {
+      /* Another instance than the one in use: only remember that it left.  */
+      remember_left (view, hash);
+      if (view->instance.len > 0)
+        return CS_VIEW_SAME;
+      view->instance = name;
+      view->leaving = true;
+      return CS_VIEW_LEAVING;
+    }
+  bool first = view->instance.len == 0 && !view->leaving;
+  if (view->instance.len > 0)
+    remember_left (view, cs_hash (cs_name_str (&view->instance), 0));
+  view->instance = name;
+  view->leaving = false;
+  return first ? CS_VIEW_SAME : CS_VIEW_STARTED;
+}
--- /dev/null
+++ b/cranberrystile/placement/choose.c
@@ -0,0 +1,228 @@
+/* Chooses the target of a call: the product's way and the baselines.  */
+
+#include <math.h>
+
+#include "placement/pool_internal.h"
+
+#define RANKS_MAX 16
+
+/* What all ways need to know about one choice.  */
+typedef struct
+{
+  cs_pool_t *pool;
+  const cs_pool_ask_t *ask;
+  uint32_t hard_cap;  /* load after placement never exceeds this */
+  uint32_t soft_cap;  /* load up to which the first choice is taken */
+  bool reserve_slots; /* the asker may not use the last slots */
+} choice_t;
+
+static uint32_t
+usable_slots (const choice_t *choice, const cs_pool_target_t *target)
+{
+  if (!choice->reserve_slots)
+    return target->slots;
+  double kept = (double)target->slots * choice->pool->policy.surge_headroom;
+  return target->slots - (uint32_t)ceil (kept);
+}
+
+/* Whether one more call fits on target I under CAP.  */
+static bool
+fits (const choice_t *choice, size_t i, uint32_t cap)
+{
+  const cs_pool_target_t *target = &choice->pool->targets[i];
+  if (target->state != CS_TARGET_LIVE || target->id == choice->ask->avoid)
+    return false;
+  if (target->load + 1 > usable_slots (choice, target))
+    return false;
+  return target->load + 1 <= cap;
+}
+
+static int
+choose_least (const choice_t *choice, uint32_t *index)
+{
+  const cs_pool_t *pool = choice->pool;
+  size_t best = pool->count;
+  /* Starting anywhere keeps ties from always going to the same target.  */
+  size_t start = pool->count == 0 ? 0 : choice->ask->key % pool->count;
+  for (size_t n = 0; n < pool->count; n++)
+    {
+      size_t i = (start + n) % pool->count;
+      if (!fits (choice, i, choice->hard_cap))
+        continue;
+      if (best == pool->count
+          || pool->targets[i].load < pool->targets[best].load)
+        best = i;
+    }
+  if (best == pool->count)
+    return CS_ERR_OVERLOADED;
+  *index = (uint32_t)best;
+  return 0;
+}
+
+static bool
+choose_kept_spill (const choice_t *choice, cs_time_us_t now, uint32_t *index)
+{
+  const cs_pool_t *pool = choice->pool;
+  target_index_t *at = NULL;
+  uint64_t id = cs_spill_find (pool->spill, choice->ask->key, now);
+  if (id == 0)
+    return false;
+  HASH_FIND (hh, pool->index, &id, sizeof id, at);
+  if (at == NULL || !fits (choice, at->index, choice->soft_cap))
+    return false;
+  *index = at->index;
+  return true;
+}
+
+static bool
+choose_next_ranked (const choice_t *choice, const uint32_t *ranked,
+                    size_t ranked_count, uint32_t *index)
+{
+  const cs_pool_target_t *targets = choice->pool->targets;
+  bool found = false;
+  for (size_t i = 1; i < ranked_count; i++)
+    {
+      if (!fits (choice, ranked[i], choice->hard_cap))
+        continue;
+      if (found && targets[ranked[i]].load >= targets[*index].load)
+        continue;
+      *index = ranked[i];
+      found = true;
+    }
+  return found;
+}
+
+static int
+choose_bounded (const choice_t *choice, cs_time_us_t now, uint32_t *index,
+                cs_why_t *why)
+{
+  cs_pool_t *pool = choice->pool;
+  uint32_t ranked[RANKS_MAX];
+  uint32_t wanted = pool->policy.spill_ranks + 1;
+  if (wanted > RANKS_MAX)
+    wanted = RANKS_MAX;
+  cs_pool_update_weights (pool, now);
+  size_t count
+      = cs_rank (choice->ask->key, pool->members, pool->count, ranked, wanted);
+  if (choose_kept_spill (choice, now, index))
+    {
+      *why = CS_WHY_SPILL_KEPT;
+      cs_spill_put (pool->spill, choice->ask->key, pool->targets[*index].id,
+                    now);
+      return 0;
+    }
+  if (count > 0 && fits (choice, ranked[0], choice->soft_cap))
+    {
+      *why = CS_WHY_FIRST;
+      *index = ranked[0];
+      cs_spill_forget (pool->spill, choice->ask->key);
+      return 0;
+    }
+  *why = CS_WHY_SPILL;
+  if (!choose_next_ranked (choice, ranked, count, index))
+    {
+      *why = CS_WHY_LEAST;
+      int rc = choose_least (choice, index);
+      if (rc != 0)
+        return rc;
+    }
+  cs_spill_put (pool->spill, choice->ask->key, pool->targets[*index].id, now);
+  return 0;
+}
+
+static int
+choose_rendezvous (const choice_t *choice, cs_time_us_t now, uint32_t *index)
+{
+  const cs_pool_t *pool = choice->pool;
+  cs_pool_update_weights (choice->pool, now);
+  size_t first = cs_rank_first (choice->ask->key, pool->members, pool->count);
+  if (first == pool->count || !fits (choice, first, UINT32_MAX))
+    return CS_ERR_OVERLOADED;
+  *index = (uint32_t)first;
+  return 0;
+}
+
+static int
+choose_two (const choice_t *choice, uint32_t *index)
+{
+  cs_pool_t *pool = choice->pool;
+  uint32_t tries = 0;
+  uint32_t found = 0;
+  while (found < 2 && tries++ < 16)
+    {
+      uint32_t i = (uint32_t)(cs_random_u64 (&pool->random) % pool->count);
+      if (!fits (choice, i, UINT32_MAX) || (found == 1 && i == *index))
+        continue;
+      if (found == 0 || pool->targets[i].load < pool->targets[*index].load)
+        *index = i;
+      found++;
+    }
+  return found == 0 ? CS_ERR_OVERLOADED : 0;
+}
+
+static int
+choose_round_robin (const choice_t *choice, uint32_t *index)
+{
+  cs_pool_t *pool = choice->pool;
+  for (size_t n = 0; n < pool->count; n++)
+    {
+      uint32_t i = pool->round_robin++ % (uint32_t)pool->count;
+      if (!fits (choice, i, UINT32_MAX))
+        continue;
+      *index = i;
+      return 0;
+    }
+  return CS_ERR_OVERLOADED;
+}
+
+/* A chat with little context to reuse leaves its first choice earlier, so that
+   short chats level what long ones unbalance.  */
+static double
+threshold_factor (const cs_pool_policy_t *policy, uint32_t context_tokens)
+{
+  double cost = (double)context_tokens / policy->long_context_tokens;
+  if (cost > 1.0)
+    cost = 1.0;
+  return policy->short_factor
+         + (policy->cap_factor - policy->short_factor) * cost;
+}
+
+/* An organisation that holds more than an equal share of all slots leaves a
+   part of them to the others.  */
+static bool
+is_surging (const cs_pool_t *pool, uint64_t organisation)
+{
+  uint64_t active = HASH_COUNT (pool->tenants);
+  uint64_t own = cs_pool_in_flight_of (pool, organisation);
+  if (own == 0)
+    active++;
+  return (own + 1) * active > pool->slots_total;
+}
+
+int
+cs_pool_choose (cs_pool_t *pool, const cs_pool_ask_t *ask, cs_time_us_t now,
+                uint32_t *index, cs_why_t *why)
+{
+  const cs_pool_policy_t *policy = &pool->policy;
+  choice_t choice = { pool, ask, UINT32_MAX, UINT32_MAX, false };
+  choice.reserve_slots = is_surging (pool, ask->organisation);
+  *why = CS_WHY_BASELINE;
+  switch (policy->way)
+    {
+    case CS_PLACE_RENDEZVOUS:
+      return choose_rendezvous (&choice, now, index);
+    case CS_PLACE_LEAST_LOADED:
+      return choose_least (&choice, index);
+    case CS_PLACE_TWO_CHOICES:
+      return choose_two (&choice, index);
+    case CS_PLACE_ROUND_ROBIN:
+      return choose_round_robin (&choice, index);
+    case CS_PLACE_BOUNDED:
+      break;
+    }
+  uint32_t sure = cs_pool_sure_load (pool, now);
+  double factor = threshold_factor (policy, ask->context_tokens);
+  choice.hard_cap = cs_pool_cap_for (pool, policy->cap_factor, sure);
+  choice.soft_cap = cs_pool_cap_for (pool, factor, sure);
+  return choose_bounded (&choice, now, index, why);
+}
--- /dev/null
+++ b/cranberrystile/placement/spill.c
@@ -0,0 +1,100 @@
+#include "placement/spill.h"
+
+#include <stdlib.h>
+
+#define WAYS 4
+
+typedef struct
+{
+  uint64_t key; /* 0 is empty */
+  uint64_t target;
+  cs_time_us_t used;
+} entry_t;
+
+struct cs_spill
+{
+  entry_t *entries;
+  uint64_t buckets;
+  cs_time_us_t ttl_us;
+};
+
+cs_spill_t *
+cs_spill_create (uint32_t entries, cs_time_us_t ttl_us)
+{
+  cs_spill_t *spill = calloc (1, sizeof *spill);
+  if (spill == NULL)
+    return NULL;
+  spill->buckets = entries / WAYS + 1;
+  spill->ttl_us = ttl_us;
+  spill->entries = calloc (spill->buckets * WAYS, sizeof *spill->entries);
+  if (spill->entries == NULL)
+    {
+      free (spill);
+      return NULL;
+    }
+  return spill;
+}
+
+void
+cs_spill_destroy (cs_spill_t *spill)
+{
+  if (spill == NULL)
+    return;
+  free (spill->entries);
+  free (spill);
+}
+
+static entry_t *
+bucket_of (const cs_spill_t *spill, uint64_t key)
+{
+  return &spill->entries[key % spill->buckets * WAYS];
+}
+
+static entry_t *
+find_entry (const cs_spill_t *spill, uint64_t key)
+{
+  entry_t *bucket = bucket_of (spill, key);
+  for (int i = 0; i < WAYS; i++)
+    if (bucket[i].key == key)
+      return &bucket[i];
+  return NULL;
+}
+
+uint64_t
+cs_spill_find (const cs_spill_t *spill, uint64_t key, cs_time_us_t now)
+{
+  const entry_t *entry = find_entry (spill, key);
+  if (key == 0 || entry == NULL || now > entry->used + spill->ttl_us)
+    return 0;
+  return entry->target;
+}
+
+void
+cs_spill_put (cs_spill_t *spill, uint64_t key, uint64_t target,
+              cs_time_us_t now)
+{
+  entry_t *entry = find_entry (spill, key);
+  if (key == 0)
+    return;
+  if (entry == NULL)
+    {
+      entry_t *bucket = bucket_of (spill, key);
+      entry = &bucket[0];
+      for (int i = 1; i < WAYS; i++)
+        if (bucket[i].used < entry->used)
+          entry = &bucket[i];
+    }
+  entry->key = key;
+  entry->target = target;
+  entry->used = now;
+}
+
+void
+cs_spill_forget (cs_spill_t *spill, uint64_t key)
+{
+  entry_t *entry = find_entry (spill, key);
+  if (entry == NULL)
+    return;
+  entry->key = 0;
+  entry->used = 0;
+}
--- /dev/null
+++ b/cranberrystile/release/read.c
@@ -0,0 +1,306 @@
+#include "release/read.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+
+#define PERCENT_MAX 10000
+#define SLOTS_MAX 100000
+#define RATE_MAX 1000000
+
+static const char *const section_names[]
+    = { "organisations", "offerings", "targets" };
+
+#define SECTION_COUNT (sizeof section_names / sizeof section_names[0])
+
+int
+cs_release_read_sections (const json_t *document, cs_buf_t *reason)
+{
+  const char *key;
+  json_t *value;
+  if (!json_is_object (document))
+    {
+      cs_buf_printf (reason, "the document is not an object");
+      return CS_ERR_BAD_RELEASE;
+    }
+  json_object_foreach ((json_t *)document, key, value)
+  {
+    size_t i = 0;
+    while (i < SECTION_COUNT && strcmp (key, section_names[i]) != 0)
+      i++;
+    if (i < SECTION_COUNT && json_is_array (value))
+      continue;
+    cs_buf_printf (reason, "section %s is unknown or not an array", key);
+    return CS_ERR_BAD_RELEASE;
+  }
+  return 0;
+}
+
+/* One entry being read; remembers the first fault.  */
+typedef struct
+{
+  const json_t *object;
+  const char *section;
+  const char *name;
+  size_t known; /* members that were asked for and present */
+  cs_buf_t *reason;
+  int rc;
+} entry_t;
+
+static void
+entry_fault (entry_t *entry, const char *field, const char *what)
+{
+  if (entry->rc != 0)
+    return;
+  entry->rc = CS_ERR_BAD_RELEASE;
+  cs_buf_printf (entry->reason, "%s %s: %s %s", entry->section,
+                 entry->name == NULL ? "(unnamed)" : entry->name, field, what);
+}
+
+static const json_t *
+entry_member (entry_t *entry, const char *field)
+{
+  const json_t *value = json_object_get (entry->object, field);
+  if (value != NULL)
+    entry->known++;
+  return value;
+}
+
+static void
+entry_name (entry_t *entry, const char *field, bool required, cs_name_t *out)
+{
+  const json_t *value = entry_member (entry, field);
+  if (value == NULL && !required)
+    return;
+  if (!json_is_string (value) || json_string_length (value) == 0
+      || json_string_length (value) > CS_NAME_MAX)
+    {
+      entry_fault (entry, field, "must be a string of 1 to 95 bytes");
+      return;
+    }
+  cs_str_t text = { json_string_value (value), json_string_length (value) };
+  for (size_t i = 0; i < text.len; i++)
+    if ((unsigned char)text.data[i] <= ' ' || text.data[i] == '/'
+        || text.data[i] == '"')
+      entry_fault (entry, field, "has a character that names may not have");
+  cs_name_set (out, text);
+}
+
+static void
+entry_number (entry_t *entry, const char *field, uint32_t least, uint32_t most,
+              uint32_t *out)
+{
+  const json_t *value = entry_member (entry, field);
+  if (value == NULL)
+    return;
+  json_int_t number = json_integer_value (value);
+  if (!json_is_integer (value) || number < least || number > most)
+    {
+      entry_fault (entry, field, "is not a whole number in its range");
+      return;
+    }
+  *out = (uint32_t)number;
+}
+
+static void
+entry_bool (entry_t *entry, const char *field, bool *out)
+{
+  const json_t *value = entry_member (entry, field);
+  if (value == NULL)
+    return;
+  if (!json_is_boolean (value))
+    entry_fault (entry, field, "must be true or false");
+  *out = json_is_true (value);
+}
+
+static void
+entry_begin (entry_t *entry, const json_t *object, const char *section,
+             cs_buf_t *reason)
+{
+  memset (entry, 0, sizeof *entry);
+  entry->object = object;
+  entry->section = section;
+  entry->reason = reason;
+  if (!json_is_object (object))
+    entry_fault (entry, "entry", "is not an object");
+  entry->name = json_string_value (json_object_get (object, "name"));
+}
+
+static int
+entry_end (entry_t *entry)
+{
+  if (json_object_size (entry->object) != entry->known)
+    entry_fault (entry, "entry", "has an unknown member");
+  return entry->rc;
+}
+
+static int
+compare_names (const void *a, const void *b)
+{
+  const cs_name_t *x = a;
+  const cs_name_t *y = b;
+  return strcmp (x->text, y->text);
+}
+
+/* Each entry type starts with its name.  */
+static int
+sort_entries (void *entries, size_t count, size_t size, const char *section,
+              cs_buf_t *reason)
+{
+  qsort (entries, count, size, compare_names);
+  for (size_t i = 1; i < count; i++)
+    {
+      const cs_name_t *name
+          = (const cs_name_t *)((const char *)entries + i * size);
+      const cs_name_t *before
+          = (const cs_name_t *)((const char *)entries + (i - 1) * size);
+      if (!cs_name_equal (before, name))
+        continue;
+      cs_buf_printf (reason, "%s: %s stands twice", section, name->text);
+      return CS_ERR_BAD_RELEASE;
+    }
+  return 0;
+}
+
+typedef int read_entry_fn (const json_t *object, void *out, cs_buf_t *reason);
+
+static int
+read_array (const json_t *array, size_t size, const char *section,
+            read_entry_fn *read_entry, void **out, size_t *count,
+            cs_buf_t *reason)
+{
+  size_t total = json_array_size (array);
+  char *entries = calloc (total + 1, size);
+  if (entries == NULL)
+    return CS_ERR_NO_MEMORY;
+  *out = entries;
+  *count = total;
+  for (size_t i = 0; i < total; i++)
+    {
+      int rc
+          = read_entry (json_array_get (array, i), entries + i * size, reason);
+      if (rc != 0)
+        return rc;
+    }
+  return sort_entries (entries, total, size, section, reason);
+}
+
+static bool
+is_sha256_hex (const cs_name_t *text)
+{
+  if (text->len != 64)
+    return false;
+  return strspn (text->text, "0123456789abcdef") == 64;
+}
+
+static int
+read_organisation (const json_t *object, void *out, cs_buf_t *reason)
+{
+  cs_organisation_t *organisation = out;
+  cs_name_t hash = { 0 };
+  entry_t entry;
+  entry_begin (&entry, object, "organisation", reason);
+  organisation->weight = 1;
+  entry_name (&entry, "name", true, &organisation->name);
+  entry_name (&entry, "key_sha256", true, &hash);
+  if (!is_sha256_hex (&hash))
+    entry_fault (&entry, "key_sha256", "is not 64 lower-case hex digits");
+  else
+    memcpy (organisation->key_sha256, hash.text, 65);
+  entry_number (&entry, "weight", 1, 1000, &organisation->weight);
+  entry_number (&entry, "rate", 0, RATE_MAX, &organisation->rate);
+  organisation->burst = organisation->rate;
+  entry_number (&entry, "burst", 0, RATE_MAX, &organisation->burst);
+  return entry_end (&entry);
+}
+
+static int
+read_offering (const json_t *object, void *out, cs_buf_t *reason)
+{
+  cs_offering_t *offering = out;
+  cs_name_t kind = { 0 };
+  entry_t entry;
+  entry_begin (&entry, object, "offering", reason);
+  entry_name (&entry, "name", true, &offering->name);
+  entry_name (&entry, "kind", true, &kind);
+  offering->is_service = strcmp (kind.text, "service") == 0;
+  if (!offering->is_service && strcmp (kind.text, "model") != 0)
+    entry_fault (&entry, "kind", "must be model or service");
+  offering->idempotent = !offering->is_service;
+  offering->cap_percent = 125;
+  offering->min_live_percent = 75;
+  entry_bool (&entry, "idempotent", &offering->idempotent);
+  entry_number (&entry, "cap_percent", 101, PERCENT_MAX,
+                &offering->cap_percent);
+  entry_number (&entry, "min_live_percent", 0, 100,
+                &offering->min_live_percent);
+  return entry_end (&entry);
+}
+
+static bool
+is_address (const cs_name_t *address)
+{
+  char host[CS_NAME_MAX + 1];
+  unsigned char number[16];
+  uint64_t port = 0;
+  memcpy (host, address->text, sizeof host);
+  char *colon = strrchr (host, ':');
+  if (colon == NULL)
+    return false;
+  *colon = '\0';
+  if (cs_str_to_u64 (cs_str (colon + 1), &port) != 0 || port == 0
+      || port > 65535)
+    return false;
+  size_t len = strlen (host);
+  if (len > 2 && host[0] == '[' && host[len - 1] == ']')
+    {
+      host[len - 1] = '\0';
+      return inet_pton (AF_INET6, host + 1, number) == 1;
+    }
+  return inet_pton (AF_INET, host, number) == 1;
+}
+
+static int
+read_target (const json_t *object, void *out, cs_buf_t *reason)
+{
+  cs_target_t *target = out;
+  entry_t entry;
+  entry_begin (&entry, object, "target", reason);
+  target->slots = 16;
+  target->checks_fencing = true;
+  entry_name (&entry, "name", true, &target->name);
+  entry_name (&entry, "offering", true, &target->offering);
+  entry_name (&entry, "data_centre", true, &target->data_centre);
+  entry_name (&entry, "address", true, &target->address);
+  if (!is_address (&target->address))
+    entry_fault (&entry, "address", "is not an IP number and port");
+  entry_number (&entry, "slots", 1, SLOTS_MAX, &target->slots);
+  entry_bool (&entry, "checks_fencing", &target->checks_fencing);
+  entry_name (&entry, "version", false, &target->version);
+  return entry_end (&entry);
+}
+
+int
+cs_release_read_organisations (const json_t *array, cs_organisation_t **out,
+                               size_t *count, cs_buf_t *reason)
+{
+  return read_array (array, sizeof **out, "organisations", read_organisation,
+                     (void **)out, count, reason);
+}
+
+int
+cs_release_read_offerings (const json_t *array, cs_offering_t **out,
+                           size_t *count, cs_buf_t *reason)
+{
+  return read_array (array, sizeof **out, "offerings", read_offering,
+                     (void **)out, count, reason);
+}
+
+int
+cs_release_read_targets (const json_t *array, cs_target_t **out, size_t *count,
+                         cs_buf_t *reason)
+{
+  return read_array (array, sizeof **out, "targets", read_target, (void **)out,
+                     count, reason);
+}
--- /dev/null
+++ b/ctl/commands/explain.c
@@ -0,0 +1,29 @@
+/* explain OFFERING ORGANISATION CHAT: where a chat goes, and why.  */
+
+#include <curl/curl.h>
+
+#include "ctl/commands.h"
+#include "operator.h"
+
+int
+cs_command_explain (int argc, char **argv)
+{
+  static const char *const names[] = { "offering", "organisation", "chat" };
+  cs_options_t options;
+  cs_buf_t path = { 0 };
+  int status = cs_options_parse ("explain", "OFFERING ORGANISATION CHAT", 3, 3,
+                                 argc, argv, &options);
+  if (status >= 0)
+    return status;
+  cs_buf_printf (&path, "/explain");
+  for (int i = 0; i < 3; i++)
+    {
+      char *escaped = curl_easy_escape (NULL, options.operands[i], 0);
+      cs_buf_printf (&path, "%c%s=%s", i == 0 ? '?' : '&', names[i],
+                     escaped == NULL ? "" : escaped);
+      curl_free (escaped);
+    }
+  status = cs_operator_call (&options, "GET", path.data);
+  cs_buf_free (&path);
+  return status;
+}
--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,55 @@
+/* cranberrystilectl: the operators' command line.  */
+
+#include <stdio.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "ctl/commands.h"
+#include "ctl/options.h"
+
+/* Sorted by name.  */
+static const struct
+{
+  const char *name;
+  const char *summary;
+  cs_command_fn *run;
+} commands[] = {
+  { "audit", "who changed what and when", cs_command_audit },
+  { "check", "check a release note", cs_command_check },
+  { "drain", "have a router leave gracefully", cs_command_drain },
+  { "explain", "where a chat goes, and why", cs_command_explain },
+  { "release", "plan, apply, history, diff", cs_command_release },
+  { "status", "what a router knows of the fleet", cs_command_status },
+};
+
+#define COMMAND_COUNT (sizeof commands / sizeof commands[0])
+
+static void
+print_help (void)
+{
+  printf ("Usage: cranberrystilectl COMMAND [OPTIONS]\n");
+  for (size_t i = 0; i < COMMAND_COUNT; i++)
+    printf ("  %-10s %s\n", commands[i].name, commands[i].summary);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc > 1 && strcmp (argv[1], "--help") == 0)
+    {
+      print_help ();
+      return 0;
+    }
+  if (argc > 1 && strcmp (argv[1], "--version") == 0)
+    {
+      printf ("cranberrystilectl %s\n", CS_VERSION);
+      return 0;
+    }
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  for (size_t i = 0; argc > 1 && i < COMMAND_COUNT; i++)
+    if (strcmp (commands[i].name, argv[1]) == 0)
+      return commands[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "cranberrystilectl: a command is needed; see --help\n");
+  return CS_EXIT_USAGE;
+}
--- /dev/null
+++ b/daemon/caller/limits.c
@@ -0,0 +1,120 @@
+#include "daemon/limits.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "common/hash.h"
+#include "cranberrystile/answer.h"
+#include "cranberrystile/limit.h"
+#include "cranberrystile/retry.h"
+
+/* Extra tries as a share of first tries, what a new router may spend at once,
+   and the most that quiet hours can save up.  */
+#define RETRY_RATIO 0.1
+#define RETRY_START 3.0
+#define RETRY_MOST 20.0
+
+typedef struct
+{
+  cs_name_t organisation;
+  cs_limit_t limit;
+  UT_hash_handle hh;
+} limited_t;
+
+struct cs_limits
+{
+  pthread_mutex_t lock; /* guards what follows; a leaf */
+  limited_t *limited;
+  cs_retry_budget_t budget;
+  cs_random_t random;
+};
+
+cs_limits_t *
+cs_limits_create (void)
+{
+  cs_limits_t *limits = calloc (1, sizeof *limits);
+  if (limits == NULL)
+    return NULL;
+  pthread_mutex_init (&limits->lock, NULL);
+  cs_retry_budget_init (&limits->budget, RETRY_RATIO, RETRY_START, RETRY_MOST);
+  limits->random.seed = cs_clock_now () ^ cs_clock_wall_ms ();
+  return limits;
+}
+
+void
+cs_limits_destroy (cs_limits_t *limits)
+{
+  limited_t *limited, *next;
+  if (limits == NULL)
+    return;
+  HASH_ITER (hh, limits->limited, limited, next)
+  {
+    HASH_DEL (limits->limited, limited);
+    free (limited);
+  }
+  pthread_mutex_destroy (&limits->lock);
+  free (limits);
+}
+
+static limited_t *
+limited_of (cs_limits_t *limits, const cs_name_t *organisation)
+{
+  limited_t *limited = NULL;
+  HASH_FIND (hh, limits->limited, organisation, sizeof *organisation, limited);
+  if (limited != NULL)
+    return limited;
+  limited = calloc (1, sizeof *limited);
+  if (limited == NULL)
+    return NULL;
+  limited->organisation = *organisation;
+  HASH_ADD (hh, limits->limited, organisation, sizeof *organisation, limited);
+  return limited;
+}
+
+bool
+cs_limits_take (cs_limits_t *limits, const cs_organisation_t *organisation,
+                cs_time_us_t now, uint32_t *retry_after_s)
+{
+  bool taken = true;
+  if (organisation->rate == 0)
+    return true;
+  pthread_mutex_lock (&limits->lock);
+  limited_t *limited = limited_of (limits, &organisation->name);
+  if (limited != NULL)
+    {
+      taken = cs_limit_take (&limited->limit, organisation->rate,
+                             organisation->burst, now);
+      *retry_after_s
+          = cs_limit_retry_after_s (&limited->limit, organisation->rate);
+    }
+  pthread_mutex_unlock (&limits->lock);
+  return taken;
+}
+
+void
+cs_limits_first_try (cs_limits_t *limits)
+{
+  pthread_mutex_lock (&limits->lock);
+  cs_retry_budget_first_try (&limits->budget);
+  pthread_mutex_unlock (&limits->lock);
+}
+
+bool
+cs_limits_take_retry (cs_limits_t *limits)
+{
+  pthread_mutex_lock (&limits->lock);
+  bool taken = cs_retry_budget_take (&limits->budget);
+  pthread_mutex_unlock (&limits->lock);
+  return taken;
+}
+
+uint32_t
+cs_limits_spread (cs_limits_t *limits, uint32_t base_s)
+{
+  pthread_mutex_lock (&limits->lock);
+  uint32_t spread = cs_answer_retry_after_s (base_s, &limits->random);
+  pthread_mutex_unlock (&limits->lock);
+  return spread;
+}
--- /dev/null
+++ b/daemon/caller/model.c
@@ -0,0 +1,80 @@
+/* POST /v1/chat/completions and /v1/completions.  */
+
+#include "daemon/handlers.h"
+#include "daemon/run.h"
+
+static bool
+find_model (cs_exchange_t *exchange, const char *model)
+{
+  return cs_configuration_offering (exchange->daemon->configuration,
+                                    cs_str (model), &exchange->offering)
+         && !exchange->offering.is_service;
+}
+
+static uint64_t
+key_of (const cs_exchange_t *exchange, const cs_prompt_t *prompt)
+{
+  const char *id = cs_exchange_header (exchange, "X-Conversation-Id");
+  cs_prompt_t named = *prompt;
+  if (named.chat_id == NULL)
+    named.chat_id = id;
+  return cs_prompt_key (&named, cs_name_str (&exchange->organisation.name));
+}
+
+static void
+run_model (cs_exchange_t *exchange, const cs_prompt_t *prompt,
+           const char *path)
+{
+  cs_relay_t relay;
+  uint32_t retry_after_s = 1;
+  cs_run_t run = {
+    .path = path,
+    .method = "POST",
+    .content_type = "application/json",
+    .key = key_of (exchange, prompt),
+    .context_tokens = prompt->prompt_tokens,
+    .batch = prompt->batch,
+    .streaming = prompt->stream,
+    .idempotent = true,
+    .prompt = prompt,
+  };
+  cs_relay_begin (&relay, exchange);
+  int rc = cs_run (exchange, &run, &relay, &retry_after_s);
+  if (rc == 0)
+    cs_relay_finish (&relay);
+  else
+    cs_exchange_fail (exchange, rc, NULL, retry_after_s);
+  cs_relay_free (&relay);
+}
+
+static void
+handle (cs_exchange_t *exchange, bool chat, const char *path)
+{
+  cs_prompt_t prompt = { 0 };
+  const char *detail = NULL;
+  if (cs_exchange_authorise (exchange) != 0
+      || cs_exchange_read_body (exchange) != 0)
+    return;
+  int rc
+      = cs_prompt_parse (cs_buf_str (&exchange->body), chat, &prompt, &detail);
+  if (rc != 0)
+    cs_exchange_fail (exchange, rc, detail, 0);
+  else if (!find_model (exchange, prompt.model))
+    cs_exchange_fail (exchange, CS_ERR_NOT_FOUND, "The model is not known.",
+                      0);
+  else
+    run_model (exchange, &prompt, path);
+  cs_prompt_free (&prompt);
+}
+
+void
+cs_handle_chat_completions (cs_exchange_t *exchange)
+{
+  handle (exchange, true, "/v1/chat/completions");
+}
+
+void
+cs_handle_completions (cs_exchange_t *exchange)
+{
+  handle (exchange, false, "/v1/completions");
+}
--- /dev/null
+++ b/daemon/caller/service.c
@@ -0,0 +1,135 @@
+/* Any method on /v1/services/NAME/...: calls of plain services.  A call that
+   may not be repeated runs at most once for an idempotency key.  */
+
+#include <string.h>
+
+#include "common/hash.h"
+#include "cranberrystile/retry.h"
+#include "daemon/handlers.h"
+#include "daemon/run.h"
+
+#define PREFIX "/v1/services/"
+#define PATH_MAX_BYTES 2048
+
+/* Splits /v1/services/NAME/rest?query into the offering and the path for the
+   target.  */
+static int
+read_path (cs_exchange_t *exchange, cs_buf_t *path)
+{
+  const char *uri = exchange->info->request_uri;
+  const char *query = exchange->info->query_string;
+  const char *name = uri + strlen (PREFIX);
+  const char *rest = strchr (name, '/');
+  cs_str_t offering = cs_str (name);
+  if (rest != NULL)
+    offering.len = (size_t)(rest - name);
+  if (!cs_configuration_offering (exchange->daemon->configuration, offering,
+                                  &exchange->offering)
+      || !exchange->offering.is_service)
+    return CS_ERR_NOT_FOUND;
+  if (strlen (uri) + (query == NULL ? 0 : strlen (query)) > PATH_MAX_BYTES)
+    return CS_ERR_BAD_REQUEST;
+  return cs_buf_printf (path, "%s%s%s", rest == NULL ? "/" : rest,
+                        query == NULL ? "" : "?", query == NULL ? "" : query);
+}
+
+/* What makes a request the same as an earlier one with its key.  */
+static void
+hash_request (const cs_exchange_t *exchange, cs_str_t path, char out[65])
+{
+  cs_buf_t text = { 0 };
+  cs_buf_printf (&text, "%s %s %.*s\n", exchange->info->request_method,
+                 exchange->offering.name.text, CS_STR_ARG (path));
+  cs_buf_append (&text, cs_buf_str (&exchange->body));
+  cs_sha256_hex (cs_buf_str (&text), out);
+  cs_buf_free (&text);
+}
+
+static void
+finish_claim (cs_exchange_t *exchange, cs_held_claim_t *held, int rc,
+              const cs_relay_t *relay)
+{
+  cs_str_t nothing = { "", 0 };
+  cs_claims_t *claims = exchange->daemon->claims;
+  if (rc == 0)
+    cs_claims_finish (claims, held, CS_CLAIM_DONE, relay->status,
+                      cs_str (relay->content_type), cs_buf_str (&relay->body));
+  else
+    cs_claims_finish (claims, held,
+                      cs_retry_was_not_run (rc) ? CS_CLAIM_NOT_RUN
+                                                : CS_CLAIM_UNKNOWN,
+                      0, nothing, nothing);
+}
+
+static void
+run_service (cs_exchange_t *exchange, cs_str_t path, cs_held_claim_t *held)
+{
+  cs_relay_t relay;
+  uint32_t retry_after_s = 1;
+  const char *content_type = cs_exchange_header (exchange, "Content-Type");
+  const char *chat = cs_exchange_header (exchange, "X-Conversation-Id");
+  cs_run_t run = {
+    .path = path.data,
+    .method = exchange->info->request_method,
+    .content_type
+    = content_type == NULL ? "application/octet-stream" : content_type,
+    .idempotent = exchange->offering.idempotent,
+  };
+  run.key = cs_hash (cs_str (chat == NULL ? exchange->request_id.text : chat),
+                     cs_hash (cs_name_str (&exchange->organisation.name), 0));
+  cs_relay_begin (&relay, exchange);
+  relay.pass_errors = true;
+  int rc = cs_run (exchange, &run, &relay, &retry_after_s);
+  /* The answer is stored before it is given, so that a caller who repeats the
+     request after seeing it cannot find the claim still running.  */
+  if (held != NULL)
+    finish_claim (exchange, held, rc, &relay);
+  if (rc == 0)
+    cs_relay_finish (&relay);
+  else
+    cs_exchange_fail (exchange, rc, NULL, retry_after_s);
+  cs_relay_free (&relay);
+}
+
+static void
+run_once (cs_exchange_t *exchange, cs_str_t path, const char *key)
+{
+  cs_held_claim_t held;
+  char hash[65];
+  bool stored;
+  hash_request (exchange, path, hash);
+  int rc = cs_claims_begin (exchange->daemon->claims,
+                            cs_name_str (&exchange->organisation.name),
+                            cs_str (key), hash, &held, &stored);
+  if (rc != 0)
+    cs_exchange_fail (exchange, rc, NULL, 1);
+  else if (stored)
+    cs_exchange_answer (exchange, held.claim.status,
+                        held.claim.content_type.data,
+                        cs_buf_str (&held.claim.body));
+  else
+    run_service (exchange, path, &held);
+  cs_held_claim_free (&held);
+}
+
+void
+cs_handle_service (cs_exchange_t *exchange)
+{
+  cs_buf_t path = { 0 };
+  const char *key = cs_exchange_header (exchange, "Idempotency-Key");
+  if (cs_exchange_authorise (exchange) != 0
+      || cs_exchange_read_body (exchange) != 0)
+    return;
+  int rc = read_path (exchange, &path);
+  if (rc != 0)
+    cs_exchange_fail (exchange, rc, NULL, 0);
+  else if (key != NULL && (key[0] == '\0' || strlen (key) > 255))
+    cs_exchange_fail (exchange, CS_ERR_BAD_REQUEST,
+                      "Idempotency-Key must have 1 to 255 characters.", 0);
+  else if (key == NULL || exchange->offering.idempotent
+           || exchange->handed_over)
+    run_service (exchange, cs_buf_str (&path), NULL);
+  else
+    run_once (exchange, cs_buf_str (&path), key);
+  cs_buf_free (&path);
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,135 @@
+/* cranberrystiled: the router of one entry host.  */
+
+#include <argtable2.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <civetweb.h>
+#include <curl/curl.h>
+
+#include "common/log.h"
+#include "daemon/daemon.h"
+
+#define EXIT_USAGE 2
+
+typedef struct
+{
+  struct arg_lit *help;
+  struct arg_lit *version;
+  struct arg_lit *check;
+  struct arg_file *settings;
+  struct arg_end *end;
+} arguments_t;
+
+/* Returns the exit status, or -1 to go on.  */
+static int
+parse_arguments (int argc, char **argv, arguments_t *arguments)
+{
+  void *table[] = {
+    arguments->help = arg_lit0 ("h", "help", "print this help"),
+    arguments->version = arg_lit0 (NULL, "version", "print the version"),
+    arguments->check
+    = arg_lit0 (NULL, "check-settings", "check the settings and exit"),
+    arguments->settings
+    = arg_file0 ("s", "settings", "FILE", "settings, in INI form"),
+    arguments->end = arg_end (4),
+  };
+  int errors = arg_parse (argc, argv, table);
+  if (arguments->help->count > 0)
+    {
+      printf ("Usage: cranberrystiled");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+      return 0;
+    }
+  if (arguments->version->count > 0)
+    {
+      printf ("cranberrystiled %s\n", CS_VERSION);
+      return 0;
+    }
+  if (errors > 0 || arguments->settings->count == 0)
+    {
+      fprintf (stderr, "cranberrystiled: --settings FILE is needed; see "
+                       "--help\n");
+      return EXIT_USAGE;
+    }
+  return -1;
+}
+
+static void
+block_signals (sigset_t *set)
+{
+  sigemptyset (set);
+  sigaddset (set, SIGTERM);
+  sigaddset (set, SIGINT);
+  sigaddset (set, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+/* Says that further signals change nothing while the stop is under way.  */
+static void *
+answer_signals (void *argument)
+{
+  const sigset_t *set = argument;
+  int number;
+  while (sigwait (set, &number) == 0)
+    cs_log (CS_EV_STOP_REPEATED, "signal=%d", number);
+  return NULL;
+}
+
+static int
+run (const cs_settings_t *settings)
+{
+  static sigset_t set;
+  pthread_t thread;
+  int number;
+  block_signals (&set);
+  cs_daemon_t *daemon = cs_daemon_create (settings);
+  if (daemon == NULL)
+    return EXIT_FAILURE;
+  sigwait (&set, &number);
+  bool answering = pthread_create (&thread, NULL, answer_signals, &set) == 0;
+  cs_daemon_stop (daemon);
+  cs_daemon_destroy (daemon);
+  if (answering)
+    {
+      pthread_cancel (thread);
+      pthread_join (thread, NULL);
+    }
+  cs_log (CS_EV_STOPPED, "host=%s", settings->name);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  static cs_settings_t settings;
+  arguments_t arguments;
+  cs_buf_t reason = { 0 };
+  int status = parse_arguments (argc, argv, &arguments);
+  if (status >= 0)
+    return status;
+  cs_log_init ("-", "cranberrystiled");
+  if (cs_settings_read (arguments.settings->filename[0], &settings, &reason)
+      != 0)
+    {
+      cs_log (CS_EV_BAD_SETTING, "%s", reason.data);
+      cs_buf_free (&reason);
+      return EXIT_USAGE;
+    }
+  if (arguments.check->count > 0)
+    {
+      printf ("%s: the settings are good\n", arguments.settings->filename[0]);
+      return EXIT_SUCCESS;
+    }
+  cs_log_init (settings.name, "cranberrystiled");
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  mg_init_library (MG_FEATURES_TLS);
+  status = run (&settings);
+  mg_exit_library ();
+  curl_global_cleanup ();
+  return status;
+}
--- /dev/null
+++ b/daemon/operator/drain.c
@@ -0,0 +1,15 @@
+/* POST /drain: this host leaves as on SIGTERM.  */
+
+#include <signal.h>
+
+#include "common/log.h"
+#include "daemon/handlers.h"
+
+int
+cs_operate_drain (cs_daemon_t *daemon, const char *query, cs_buf_t *body,
+                  const char **content_type)
+{
+  cs_log (CS_EV_OPERATOR_DRAIN, "host=%s", daemon->settings.name);
+  cs_buf_printf (body, "{\"status\":\"draining\"}\n");
+  return raise (SIGTERM) == 0 ? 202 : 500;
+}
--- /dev/null
+++ b/daemon/peer/summaries.c
@@ -0,0 +1,78 @@
+#include "daemon/summaries.h"
+
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+
+#define INTERVAL_MS 1000
+#define POOLS_MAX 256
+
+struct cs_summaries
+{
+  cs_placement_t *placement;
+  cs_peers_t *peers;
+  atomic_bool stopping;
+  pthread_t thread;
+};
+
+static void
+tell (cs_summaries_t *summaries)
+{
+  cs_pool_summary_t pools[POOLS_MAX];
+  size_t count
+      = cs_placement_summaries (summaries->placement, pools, POOLS_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      Cs__Peer__Summary message;
+      cs_frame_t frame;
+      cs__peer__summary__init (&message);
+      message.offering = pools[i].offering;
+      message.spare = pools[i].spare;
+      message.targets = pools[i].targets;
+      cs__peer__frame__init (&frame);
+      frame.body_case = CS__PEER__FRAME__BODY_SUMMARY;
+      frame.summary = &message;
+      cs_peers_broadcast (summaries->peers, false, &frame);
+    }
+}
+
+static void *
+run (void *argument)
+{
+  cs_summaries_t *summaries = argument;
+  while (!atomic_load (&summaries->stopping))
+    {
+      tell (summaries);
+      for (int ms = 0; ms < INTERVAL_MS && !atomic_load (&summaries->stopping);
+           ms += 50)
+        poll (NULL, 0, 50);
+    }
+  return NULL;
+}
+
+cs_summaries_t *
+cs_summaries_create (cs_placement_t *placement, cs_peers_t *peers)
+{
+  cs_summaries_t *summaries = calloc (1, sizeof *summaries);
+  if (summaries == NULL)
+    return NULL;
+  summaries->placement = placement;
+  summaries->peers = peers;
+  if (pthread_create (&summaries->thread, NULL, run, summaries) != 0)
+    {
+      free (summaries);
+      return NULL;
+    }
+  return summaries;
+}
+
+void
+cs_summaries_destroy (cs_summaries_t *summaries)
+{
+  if (summaries == NULL)
+    return;
+  atomic_store (&summaries->stopping, true);
+  pthread_join (summaries->thread, NULL);
+  free (summaries);
+}
--- /dev/null
+++ b/include/common/error.h
@@ -0,0 +1,44 @@
+/* The closed list of error kinds.  Functions return 0 or one of these
+   negative numbers.  cranberrystile/answer.h maps each kind to the answer
+   that a caller receives.  */
+
+#ifndef CS_COMMON_ERROR_H
+#define CS_COMMON_ERROR_H
+
+typedef enum
+{
+  CS_OK = 0,
+  CS_ERR_NO_MEMORY = -1,
+  CS_ERR_BAD_REQUEST = -2,      /* malformed input from a caller */
+  CS_ERR_UNAUTHORISED = -3,     /* key missing or unknown */
+  CS_ERR_NOT_FOUND = -4,        /* no such model, service or object */
+  CS_ERR_TOO_LARGE = -5,        /* body over the configured limit */
+  CS_ERR_RATE_LIMITED = -6,     /* organisation over its rate */
+  CS_ERR_OVERLOADED = -7,       /* no target can serve within the deadline */
+  CS_ERR_NO_TARGET = -8,        /* no live target for the offering */
+  CS_ERR_STOPPING = -9,         /* this router is shutting down */
+  CS_ERR_NOT_READY = -10,       /* no release has been learned yet */
+  CS_ERR_CONNECT = -11,         /* connection refused or timed out */
+  CS_ERR_REFUSED = -12,         /* the target refused before starting */
+  CS_ERR_SILENT = -13,          /* sent, then no answer within the timeout */
+  CS_ERR_CUT = -14,             /* sent, then the connection was cut */
+  CS_ERR_WRONG_ANSWER = -15,    /* answer of another request, or malformed */
+  CS_ERR_PLATFORM_DOWN = -16,   /* the platform did not answer */
+  CS_ERR_CONFLICT = -17,        /* conditional write lost */
+  CS_ERR_IN_PROGRESS = -18,     /* the same idempotency key is running */
+  CS_ERR_OUTCOME_UNKNOWN = -19, /* an earlier attempt may have run */
+  CS_ERR_KEY_REUSED = -20,      /* idempotency key with another body */
+  CS_ERR_DEADLINE = -21,        /* deadline passed while waiting */
+  CS_ERR_CALLER_GONE = -22,     /* the caller closed its connection */
+  CS_ERR_BAD_SETTING = -23,     /* settings file is not valid */
+  CS_ERR_BAD_RELEASE = -24,     /* release note is not valid */
+  CS_ERR_BAD_FRAME = -25,       /* peer frame malformed or not allowed */
+  CS_ERR_INTERNAL = -26
+} cs_error_t;
+
+#define CS_ERROR_COUNT 27
+
+/* Short constant name, such as "overloaded".  Never NULL.  */
+const char *cs_error_name (int error);
+
+#endif
--- /dev/null
+++ b/include/common/event.h
@@ -0,0 +1,48 @@
+/* The catalogue of numbered log events.  docs/EVENTS.md explains each; a unit
+   test compares the two.  Numbers are never reused.  */
+
+#ifndef CS_COMMON_EVENT_H
+#define CS_COMMON_EVENT_H
+
+/* X (symbol, number, syslog priority)  */
+#define CS_EVENT_LIST(X)                                                      \
+  X (STARTED, 1001, 5)                                                        \
+  X (STOP_BEGUN, 1002, 5)                                                     \
+  X (STOPPED, 1003, 5)                                                        \
+  X (STOP_REPEATED, 1004, 5)                                                  \
+  X (BAD_SETTING, 1005, 3)                                                    \
+  X (START_FAILED, 1006, 3)                                                   \
+  X (READY, 1007, 5)                                                          \
+  X (RELEASE_IN_FORCE, 1101, 5)                                               \
+  X (RELEASE_REJECTED, 1102, 3)                                               \
+  X (PLATFORM_LOST, 1201, 4)                                                  \
+  X (PLATFORM_BACK, 1202, 5)                                                  \
+  X (PEER_CONNECTED, 1301, 6)                                                 \
+  X (PEER_LOST, 1302, 4)                                                      \
+  X (PEER_REJECTED, 1303, 4)                                                  \
+  X (PEER_LEFT, 1304, 6)                                                      \
+  X (OWNER_CHANGED, 1305, 6)                                                  \
+  X (TARGET_LEAVING, 1401, 5)                                                 \
+  X (TARGET_SILENT, 1402, 4)                                                  \
+  X (TARGET_EJECTED, 1403, 4)                                                 \
+  X (TARGET_RETURNED, 1404, 5)                                                \
+  X (TARGET_STARTED, 1405, 5)                                                 \
+  X (WRONG_ANSWER, 1406, 4)                                                   \
+  X (REQUEST_FAILED, 1501, 6)                                                 \
+  X (STREAM_RESUMED, 1502, 6)                                                 \
+  X (CLAIM_UNKNOWN, 1601, 4)                                                  \
+  X (CLAIM_SWEPT, 1602, 6)                                                    \
+  X (LEASE_TAKEN, 1701, 5)                                                    \
+  X (LEASE_LOST, 1702, 4)                                                     \
+  X (ORDER_SENT, 1703, 5)                                                     \
+  X (ORDER_REFUSED, 1704, 4)                                                  \
+  X (OPERATOR_DRAIN, 1801, 5)
+
+typedef enum
+{
+#define CS_EVENT_ENUM(symbol, number, priority) CS_EV_##symbol = (number),
+  CS_EVENT_LIST (CS_EVENT_ENUM)
+#undef CS_EVENT_ENUM
+} cs_event_t;
+
+#endif
--- /dev/null
+++ b/include/common/hash.h
@@ -0,0 +1,33 @@
+/* Hashing (xxHash) and a seeded random source built on it.  */
+
+#ifndef CS_COMMON_HASH_H
+#define CS_COMMON_HASH_H
+
+#include <stdint.h>
+
+#include "common/str.h"
+
+uint64_t cs_hash (cs_str_t s, uint64_t seed);
+
+/* Mixes two 64-bit values into one.  */
+uint64_t cs_hash_pair (uint64_t a, uint64_t b);
+
+/* A reproducible random source.  Not for secrets.  */
+typedef struct
+{
+  uint64_t seed;
+  uint64_t counter;
+} cs_random_t;
+
+uint64_t cs_random_u64 (cs_random_t *random);
+
+/* Uniform in [0, 1).  */
+double cs_random_unit (cs_random_t *random);
+
+/* Exponentially distributed with mean MEAN, by inversion.  */
+double cs_random_exponential (cs_random_t *random, double mean);
+
+/* Writes the SHA-256 of S as 64 lower-case hex digits and a zero.  */
+void cs_sha256_hex (cs_str_t s, char out[65]);
+
+#endif
--- /dev/null
+++ b/include/daemon/daemon.h
@@ -0,0 +1,67 @@
+/* Everything that one daemon is made of.  The parts are thread-safe; the
+   pointers do not change while requests are served.  */
+
+#ifndef CS_DAEMON_DAEMON_H
+#define CS_DAEMON_DAEMON_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "cranberrystile/counters.h"
+#include "cranberrystile/limit.h"
+#include "cranberrystile/retry.h"
+#include "daemon/cells.h"
+#include "daemon/claims.h"
+#include "daemon/configuration.h"
+#include "daemon/endpoints.h"
+#include "daemon/follower.h"
+#include "daemon/members.h"
+#include "daemon/orders.h"
+#include "daemon/peers.h"
+#include "daemon/placement.h"
+#include "daemon/poller.h"
+#include "daemon/settings.h"
+#include "daemon/summaries.h"
+#include "platform/client.h"
+
+typedef struct cs_limits cs_limits_t;
+struct mg_context;
+
+typedef struct
+{
+  cs_settings_t settings;
+  cs_counters_t *counters;
+  cs_members_t *members;
+  cs_configuration_t *configuration;
+  cs_endpoints_t *endpoints;
+  cs_placement_t *placement;
+  cs_peers_t *peers;
+  cs_poller_t *poller;
+  cs_cells_t *cells;
+  cs_limits_t *limits;
+  cs_platform_t *platform; /* NULL when none is configured */
+  cs_follower_t *follower; /* NULL when none is configured */
+  cs_claims_t *claims;
+  cs_orders_t *orders; /* NULL when no platform is configured */
+  cs_summaries_t *summaries;
+  struct mg_context *callers;
+  struct mg_context *operators;
+  cs_name_t caller_address;
+  cs_name_t operator_address;
+  cs_time_us_t started;
+  atomic_bool stopping;  /* requests are refused */
+  atomic_bool leaving;   /* readiness fails, requests are still taken */
+  atomic_int requests;   /* requests of callers being served */
+  atomic_ullong arrived; /* time of the newest request */
+} cs_daemon_t;
+
+/* Creates all parts from settings and starts their threads.  NULL after an
+   event has been logged.  */
+cs_daemon_t *cs_daemon_create (const cs_settings_t *settings);
+void cs_daemon_destroy (cs_daemon_t *daemon);
+
+/* Stops gracefully: leaves the fleet, goes on serving for the lame-duck time,
+   and returns when no request is in flight.  */
+void cs_daemon_stop (cs_daemon_t *daemon);
+
+#endif
--- /dev/null
+++ b/include/daemon/follower.h
@@ -0,0 +1,29 @@
+/* Follows the platform: releases by watch, and the lagging lists of targets
+   and hosts by polling.  Only a few hosts of a data centre do either at a
+   time; the others learn from them.  */
+
+#ifndef CS_DAEMON_FOLLOWER_H
+#define CS_DAEMON_FOLLOWER_H
+
+#include "daemon/configuration.h"
+#include "daemon/endpoints.h"
+#include "daemon/members.h"
+#include "daemon/peers.h"
+#include "daemon/poller.h"
+#include "daemon/settings.h"
+#include "platform/client.h"
+
+typedef struct cs_follower cs_follower_t;
+
+cs_follower_t *cs_follower_create (const cs_settings_t *settings,
+                                   cs_platform_t *platform,
+                                   cs_members_t *members,
+                                   cs_configuration_t *configuration,
+                                   cs_endpoints_t *endpoints,
+                                   cs_peers_t *peers, cs_poller_t *poller);
+void cs_follower_destroy (cs_follower_t *follower);
+
+/* Whether the last call of the platform succeeded.  */
+bool cs_follower_is_connected (const cs_follower_t *follower);
+
+#endif
--- /dev/null
+++ b/include/daemon/handlers.h
@@ -0,0 +1,35 @@
+/* The handlers of callers' requests, one file each, and the servers that call
+   them.  */
+
+#ifndef CS_DAEMON_HANDLERS_H
+#define CS_DAEMON_HANDLERS_H
+
+#include "daemon/exchange.h"
+
+/* A handler answers its exchange in every case.  */
+typedef void cs_handler_fn (cs_exchange_t *exchange);
+
+cs_handler_fn cs_handle_chat_completions;
+cs_handler_fn cs_handle_completions;
+cs_handler_fn cs_handle_models;
+cs_handler_fn cs_handle_service;
+
+/* An operator's handler fills BODY and returns the HTTP status.  */
+typedef int cs_operator_fn (cs_daemon_t *daemon, const char *query,
+                            cs_buf_t *body, const char **content_type);
+
+cs_operator_fn cs_operate_drain;
+cs_operator_fn cs_operate_explain;
+cs_operator_fn cs_operate_healthz;
+cs_operator_fn cs_operate_metrics;
+cs_operator_fn cs_operate_readyz;
+cs_operator_fn cs_operate_status;
+
+/* Starts a server on ADDRESS; BOUND receives the address with the port that
+   the kernel chose.  NULL when that fails.  Stop with mg_stop.  */
+struct mg_context *cs_server_start_callers (cs_daemon_t *daemon,
+                                            cs_name_t *bound);
+struct mg_context *cs_server_start_operators (cs_daemon_t *daemon,
+                                              cs_name_t *bound);
+
+#endif
--- /dev/null
+++ b/include/daemon/orders.h
@@ -0,0 +1,27 @@
+/* Orders to engines: brings the version that each engine has loaded to what
+   the release says.  Done by the one router of the data centre that holds the
+   lease; the lease's count of holders is the fencing number.  */
+
+#ifndef CS_DAEMON_ORDERS_H
+#define CS_DAEMON_ORDERS_H
+
+#include "cranberrystile/counters.h"
+#include "daemon/configuration.h"
+#include "daemon/endpoints.h"
+#include "daemon/members.h"
+#include "daemon/settings.h"
+#include "platform/client.h"
+
+typedef struct cs_orders cs_orders_t;
+
+cs_orders_t *cs_orders_create (const cs_settings_t *settings,
+                               cs_platform_t *platform, cs_members_t *members,
+                               cs_endpoints_t *endpoints,
+                               cs_configuration_t *configuration,
+                               cs_counters_t *counters);
+void cs_orders_destroy (cs_orders_t *orders);
+
+/* Whether this router holds the lease just now.  */
+bool cs_orders_is_holder (cs_orders_t *orders);
+
+#endif
--- /dev/null
+++ b/include/daemon/settings.h
@@ -0,0 +1,68 @@
+/* The settings of a daemon, read once at start from an INI file.  */
+
+#ifndef CS_DAEMON_SETTINGS_H
+#define CS_DAEMON_SETTINGS_H
+
+#include <stdint.h>
+
+#include "common/str.h"
+
+#define CS_SETTING_TEXT_MAX 512
+
+typedef struct
+{
+  /* [host] */
+  char name[CS_SETTING_TEXT_MAX];
+  char data_centre[CS_SETTING_TEXT_MAX];
+  /* [caller] */
+  char caller_listen[CS_SETTING_TEXT_MAX];
+  char tls_certificate[CS_SETTING_TEXT_MAX]; /* PEM file; empty is no TLS */
+  uint32_t workers;
+  uint32_t body_limit_kib;
+  uint32_t deadline_ms;   /* whole request */
+  uint32_t queue_wait_ms; /* longest wait for a target */
+  /* [operator] */
+  char operator_listen[CS_SETTING_TEXT_MAX];
+  char operator_key[CS_SETTING_TEXT_MAX];
+  /* [peer] */
+  char peer_listen[CS_SETTING_TEXT_MAX];
+  char peer_seeds[CS_SETTING_TEXT_MAX]; /* addresses separated by spaces */
+  char fleet_key[CS_SETTING_TEXT_MAX];
+  uint32_t heartbeat_ms;
+  /* [platform] */
+  char platform_address[CS_SETTING_TEXT_MAX]; /* empty: no platform */
+  char platform_namespace[CS_SETTING_TEXT_MAX];
+  char platform_token[CS_SETTING_TEXT_MAX];
+  uint32_t platform_timeout_ms;
+  uint32_t follow_ms;   /* pause between looks when no watch is held */
+  uint32_t claim_ttl_s; /* an ended claim is kept this long */
+  /* [target] */
+  uint32_t connect_timeout_ms;
+  uint32_t first_byte_timeout_ms;
+  uint32_t token_timeout_ms;
+  uint32_t poll_ms;
+  uint32_t tries;
+  uint32_t connection_age_s;
+  uint32_t order_ms;      /* longest order to an engine */
+  uint32_t load_pause_ms; /* between two loads of a model or version */
+  /* [placement] */
+  uint32_t short_percent;
+  uint32_t long_context_tokens;
+  uint32_t spill_ranks;
+  uint32_t settle_ms;
+  uint32_t ramp_s;
+  uint32_t queue_length;
+  /* [stop] */
+  uint32_t lame_duck_ms; /* requests are still taken for this long */
+} cs_settings_t;
+
+/* Reads FILE into SETTINGS.  Returns 0, or CS_ERR_BAD_SETTING with one line
+   "FILE:LINE: what is wrong" appended to REASON.  */
+int cs_settings_read (const char *file, cs_settings_t *settings,
+                      cs_buf_t *reason);
+
+/* The same for text held in memory; FILE only names it in messages.  */
+int cs_settings_parse (const char *file, const char *text,
+                       cs_settings_t *settings, cs_buf_t *reason);
+
+#endif
