Measure placement beside the plain ways in one run

Cause: cache reuse and skew are what the users pay for, and nothing measured them.

Change: bench/ drives the decision library in virtual time from a seed: chats arrive at routers, asks and releases travel, engines are a few lines of arithmetic with token-limited caches. It judges each placement by the true counts. cs_pool: calls of a router that has moved to another owner still count on their targets but not in the mean; ejected targets are in neither side of the mean.

Ruled out: keeping ejected targets in the mean.

--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,131 @@
+/* cranberrystile-bench: cache reuse, skew, waits, extra tries and control
+   bytes of the chosen placement beside the plain ways, in one run.  */
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+static const size_row_t sizes[] = {
+  { "sheetline", 18, 8, 1000, 900 },
+  { "bmk", 12, 6, 1500, 900 },
+  { "cell", 750, 22, 1000, 120 },
+};
+
+#define SIZE_COUNT (sizeof sizes / sizeof sizes[0])
+
+static const struct
+{
+  const char *name;
+  cs_place_way_t way;
+} ways[] = {
+  { "owner, bounded", CS_PLACE_BOUNDED },
+  { "least loaded", CS_PLACE_LEAST_LOADED },
+  { "two choices", CS_PLACE_TWO_CHOICES },
+  { "rendezvous", CS_PLACE_RENDEZVOUS },
+  { "round robin", CS_PLACE_ROUND_ROBIN },
+};
+
+#define WAY_COUNT (sizeof ways / sizeof ways[0])
+
+static void
+print_row (const setup_t *setup, const char *way, const result_t *r)
+{
+  printf (
+      "%-9s %-10s %-14s c=%.2f lag=%.1fs seed=%llu | reuse %.3f (best "
+      "%.3f) | max/mean %.2f p99 %.2f worst %.2f | above cap %llu of "
+      "%llu, worst +%u | calm wait p95 %.1f ms | refused %llu (calm %llu) | "
+      "extra "
+      "tries %.3f | control %.2f KB/s, most %.2f | place %.1f us\n",
+      setup->size.name, case_name (setup->scenario), way, setup->cap_factor,
+      (double)setup->lag_us / 1e6, (unsigned long long)setup->seed, r->reuse,
+      r->best_reuse, r->skew_median, r->skew_p99, r->skew_worst,
+      (unsigned long long)r->violations, (unsigned long long)r->placements,
+      r->violation_worst, r->calm_wait_p95_ms, (unsigned long long)r->refused,
+      (unsigned long long)r->refused_calm,
+      r->first_tries == 0 ? 0
+                          : (double)r->extra_tries / (double)r->first_tries,
+      r->control_bytes / 1024, r->control_most / 1024, r->place_us);
+  fflush (stdout);
+}
+
+static void
+run_case (const setup_t *base, case_t scenario, size_t way, double cap_factor,
+          cs_time_us_t lag_us)
+{
+  result_t result;
+  setup_t setup = *base;
+  setup.scenario = scenario;
+  setup.way = ways[way].way;
+  setup.cap_factor = cap_factor;
+  setup.lag_us = lag_us;
+  world_run (&setup, &result);
+  print_row (&setup, ways[way].name, &result);
+}
+
+static double
+own_cap_factor (const size_row_t *size)
+{
+  return strcmp (size->name, "bmk") == 0 ? 1.5 : 1.25;
+}
+
+static void
+run_size (const setup_t *base, bool only_ours)
+{
+  double c = own_cap_factor (&base->size);
+  for (int scenario = 0; scenario < CASE_COUNT; scenario++)
+    for (size_t way = 0; way < (only_ours ? 1 : WAY_COUNT); way++)
+      {
+        run_case (base, (case_t)scenario, way, c, 500000);
+        /* Views of twice the age matter to those that place by them.  */
+        if (way > 0 && way < 3 && scenario == CASE_BURST)
+          run_case (base, (case_t)scenario, way, c, 2000000);
+      }
+  if (c < 1.5)
+    run_case (base, CASE_CALM, 0, 1.5, 500000);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *size
+      = arg_str0 ("s", "size", "NAME", "sheetline, bmk or cell; default all");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "default 1");
+  struct arg_lit *ours = arg_lit0 (NULL, "ours", "leave the baselines out");
+  struct arg_dbl *short_factor = arg_dbl0 (
+      NULL, "short", "F", "threshold of chats without context, as a factor");
+  struct arg_dbl *long_tokens = arg_dbl0 (
+      NULL, "long", "TOKENS", "context from which the whole cap applies");
+  struct arg_int *ranks
+      = arg_int0 (NULL, "ranks", "N", "ranked targets considered for a spill");
+  struct arg_end *end = arg_end (4);
+  void *table[]
+      = { help, size, seed, ours, short_factor, long_tokens, ranks, end };
+  int errors = arg_parse (argc, argv, table);
+  if (help->count > 0 || errors > 0)
+    {
+      printf ("Usage: cranberrystile-bench");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+      return errors > 0 ? 2 : 0;
+    }
+  setup_t setup = { .seed = 1 };
+  if (seed->count > 0)
+    setup.seed = (uint64_t)seed->ival[0];
+  if (short_factor->count > 0)
+    setup.short_factor = short_factor->dval[0];
+  if (long_tokens->count > 0)
+    setup.long_tokens = long_tokens->dval[0];
+  if (ranks->count > 0)
+    setup.ranks = (uint32_t)ranks->ival[0];
+  for (size_t i = 0; i < SIZE_COUNT; i++)
+    {
+      setup.size = sizes[i];
+      if (size->count == 0 || strcmp (size->sval[0], sizes[i].name) == 0)
+        run_size (&setup, ours->count > 0);
+    }
+  return 0;
+}
--- a/cranberrystile/placement/cap.c
+++ b/cranberrystile/placement/cap.c
@@ -18,7 +18,7 @@
 {
   uint32_t own = 0;
   for (size_t i = 0; i < pool->count; i++)
-    if (pool->targets[i].state != CS_TARGET_LEAVING)
+    if (pool->targets[i].state == CS_TARGET_LIVE)
       own++;
   return own > pool->believed ? own : pool->believed;
 }
@@ -52,7 +52,7 @@
   settle_calls (pool, now);
   uint32_t settled = 0;
   for (size_t i = 0; i < pool->count; i++)
-    if (pool->targets[i].state != CS_TARGET_LEAVING)
+    if (pool->targets[i].state == CS_TARGET_LIVE)
       settled += pool->settled_load[i];
   double under_way = cs_rate_value (&pool->releases, now)
                      * (double)pool->policy.settle_us / (double)CS_US_PER_S;
--- a/cranberrystile/placement/pool.c
+++ b/cranberrystile/placement/pool.c
@@ -339,7 +339,7 @@
       if (call->settled)
         pool->settled_load[at->index]--;
     }
-  if (!call->settled)
+  if (!call->settled && !call->doubted)
     DL_DELETE (pool->unsettled, call);
   tenant_end_call (pool, call->organisation);
   HASH_DEL (pool->calls, call);
@@ -410,6 +410,29 @@
   return dropped;
 }
 
+static void
+unsettle (cs_pool_t *pool, call_t *call)
+{
+  const target_index_t *at = find_target (pool, call->target);
+  if (call->settled && at != NULL)
+    pool->settled_load[at->index]--;
+  if (!call->settled && !call->doubted)
+    DL_DELETE (pool->unsettled, call);
+  call->settled = false;
+  call->doubted = true;
+}
+
+void
+cs_pool_doubt_router (cs_pool_t *pool, uint64_t router)
+{
+  call_t *call, *next;
+  HASH_ITER (hh, pool->calls, call, next)
+  {
+    if (call->key.router == router)
+      unsettle (pool, call);
+  }
+}
+
 double
 cs_pool_release_rate (const cs_pool_t *pool, cs_time_us_t now)
 {
--- a/cranberrystile/placement/pool_internal.h
+++ b/cranberrystile/placement/pool_internal.h
@@ -23,6 +23,7 @@
   uint64_t target;
   cs_time_us_t granted;
   bool settled;      /* counted in the mean */
+  bool doubted;      /* never counted in the mean again */
   struct call *prev; /* in order of grants, among the unsettled */
   struct call *next;
   UT_hash_handle hh;
--- a/include/cranberrystile/pool.h
+++ b/include/cranberrystile/pool.h
@@ -50,7 +50,7 @@
 typedef enum
 {
   CS_TARGET_LIVE,
-  CS_TARGET_EJECTED, /* failing; gets no calls but stays in the mean */
+  CS_TARGET_EJECTED, /* failing; gets no calls but keeps its rank */
   CS_TARGET_LEAVING  /* gets no calls; running calls go on */
 } cs_target_state_t;
 
@@ -131,6 +131,10 @@
 size_t cs_pool_drop_router (cs_pool_t *pool, uint64_t router,
                             cs_time_us_t now);
 
+/* ROUTER asks another owner now and tells that one how its calls end: they
+   still count on their targets, but not in the mean any more.  */
+void cs_pool_doubt_router (cs_pool_t *pool, uint64_t router);
+
 /* Present cap on a target's load, judged by what this owner can be sure of. */
 uint32_t cs_pool_cap (cs_pool_t *pool, cs_time_us_t now);
 
