Let a new owner expect releases under way; remember more spilled chats

Cause: in a pool of 750 engines (cell) three things missed. 11 placements were one call above the cap after the owner was lost in a burst: the new owner had seen no call end yet, so its margin for releases under way was that of an idle pool. 3065 requests were refused in the same second: 256 places in the queue are fewer than arrive in it. Reports settle now.

Change: a new owner assumes a mean service time of 4 s until it has seen calls end; 4096 queue places; 65536 remembered spills (1.5 MB a pool).

--- a/cranberrystile/admission/owner.c
+++ b/cranberrystile/admission/owner.c
@@ -25,7 +25,7 @@
 {
   cs_owner_policy_t policy = {
     .pool = cs_pool_policy_default (),
-    .queue_capacity = 256,
+    .queue_capacity = 4096,
     .ageing_us = 10 * CS_US_PER_S,
     .recovery_us = 2 * CS_US_PER_S,
   };
@@ -158,7 +158,10 @@
 void
 cs_owner_handed_over (cs_owner_t *owner, uint64_t router, cs_time_us_t now)
 {
+  bool was_recovering = cs_owner_is_recovering (owner);
   stop_awaiting (owner, router);
+  if (was_recovering && !cs_owner_is_recovering (owner))
+    cs_pool_assume_releases (owner->pool, now);
   serve_queue (owner, now);
 }
 
@@ -248,7 +251,10 @@
 {
   cs_queue_item_t item;
   if (cs_owner_is_recovering (owner) && now >= owner->recovery_ends)
-    owner->awaited_count = 0;
+    {
+      owner->awaited_count = 0;
+      cs_pool_assume_releases (owner->pool, now);
+    }
   serve_queue (owner, now);
   while (cs_queue_pop_expired (owner->queue, now, &item))
     refuse (owner, &item.ask, CS_ERR_DEADLINE, now);
--- a/cranberrystile/placement/cap.c
+++ b/cranberrystile/placement/cap.c
@@ -31,8 +31,8 @@
   return found;
 }
 
-static void
-settle_calls (cs_pool_t *pool, cs_time_us_t now)
+void
+cs_pool_settle (cs_pool_t *pool, cs_time_us_t now)
 {
   while (pool->unsettled != NULL
          && pool->unsettled->granted + pool->policy.settle_us <= now)
@@ -49,7 +49,7 @@
 uint32_t
 cs_pool_sure_load (cs_pool_t *pool, cs_time_us_t now)
 {
-  settle_calls (pool, now);
+  cs_pool_settle (pool, now);
   uint32_t settled = 0;
   for (size_t i = 0; i < pool->count; i++)
     if (pool->targets[i].state == CS_TARGET_LIVE)
--- a/cranberrystile/placement/pool.c
+++ b/cranberrystile/placement/pool.c
@@ -10,6 +10,10 @@
 /* Time constant of the rate at which calls end.  */
 #define RELEASE_WINDOW_US (2 * CS_US_PER_S)
 
+/* Mean service time that an owner assumes before it has seen calls end; short,
+   so that it rather expects too many releases to be under way.  */
+#define SHORT_SERVICE_S 4.0
+
 /* Weight of a target that has just joined.  */
 #define RAMP_START 0.2
 
@@ -24,7 +28,7 @@
     .spill_ranks = 4,
     .settle_us = 5 * CS_US_PER_MS,
     .ramp_us = 20 * CS_US_PER_S,
-    .spill_entries = 8192,
+    .spill_entries = 65536,
     .spill_ttl_us = 1800 * CS_US_PER_S,
     .surge_headroom = 0.1,
   };
@@ -222,6 +226,7 @@
   const call_t *call;
   if (at == NULL)
     return;
+  cs_pool_settle (pool, taken);
   cs_pool_target_t *target = &pool->targets[at->index];
   uint32_t own = target->load - target->external;
   uint32_t newer = 0;
@@ -433,6 +438,16 @@
   }
 }
 
+void
+cs_pool_assume_releases (cs_pool_t *pool, cs_time_us_t now)
+{
+  double assumed = (double)pool->in_flight / SHORT_SERVICE_S;
+  double known = cs_rate_value (&pool->releases, now);
+  double window_s = (double)RELEASE_WINDOW_US / (double)CS_US_PER_S;
+  if (assumed > known)
+    cs_rate_add (&pool->releases, (assumed - known) * window_s, now);
+}
+
 double
 cs_pool_release_rate (const cs_pool_t *pool, cs_time_us_t now)
 {
--- a/cranberrystile/placement/pool_internal.h
+++ b/cranberrystile/placement/pool_internal.h
@@ -70,6 +70,9 @@
 /* Number of targets that the mean is taken over.  */
 uint32_t cs_pool_mean_targets (const cs_pool_t *pool);
 
+/* Counts the calls granted long enough before NOW in the mean.  */
+void cs_pool_settle (cs_pool_t *pool, cs_time_us_t now);
+
 /* Lower bound on the calls that the live targets carry just now: settled calls
    less those that may have ended without our knowing yet.  */
 uint32_t cs_pool_sure_load (cs_pool_t *pool, cs_time_us_t now);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -53,7 +53,7 @@
   { "peer", "seeds", KIND_ADDRESSES, AT (peer_seeds), 0, 0, "" },
   { "placement", "long_context_tokens", KIND_NUMBER, AT (long_context_tokens), 1, 10000000, "4000" },
   { "placement", "queue_length", KIND_NUMBER, AT (queue_length), 1, 100000,
-    "256" },
+    "4096" },
   { "placement", "ramp_s", KIND_NUMBER, AT (ramp_s), 0, 3600, "20" },
   { "placement", "settle_ms", KIND_NUMBER, AT (settle_ms), 0, 1000, "5" },
   { "placement", "short_percent", KIND_NUMBER, AT (short_percent), 1, 1000, "90" },
--- a/include/cranberrystile/pool.h
+++ b/include/cranberrystile/pool.h
@@ -138,6 +138,10 @@
 /* Present cap on a target's load, judged by what this owner can be sure of. */
 uint32_t cs_pool_cap (cs_pool_t *pool, cs_time_us_t now);
 
+/* Has a new owner, which has not seen calls end yet, expect as many releases
+   to be under way as short calls would send.  */
+void cs_pool_assume_releases (cs_pool_t *pool, cs_time_us_t now);
+
 /* Calls ended per second, smoothed.  */
 double cs_pool_release_rate (const cs_pool_t *pool, cs_time_us_t now);
 
