--- a/bench/world.h
+++ b/bench/world.h
@@ -40,7 +40,7 @@
   double load; /* mean calls on an engine while calm */
   /* Changes of the library's policy; 0 leaves its value.  */
   double short_factor;
-  double long_tokens;
+  double long_share;
   uint32_t ranks;
 } setup_t;
 
--- a/cranberrystile/admission/owner.c
+++ b/cranberrystile/admission/owner.c
@@ -27,7 +27,7 @@
     .pool = cs_pool_policy_default (),
     .queue_capacity = 4096,
     .ageing_us = 10 * CS_US_PER_S,
-    .recovery_us = 2 * CS_US_PER_S,
+    .recovery_us = 1500 * CS_US_PER_MS,
   };
   return policy;
 }
@@ -166,7 +166,8 @@
 }
 
 /* Expected wait of a new ask, from the asks ahead of it and the rate at which
-   calls end.  0 when nothing is known.  */
+   calls end.  0 when nothing is known, and while slots are free: then asks
+   wait for a recovery or for grants to settle, which takes milliseconds.  */
 static cs_time_us_t
 expected_wait (const cs_owner_t *owner, const cs_queue_item_t *item,
                cs_time_us_t now)
@@ -174,7 +175,8 @@
   double rate = cs_pool_release_rate (owner->pool, now);
   size_t ahead = cs_queue_ahead_of (owner->queue, item->ask.organisation,
                                     item->weight, item->priority);
-  if (rate < RATE_FLOOR || ahead == 0)
+  if (rate < RATE_FLOOR || ahead == 0
+      || ahead < cs_pool_free_slots (owner->pool))
     return 0;
   return (cs_time_us_t)((double)ahead / rate * (double)CS_US_PER_S);
 }
@@ -208,8 +210,9 @@
 cs_owner_ask (cs_owner_t *owner, const cs_queue_item_t *item, cs_time_us_t now)
 {
   cs_pool_grant_t grant;
-  /* A repeated ask replaces the one that waits.  */
-  cs_queue_cancel (owner->queue, item->ask.router, item->ask.call);
+  /* A repeated ask keeps its turn.  */
+  if (cs_queue_has (owner->queue, item->ask.router, item->ask.call))
+    return;
   if (must_queue (owner, item))
     {
       enqueue (owner, item, now);
--- a/cranberrystile/admission/queue.c
+++ b/cranberrystile/admission/queue.c
@@ -151,6 +151,12 @@
   return NULL;
 }
 
+bool
+cs_queue_has (const cs_queue_t *queue, uint64_t router, uint64_t call)
+{
+  return find_node (queue, router, call) != NULL;
+}
+
 bool
 cs_queue_cancel (cs_queue_t *queue, uint64_t router, uint64_t call)
 {
--- a/cranberrystile/membership/hosts.c
+++ b/cranberrystile/membership/hosts.c
@@ -13,6 +13,8 @@
   cs_host_t *hosts; /* the first is self */
   size_t count;
   size_t capacity;
+  cs_name_t *near;
+  size_t near_count;
 };
 
 cs_hosts_t *
@@ -39,9 +41,36 @@
   if (hosts == NULL)
     return;
   free (hosts->hosts);
+  free (hosts->near);
   free (hosts);
 }
 
+int
+cs_hosts_set_near (cs_hosts_t *hosts, const cs_name_t *data_centres,
+                   size_t count)
+{
+  cs_name_t *near = calloc (count + 1, sizeof *near);
+  if (near == NULL)
+    return CS_ERR_NO_MEMORY;
+  if (count > 0)
+    memcpy (near, data_centres, count * sizeof *near);
+  free (hosts->near);
+  hosts->near = near;
+  hosts->near_count = count;
+  return 0;
+}
+
+bool
+cs_hosts_is_near (const cs_hosts_t *hosts, const cs_name_t *data_centre)
+{
+  if (cs_name_equal (data_centre, &hosts->hosts[0].data_centre))
+    return true;
+  for (size_t i = 0; i < hosts->near_count; i++)
+    if (cs_name_equal (data_centre, &hosts->near[i]))
+      return true;
+  return false;
+}
+
 static cs_host_t *
 find_host (const cs_hosts_t *hosts, uint64_t id)
 {
@@ -164,7 +193,7 @@
 static bool
 is_neighbour (const cs_hosts_t *hosts, const cs_host_t *host, cs_time_us_t now)
 {
-  return cs_name_equal (&host->data_centre, &hosts->hosts[0].data_centre)
+  return cs_hosts_is_near (hosts, &host->data_centre)
          && is_live (hosts, host, now);
 }
 
--- a/cranberrystile/placement/cap.c
+++ b/cranberrystile/placement/cap.c
@@ -46,19 +46,44 @@
     }
 }
 
-uint32_t
-cs_pool_sure_load (cs_pool_t *pool, cs_time_us_t now)
+static uint32_t
+settled_load (cs_pool_t *pool, cs_time_us_t now)
 {
-  cs_pool_settle (pool, now);
   uint32_t settled = 0;
+  cs_pool_settle (pool, now);
   for (size_t i = 0; i < pool->count; i++)
     if (pool->targets[i].state == CS_TARGET_LIVE)
       settled += pool->settled_load[i];
-  double under_way = cs_rate_value (&pool->releases, now)
-                     * (double)pool->policy.settle_us / (double)CS_US_PER_S;
-  uint32_t margin
-      = 1 + (uint32_t)ceil (under_way + RELEASE_SIGMA * sqrt (under_way));
-  return settled > margin ? settled - margin : 0;
+  return settled;
+}
+
+/* Releases that are expected to be under way.  */
+static double
+releases_under_way (const cs_pool_t *pool, cs_time_us_t now)
+{
+  return cs_rate_value (&pool->releases, now) * (double)pool->policy.settle_us
+         / (double)CS_US_PER_S;
+}
+
+static uint32_t
+less (uint32_t load, uint32_t margin)
+{
+  return load > margin ? load - margin : 0;
+}
+
+uint32_t
+cs_pool_sure_load (cs_pool_t *pool, cs_time_us_t now)
+{
+  double under_way = releases_under_way (pool, now);
+  double margin = 1 + ceil (under_way + RELEASE_SIGMA * sqrt (under_way));
+  return less (settled_load (pool, now), (uint32_t)margin);
+}
+
+uint32_t
+cs_pool_likely_load (cs_pool_t *pool, cs_time_us_t now)
+{
+  return less (settled_load (pool, now),
+               (uint32_t)releases_under_way (pool, now));
 }
 
 uint32_t
@@ -67,6 +92,9 @@
   uint32_t targets = cs_pool_mean_targets (pool);
   if (targets == 0)
     return 0;
+  /* A single target always carries just the mean.  */
+  if (targets == 1)
+    return UINT32_MAX;
   double mean = (double)(sure_load + 1) / (double)targets;
   return (uint32_t)ceil (factor * mean);
 }
--- a/cranberrystile/placement/choose.c
+++ b/cranberrystile/placement/choose.c
@@ -12,6 +12,7 @@
   cs_pool_t *pool;
   const cs_pool_ask_t *ask;
   uint32_t hard_cap;  /* load after placement never exceeds this */
+  uint32_t least_cap; /* the same for the least loaded target */
   uint32_t soft_cap;  /* load up to which the first choice is taken */
   bool reserve_slots; /* the asker may not use the last slots */
 } choice_t;
@@ -47,7 +48,7 @@
   for (size_t n = 0; n < pool->count; n++)
     {
       size_t i = (start + n) % pool->count;
-      if (!fits (choice, i, choice->hard_cap))
+      if (!fits (choice, i, choice->least_cap))
         continue;
       if (best == pool->count
           || pool->targets[i].load < pool->targets[best].load)
@@ -178,9 +179,11 @@
 /* A chat with little context to reuse leaves its first choice earlier, so that
    short chats level what long ones unbalance.  */
 static double
-threshold_factor (const cs_pool_policy_t *policy, uint32_t context_tokens)
+threshold_factor (const cs_pool_policy_t *policy, double mean_tokens,
+                  uint32_t context_tokens)
 {
-  double cost = (double)context_tokens / policy->long_context_tokens;
+  double long_tokens = policy->long_share * mean_tokens;
+  double cost = long_tokens > 0 ? (double)context_tokens / long_tokens : 1.0;
   if (cost > 1.0)
     cost = 1.0;
   return policy->short_factor
@@ -204,7 +207,7 @@
                 uint32_t *index, cs_why_t *why)
 {
   const cs_pool_policy_t *policy = &pool->policy;
-  choice_t choice = { pool, ask, UINT32_MAX, UINT32_MAX, false };
+  choice_t choice = { pool, ask, UINT32_MAX, UINT32_MAX, UINT32_MAX, false };
   choice.reserve_slots = is_surging (pool, ask->organisation);
   *why = CS_WHY_BASELINE;
   switch (policy->way)
@@ -221,8 +224,11 @@
       break;
     }
   uint32_t sure = cs_pool_sure_load (pool, now);
-  double factor = threshold_factor (policy, ask->context_tokens);
+  double factor
+      = threshold_factor (policy, pool->mean_context, ask->context_tokens);
   choice.hard_cap = cs_pool_cap_for (pool, policy->cap_factor, sure);
+  choice.least_cap = cs_pool_cap_for (pool, policy->cap_factor,
+                                      cs_pool_likely_load (pool, now));
   choice.soft_cap = cs_pool_cap_for (pool, factor, sure);
   return choose_bounded (&choice, now, index, why);
 }
--- a/cranberrystile/placement/pool.c
+++ b/cranberrystile/placement/pool.c
@@ -24,7 +24,7 @@
     .way = CS_PLACE_BOUNDED,
     .cap_factor = 1.25,
     .short_factor = 0.9,
-    .long_context_tokens = 4000,
+    .long_share = 0.7,
     .spill_ranks = 4,
     .settle_us = 5 * CS_US_PER_MS,
     .ramp_us = 20 * CS_US_PER_S,
@@ -353,6 +353,19 @@
   cs_rate_add (&pool->releases, 1, now);
 }
 
+/* Weight of one ask in the moving mean of contexts.  */
+#define CONTEXT_WEIGHT (1.0 / 256)
+
+static void
+learn_context (cs_pool_t *pool, uint32_t tokens)
+{
+  if (tokens == 0)
+    return;
+  if (pool->mean_context == 0)
+    pool->mean_context = tokens;
+  pool->mean_context += (tokens - pool->mean_context) * CONTEXT_WEIGHT;
+}
+
 int
 cs_pool_place (cs_pool_t *pool, const cs_pool_ask_t *ask, cs_time_us_t now,
                cs_pool_grant_t *grant)
@@ -375,6 +388,7 @@
   int rc = cs_pool_choose (pool, ask, now, &index, &grant->why);
   if (rc != 0)
     return rc;
+  learn_context (pool, ask->context_tokens);
   grant->target = pool->targets[index].id;
   return add_call (pool, ask->router, ask->call, ask->organisation,
                    grant->target, now);
@@ -454,6 +468,17 @@
   return cs_rate_value (&pool->releases, now);
 }
 
+uint32_t
+cs_pool_free_slots (const cs_pool_t *pool)
+{
+  uint32_t free_slots = 0;
+  for (size_t i = 0; i < pool->count; i++)
+    if (pool->targets[i].state == CS_TARGET_LIVE
+        && pool->targets[i].load < pool->targets[i].slots)
+      free_slots += pool->targets[i].slots - pool->targets[i].load;
+  return free_slots;
+}
+
 uint32_t
 cs_pool_in_flight (const cs_pool_t *pool)
 {
--- a/cranberrystile/placement/pool_internal.h
+++ b/cranberrystile/placement/pool_internal.h
@@ -62,7 +62,8 @@
   uint32_t in_flight;
   uint64_t slots_total;
   uint32_t round_robin;
-  bool ramping; /* some member may have a weight below 1 */
+  bool ramping;        /* some member may have a weight below 1 */
+  double mean_context; /* moving mean of the context of returning chats */
   cs_rate_t releases;
   cs_spill_t *spill;
 };
@@ -77,6 +78,12 @@
    less those that may have ended without our knowing yet.  */
 uint32_t cs_pool_sure_load (cs_pool_t *pool, cs_time_us_t now);
 
+/* The same without the margin for chance.  The least loaded target is judged
+   by this: it is at most at the mean, so that one more call is within the cap
+   unless several releases are under way at once.  With the margin a pool of a
+   few targets at one call each could never reach two.  */
+uint32_t cs_pool_likely_load (cs_pool_t *pool, cs_time_us_t now);
+
 /* Cap of one target for FACTOR, the call to be placed included in the mean. */
 uint32_t cs_pool_cap_for (cs_pool_t *pool, double factor, uint32_t sure_load);
 
--- a/cranberrystile/release/read.c
+++ b/cranberrystile/release/read.c
@@ -10,7 +10,7 @@
 #define RATE_MAX 1000000
 
 static const char *const section_names[]
-    = { "organisations", "offerings", "targets" };
+    = { "data_centres", "organisations", "offerings", "targets" };
 
 #define SECTION_COUNT (sizeof section_names / sizeof section_names[0])
 
@@ -186,6 +186,17 @@
   return sort_entries (entries, total, size, section, reason);
 }
 
+static int
+read_data_centre (const json_t *object, void *out, cs_buf_t *reason)
+{
+  cs_data_centre_t *data_centre = out;
+  entry_t entry;
+  entry_begin (&entry, object, "data centre", reason);
+  entry_name (&entry, "name", true, &data_centre->name);
+  entry_name (&entry, "region", true, &data_centre->region);
+  return entry_end (&entry);
+}
+
 static bool
 is_sha256_hex (const cs_name_t *text)
 {
@@ -281,6 +292,14 @@
   return entry_end (&entry);
 }
 
+int
+cs_release_read_data_centres (const json_t *array, cs_data_centre_t **out,
+                              size_t *count, cs_buf_t *reason)
+{
+  return read_array (array, sizeof **out, "data_centres", read_data_centre,
+                     (void **)out, count, reason);
+}
+
 int
 cs_release_read_organisations (const json_t *array, cs_organisation_t **out,
                                size_t *count, cs_buf_t *reason)
--- a/cranberrystile/release/read.h
+++ b/cranberrystile/release/read.h
@@ -10,6 +10,8 @@
 /* Refuses anything but the known sections, each an array.  */
 int cs_release_read_sections (const json_t *document, cs_buf_t *reason);
 
+int cs_release_read_data_centres (const json_t *array, cs_data_centre_t **out,
+                                  size_t *count, cs_buf_t *reason);
 int cs_release_read_organisations (const json_t *array,
                                    cs_organisation_t **out, size_t *count,
                                    cs_buf_t *reason);
--- a/cranberrystile/release/release.c
+++ b/cranberrystile/release/release.c
@@ -10,6 +10,8 @@
 {
   uint64_t revision;
   json_t *document;
+  cs_data_centre_t *data_centres;
+  size_t data_centre_count;
   cs_organisation_t *organisations;
   size_t organisation_count;
   cs_offering_t *offerings;
@@ -25,8 +27,8 @@
   cs_release_t *release = calloc (1, sizeof *release);
   if (release == NULL)
     return NULL;
-  release->document = json_pack ("{s:[], s:[], s:[]}", "organisations",
-                                 "offerings", "targets");
+  release->document = json_pack ("{s:[], s:[], s:[], s:[]}", "data_centres",
+                                 "organisations", "offerings", "targets");
   if (release->document == NULL)
     {
       free (release);
@@ -41,6 +43,7 @@
   if (release == NULL)
     return;
   json_decref (release->document);
+  free (release->data_centres);
   free (release->organisations);
   free (release->offerings);
   free (release->targets);
@@ -93,6 +96,19 @@
   return 0;
 }
 
+/* A copy in which each section is there.  */
+static json_t *
+copy_document (const json_t *document)
+{
+  static const char *const sections[]
+      = { "data_centres", "organisations", "offerings", "targets" };
+  json_t *copy = json_deep_copy (document);
+  for (size_t i = 0; i < 4 && json_is_object (copy); i++)
+    if (json_object_get (copy, sections[i]) == NULL)
+      json_object_set_new (copy, sections[i], json_array ());
+  return copy;
+}
+
 int
 cs_release_create (uint64_t revision, const json_t *document,
                    cs_release_t **out, cs_buf_t *reason)
@@ -102,10 +118,15 @@
   if (release == NULL)
     goto fail;
   release->revision = revision;
-  release->document = json_deep_copy (document);
+  release->document = copy_document (document);
   if (release->document == NULL)
     goto fail;
   rc = cs_release_read_sections (document, reason);
+  if (rc != 0)
+    goto fail;
+  rc = cs_release_read_data_centres (
+      json_object_get (document, "data_centres"), &release->data_centres,
+      &release->data_centre_count, reason);
   if (rc != 0)
     goto fail;
   rc = cs_release_read_organisations (
@@ -148,6 +169,26 @@
   return release->document;
 }
 
+const cs_data_centre_t *
+cs_release_data_centres (const cs_release_t *release, size_t *count)
+{
+  *count = release->data_centre_count;
+  return release->data_centres;
+}
+
+void
+cs_release_region_of (const cs_release_t *release, cs_str_t data_centre,
+                      cs_name_t *out)
+{
+  cs_name_set (out, data_centre);
+  for (size_t i = 0; i < release->data_centre_count; i++)
+    if (cs_name_equal (&release->data_centres[i].name, out))
+      {
+        *out = release->data_centres[i].region;
+        return;
+      }
+}
+
 const cs_organisation_t *
 cs_release_organisations (const cs_release_t *release, size_t *count)
 {
--- a/daemon/caller/prompt.c
+++ b/daemon/caller/prompt.c
@@ -36,6 +36,24 @@
   return CS_ERR_BAD_REQUEST;
 }
 
+/* Tokens that a warm cache would hold: all up to the last answer of the
+   assistant.  None in the first turn of a chat.  */
+static uint32_t
+context_of (const json_t *messages)
+{
+  size_t bytes = 0;
+  size_t context = 0;
+  for (size_t i = 0; i < json_array_size (messages); i++)
+    {
+      const json_t *message = json_array_get (messages, i);
+      const char *role = json_string_value (json_object_get (message, "role"));
+      bytes += json_string_length (json_object_get (message, "content"));
+      if (role != NULL && strcmp (role, "assistant") == 0)
+        context = bytes;
+    }
+  return (uint32_t)(context / BYTES_PER_TOKEN);
+}
+
 int
 cs_prompt_parse (cs_str_t body, bool chat, cs_prompt_t *out,
                  const char **detail)
@@ -67,6 +85,9 @@
   out->chat_id
       = json_string_value (json_object_get (out->root, "prompt_cache_key"));
   out->prompt_tokens = (uint32_t)(body.len / BYTES_PER_TOKEN);
+  out->context_tokens
+      = chat ? context_of (json_object_get (out->root, "messages"))
+             : out->prompt_tokens;
   if (chat)
     return check_messages (json_object_get (out->root, "messages"), detail);
   return check_prompt (json_object_get (out->root, "prompt"), detail);
--- a/daemon/configuration.c
+++ b/daemon/configuration.c
@@ -170,6 +170,18 @@
   return found != NULL;
 }
 
+void
+cs_configuration_region (cs_configuration_t *configuration,
+                         cs_str_t data_centre, cs_name_t *out)
+{
+  cs_name_set (out, data_centre);
+  rcu_read_lock ();
+  const cs_release_t *release = rcu_dereference (configuration->release);
+  if (release != NULL)
+    cs_release_region_of (release, data_centre, out);
+  rcu_read_unlock ();
+}
+
 size_t
 cs_configuration_offerings (cs_configuration_t *configuration,
                             cs_offering_t **out)
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -74,11 +74,37 @@
   return cs_configuration_revision (daemon->configuration);
 }
 
+/* Makes the data centres of the own region known to the members.  */
+static void
+set_near (cs_daemon_t *daemon, const cs_release_t *release)
+{
+  size_t count;
+  size_t near_count = 0;
+  cs_name_t own, other;
+  const cs_data_centre_t *all = cs_release_data_centres (release, &count);
+  cs_name_t *near = calloc (count + 1, sizeof *near);
+  if (near == NULL)
+    return;
+  cs_release_region_of (release, cs_str (daemon->settings.data_centre), &own);
+  for (size_t i = 0; i < count; i++)
+    {
+      cs_release_region_of (release, cs_name_str (&all[i].name), &other);
+      if (cs_name_equal (&other, &own))
+        near[near_count++] = all[i].name;
+    }
+  cs_members_set_near (daemon->members, near, near_count);
+  free (near);
+}
+
 static void
 on_release (void *context, const cs_release_t *release)
 {
   cs_daemon_t *daemon = context;
-  cs_members_set_revision (daemon->members, cs_release_revision (release));
+  uint64_t revision = cs_release_revision (release);
+  set_near (daemon, release);
+  if (revision > 0 && !atomic_exchange (&daemon->ready, true))
+    cs_log (CS_EV_READY, "revision=%llu", (unsigned long long)revision);
+  cs_members_set_revision (daemon->members, revision);
   (void)cs_endpoints_update (daemon->endpoints, release);
   cs_placement_refresh (daemon->placement);
   if (daemon->peers != NULL)
--- a/daemon/operator/drain.c
+++ b/daemon/operator/drain.c
@@ -1,6 +1,7 @@
 /* POST /drain: this host leaves as on SIGTERM.  */
 
 #include <signal.h>
+#include <unistd.h>
 
 #include "common/log.h"
 #include "daemon/handlers.h"
@@ -11,5 +12,5 @@
 {
   cs_log (CS_EV_OPERATOR_DRAIN, "host=%s", daemon->settings.name);
   cs_buf_printf (body, "{\"status\":\"draining\"}\n");
-  return raise (SIGTERM) == 0 ? 202 : 500;
+  return kill (getpid (), SIGTERM) == 0 ? 202 : 500;
 }
--- a/daemon/peer/members.c
+++ b/daemon/peer/members.c
@@ -43,6 +43,27 @@
   return &members->self;
 }
 
+void
+cs_members_set_near (cs_members_t *members, const cs_name_t *data_centres,
+                     size_t count)
+{
+  pthread_mutex_lock (&members->lock);
+  /* Without memory the region stays as it was until the next release.  */
+  (void)cs_hosts_set_near (members->hosts, data_centres, count);
+  pthread_mutex_unlock (&members->lock);
+}
+
+bool
+cs_members_is_near (cs_members_t *members, cs_str_t data_centre)
+{
+  cs_name_t name;
+  cs_name_set (&name, data_centre);
+  pthread_mutex_lock (&members->lock);
+  bool near = cs_hosts_is_near (members->hosts, &name);
+  pthread_mutex_unlock (&members->lock);
+  return near;
+}
+
 void
 cs_members_heard (cs_members_t *members, const cs_host_t *host,
                   cs_time_us_t now)
--- a/daemon/peer/peers.c
+++ b/daemon/peer/peers.c
@@ -181,17 +181,18 @@
     }
 }
 
-/* Whether HOST is one that this host dials: every one of its own data centre,
-   and the few of another one that rank first for this host.  */
+/* Whether HOST is one that this host dials: every one of its own region, and
+   the few of another data centre that rank first for this host.  */
 static bool
-is_wanted (const cs_host_t *self, const Cs__Peer__Hosts *hosts,
+is_wanted (cs_peers_t *peers, const Cs__Peer__Hosts *hosts,
            const Cs__Peer__Host *host)
 {
+  const cs_host_t *self = cs_members_self (peers->members);
   uint64_t own_score = cs_hash_pair (self->id, host->id);
   size_t better = 0;
   if (host->id == self->id)
     return false;
-  if (strcmp (host->data_centre, self->data_centre.text) == 0)
+  if (cs_members_is_near (peers->members, cs_str (host->data_centre)))
     return true;
   for (size_t i = 0; i < hosts->n_hosts; i++)
     if (strcmp (hosts->hosts[i]->data_centre, host->data_centre) == 0
@@ -203,9 +204,8 @@
 static void
 hear_hosts (cs_peers_t *peers, const Cs__Peer__Hosts *hosts)
 {
-  const cs_host_t *self = cs_members_self (peers->members);
   for (size_t i = 0; i < hosts->n_hosts; i++)
-    if (is_wanted (self, hosts, hosts->hosts[i]))
+    if (is_wanted (peers, hosts, hosts->hosts[i]))
       cs_peers_learn (peers, hosts->hosts[i]->peer_address);
 }
 
@@ -693,19 +693,31 @@
   free (peers);
 }
 
-int
-cs_peers_send (cs_peers_t *peers, uint64_t host, const cs_frame_t *frame)
+/* A reference to a link to HOST: a dialled one, else one that the host dialled
+   and that may be there before ours is.  */
+static cs_link_t *
+find_link (cs_peers_t *peers, uint64_t host)
 {
-  cs_link_t *link = NULL;
+  cs_link_t *found = NULL;
   const contact_t *contact;
+  const accepted_t *accepted;
   pthread_mutex_lock (&peers->lock);
+  DL_FOREACH (peers->accepted, accepted)
+  if (accepted->link != NULL && cs_link_host (accepted->link)->id == host)
+    found = accepted->link;
   DL_FOREACH (peers->contacts, contact)
   if (contact->link != NULL && cs_link_host (contact->link)->id == host)
-    {
-      link = cs_link_ref (contact->link);
-      break;
-    }
+    found = contact->link;
+  if (found != NULL)
+    cs_link_ref (found);
   pthread_mutex_unlock (&peers->lock);
+  return found;
+}
+
+int
+cs_peers_send (cs_peers_t *peers, uint64_t host, const cs_frame_t *frame)
+{
+  cs_link_t *link = find_link (peers, host);
   if (link == NULL)
     return CS_ERR_CUT;
   int rc = cs_link_send (link, frame);
@@ -717,11 +729,12 @@
 cs_peers_broadcast (cs_peers_t *peers, bool near, const cs_frame_t *frame)
 {
   cs_link_t *links[CONTACTS_MAX];
-  const cs_name_t *own = &cs_members_self (peers->members)->data_centre;
   size_t count = copy_links (peers, links, CONTACTS_MAX);
   for (size_t i = 0; i < count; i++)
     {
-      if (cs_name_equal (&cs_link_host (links[i])->data_centre, own) == near)
+      cs_str_t data_centre
+          = cs_name_str (&cs_link_host (links[i])->data_centre);
+      if (cs_members_is_near (peers->members, data_centre) == near)
         cs_link_send (links[i], frame);
       cs_link_unref (links[i]);
     }
--- a/daemon/placement/frames.c
+++ b/daemon/placement/frames.c
@@ -125,7 +125,13 @@
                   const Cs__Peer__HandOver *hand_over, cs_time_us_t now)
 {
   pool_slot_t *slot = find_slot (placement, hand_over->pool);
-  if (slot == NULL || slot_ensure_owner (placement, slot, now) != 0)
+  if (slot != NULL && slot->owner != NULL && hand_over->gone)
+    {
+      cs_pool_doubt_router (cs_owner_pool (slot->owner), host);
+      return;
+    }
+  if (slot == NULL || hand_over->gone
+      || slot_ensure_owner (placement, slot, now) != 0)
     return;
   /* What ended while no link was up was never told; start from nothing.  */
   if (hand_over->first)
@@ -218,9 +224,8 @@
   if (endpoint == NULL)
     return NULL;
   const cs_target_t *entry = cs_endpoint_target (endpoint);
-  pool_slot_t *slot
-      = find_slot (placement, pool_id_of (cs_name_str (&entry->data_centre),
-                                          cs_name_str (&entry->offering)));
+  pool_slot_t *slot = find_slot (
+      placement, pool_id_of (placement, cs_name_str (&entry->offering)));
   cs_endpoint_unref (endpoint);
   return slot;
 }
--- a/daemon/placement/internal.h
+++ b/daemon/placement/internal.h
@@ -11,7 +11,7 @@
 #include "daemon/placement.h"
 #include "placement/outbox.h"
 
-/* Most hosts of one data centre that are handled.  */
+/* Most hosts of one region that are handled.  */
 #define NEAR_HOSTS_MAX 64
 
 /* A call of this router that has been placed.  */
@@ -54,6 +54,7 @@
   uint64_t id;
   cs_name_t offering;
   uint32_t cap_percent;
+  bool is_service;
   uint64_t owner_id; /* host that we ask, 0 before the first look */
   cs_owner_t *owner; /* when we own it, or calls were handed to us */
   uint64_t handed_over[NEAR_HOSTS_MAX]; /* hosts that have handed over */
@@ -77,14 +78,17 @@
   pthread_cond_t tick;
   bool stopping;
   bool refresh;
+  cs_name_t region; /* of the own data centre */
   uint64_t last_call;
+  cs_time_us_t created;
   pool_slot_t *slots;
   placed_call_t *placed;
   waiter_t *waiters;
   outbox_t outbox; /* frames to send when the lock is released */
 };
 
-uint64_t pool_id_of (cs_str_t data_centre, cs_str_t offering);
+/* The pool of an offering in the own region.  */
+uint64_t pool_id_of (const cs_placement_t *placement, cs_str_t offering);
 pool_slot_t *find_slot (cs_placement_t *placement, uint64_t pool);
 
 /* All of these want the lock held.  */
--- a/daemon/placement/placement.c
+++ b/daemon/placement/placement.c
@@ -16,6 +16,10 @@
 /* An ask whose owner did not take it is sent again after this time.  */
 #define ASK_AGAIN_MS 10
 
+/* An ask without any answer is sent again after this time: it, or the answer
+   to it, may have been lost with a link.  The owner knows it if not.  */
+#define ASK_REPEAT_MS 500
+
 cs_placement_t *
 cs_placement_create (const cs_settings_t *settings, cs_members_t *members,
                      cs_configuration_t *configuration,
@@ -31,6 +35,7 @@
   placement->endpoints = endpoints;
   placement->counters = counters;
   placement->self = cs_members_self (members)->id;
+  placement->created = cs_clock_now ();
   pthread_mutex_init (&placement->lock, NULL);
   pthread_condattr_init (&monotonic);
   pthread_condattr_setclock (&monotonic, CLOCK_MONOTONIC);
@@ -330,7 +335,9 @@
         }
       unlock_and_send (placement);
       pthread_mutex_lock (&placement->lock);
-      wait_for_answer (placement, waiter, request->deadline);
+      cs_time_us_t until = cs_clock_now () + ASK_REPEAT_MS * CS_US_PER_MS;
+      wait_for_answer (placement, waiter,
+                       until < request->deadline ? until : request->deadline);
       if (waiter->ask_again && !waiter->answered)
         {
           struct timespec until = after_ms (ASK_AGAIN_MS);
@@ -348,15 +355,13 @@
 {
   waiter_t waiter = { 0 };
   pthread_condattr_t monotonic;
-  cs_str_t data_centre
-      = cs_name_str (&cs_members_self (placement->members)->data_centre);
   pthread_condattr_init (&monotonic);
   pthread_condattr_setclock (&monotonic, CLOCK_MONOTONIC);
   pthread_cond_init (&waiter.changed, &monotonic);
   pthread_condattr_destroy (&monotonic);
-  waiter.pool = pool_id_of (data_centre, request->offering);
 
   pthread_mutex_lock (&placement->lock);
+  waiter.pool = pool_id_of (placement, request->offering);
   waiter.call = ++placement->last_call;
   HASH_ADD (hh, placement->waiters, call, sizeof waiter.call, &waiter);
   ask_until_answered (placement, request, &waiter);
--- a/daemon/placement/report.c
+++ b/daemon/placement/report.c
@@ -39,6 +39,19 @@
   return out;
 }
 
+/* The cap on a target's load; the number of all slots where there is none.  */
+static int
+cap_of (cs_pool_t *pool, cs_time_us_t now)
+{
+  size_t count;
+  uint32_t slots = 0;
+  uint32_t cap = cs_pool_cap (pool, now);
+  const cs_pool_target_t *targets = cs_pool_targets (pool, &count);
+  for (size_t i = 0; i < count; i++)
+    slots += targets[i].slots;
+  return (int)(cap < slots ? cap : slots);
+}
+
 static json_t *
 describe_slot (cs_placement_t *placement, const pool_slot_t *slot,
                cs_time_us_t now)
@@ -52,7 +65,7 @@
   return json_pack (
       "{s:s, s:i, s:i, s:i, s:b, s:o}", "offering", slot->offering.text,
       "in_flight", (int)cs_pool_in_flight (pool), "queued",
-      (int)cs_owner_queued (slot->owner), "cap", (int)cs_pool_cap (pool, now),
+      (int)cs_owner_queued (slot->owner), "cap", cap_of (pool, now),
       "recovering", cs_owner_is_recovering (slot->owner), "targets", list);
 }
 
@@ -100,16 +113,13 @@
   cs_time_us_t now = cs_clock_now ();
   cs_host_t owner;
   json_t *out = NULL;
-  cs_str_t data_centre
-      = cs_name_str (&cs_members_self (placement->members)->data_centre);
   pthread_mutex_lock (&placement->lock);
   const pool_slot_t *slot
-      = find_slot (placement, pool_id_of (data_centre, offering));
+      = find_slot (placement, pool_id_of (placement, offering));
   if (slot != NULL && is_own (placement, slot))
     out = json_pack ("{s:s, s:b, s:i, s:o}", "owner",
                      cs_members_self (placement->members)->name.text, "own", 1,
-                     "cap",
-                     (int)cs_pool_cap (cs_owner_pool (slot->owner), now),
+                     "cap", cap_of (cs_owner_pool (slot->owner), now),
                      "ranked", explain_ranks (placement, slot, key, now));
   else if (slot != NULL
            && cs_members_find (placement->members, slot->owner_id, &owner))
--- a/daemon/placement/slots.c
+++ b/daemon/placement/slots.c
@@ -1,4 +1,4 @@
-/* The pools of this data centre: their targets, their owners, and the
+/* The pools of this region: their targets, their owners, and the
    hand-over of calls when an owner changes.  */
 
 #include <stdlib.h>
@@ -11,10 +11,14 @@
 /* Calls in one HandOver frame.  */
 #define HAND_OVER_CALLS 256
 
+/* Time in which a starting host meets its peers.  */
+#define MEET_PEERS_US (1 * CS_US_PER_S)
+
 uint64_t
-pool_id_of (cs_str_t data_centre, cs_str_t offering)
+pool_id_of (const cs_placement_t *placement, cs_str_t offering)
 {
-  uint64_t id = cs_hash (offering, cs_hash (data_centre, 0));
+  uint64_t id
+      = cs_hash (offering, cs_hash (cs_name_str (&placement->region), 0));
   return id == 0 ? 1 : id;
 }
 
@@ -27,14 +31,16 @@
 }
 
 static cs_pool_policy_t
-pool_policy (const cs_settings_t *settings, uint32_t cap_percent)
+pool_policy (const cs_settings_t *settings, const pool_slot_t *slot)
 {
   cs_pool_policy_t policy = cs_pool_policy_default ();
-  policy.cap_factor = cap_percent / 100.0;
+  if (slot->is_service)
+    policy.way = CS_PLACE_LEAST_LOADED;
+  policy.cap_factor = slot->cap_percent / 100.0;
   policy.short_factor = settings->short_percent / 100.0;
   if (policy.short_factor > policy.cap_factor)
     policy.short_factor = policy.cap_factor;
-  policy.long_context_tokens = settings->long_context_tokens;
+  policy.long_share = settings->long_percent / 100.0;
   policy.spill_ranks = settings->spill_ranks;
   policy.settle_us = settings->settle_ms * CS_US_PER_MS;
   policy.ramp_us = settings->ramp_s * CS_US_PER_S;
@@ -99,7 +105,7 @@
   cs_owner_effects_t effects = { placement, send_grant, send_refusal };
   if (slot->owner != NULL)
     return 0;
-  policy.pool = pool_policy (placement->settings, slot->cap_percent);
+  policy.pool = pool_policy (placement->settings, slot);
   policy.queue_capacity = placement->settings->queue_length;
   slot->owner = cs_owner_create (&policy, placement->self, &effects);
   if (slot->owner == NULL)
@@ -240,9 +246,7 @@
 static void
 add_slot (cs_placement_t *placement, const cs_offering_t *offering)
 {
-  cs_str_t data_centre
-      = cs_name_str (&cs_members_self (placement->members)->data_centre);
-  uint64_t id = pool_id_of (data_centre, cs_name_str (&offering->name));
+  uint64_t id = pool_id_of (placement, cs_name_str (&offering->name));
   pool_slot_t *slot = find_slot (placement, id);
   if (slot == NULL)
     {
@@ -253,13 +257,14 @@
       slot->offering = offering->name;
       HASH_ADD (hh, placement->slots, id, sizeof slot->id, slot);
     }
-  if (slot->cap_percent == offering->cap_percent)
+  if (slot->cap_percent == offering->cap_percent
+      && slot->is_service == offering->is_service)
     return;
   slot->cap_percent = offering->cap_percent;
+  slot->is_service = offering->is_service;
   if (slot->owner != NULL)
     {
-      cs_pool_policy_t policy
-          = pool_policy (placement->settings, slot->cap_percent);
+      cs_pool_policy_t policy = pool_policy (placement->settings, slot);
       cs_pool_set_policy (cs_owner_pool (slot->owner), &policy);
     }
 }
@@ -363,6 +368,10 @@
   for (size_t i = 0; i < count; i++)
     if (!has_handed_over (slot, peers[i]))
       awaited[awaited_count++] = peers[i];
+  /* A host that has just started may not have met its peers yet; an id that
+     nobody has keeps it from granting until the recovery time is over.  */
+  if (now < placement->created + MEET_PEERS_US && awaited_count == 0)
+    awaited[awaited_count++] = 0;
   adopt_own_calls (placement, slot, now);
   (void)cs_owner_recover (slot->owner, awaited, awaited_count, now);
 }
@@ -391,11 +400,28 @@
       }
 }
 
+/* Tells the owner so far that this host asks another one now.  */
+static void
+leave_owner (cs_placement_t *placement, const pool_slot_t *slot)
+{
+  Cs__Peer__HandOver message;
+  cs_frame_t frame;
+  cs__peer__hand_over__init (&message);
+  message.pool = slot->id;
+  message.gone = true;
+  cs__peer__frame__init (&frame);
+  frame.body_case = CS__PEER__FRAME__BODY_HAND_OVER;
+  frame.hand_over = &message;
+  outbox_add (&placement->outbox, slot->owner_id, &frame);
+}
+
 static void
 change_owner (cs_placement_t *placement, pool_slot_t *slot, uint64_t owner_id,
               cs_time_us_t now)
 {
   bool was_own = slot->owner_id == placement->self;
+  if (!was_own && slot->owner_id != 0)
+    leave_owner (placement, slot);
   slot->owner_id = owner_id;
   if (owner_id == placement->self)
     become_owner (placement, slot, now);
@@ -423,11 +449,11 @@
 }
 
 static bool
-is_offered (const pool_slot_t *slot, const cs_offering_t *offerings,
-            size_t count)
+is_offered (const cs_placement_t *placement, const pool_slot_t *slot,
+            const cs_offering_t *offerings, size_t count)
 {
   for (size_t i = 0; i < count; i++)
-    if (cs_name_equal (&offerings[i].name, &slot->offering))
+    if (pool_id_of (placement, cs_name_str (&offerings[i].name)) == slot->id)
       return true;
   return false;
 }
@@ -440,10 +466,10 @@
   pool_slot_t *slot, *next;
   HASH_ITER (hh, placement->slots, slot, next)
   {
-    if (is_offered (slot, offerings, count))
+    if (is_offered (placement, slot, offerings, count))
       continue;
     if (slot->owner != NULL)
-      cs_owner_refuse_all (slot->owner, CS_ERR_NOT_FOUND, now);
+      cs_owner_refuse_all (slot->owner, CS_ERR_NO_TARGET, now);
     HASH_DEL (placement->slots, slot);
     slot_free (slot);
   }
@@ -454,6 +480,10 @@
 {
   cs_offering_t *offerings;
   pool_slot_t *slot;
+  const cs_host_t *self = cs_members_self (placement->members);
+  cs_configuration_region (placement->configuration,
+                           cs_name_str (&self->data_centre),
+                           &placement->region);
   size_t count
       = cs_configuration_offerings (placement->configuration, &offerings);
   for (size_t i = 0; i < count; i++)
--- a/daemon/platform/orders.c
+++ b/daemon/platform/orders.c
@@ -274,8 +274,10 @@
   for (size_t i = 0; i < count; i++)
     {
       cs_endpoint_t *endpoint = list[orders->next_target++ % count];
-      if (cs_endpoint_target (endpoint)->version.len == 0
-          || cs_endpoint_is_leaving (endpoint))
+      const cs_target_t *target = cs_endpoint_target (endpoint);
+      if (target->version.len == 0 || cs_endpoint_is_leaving (endpoint)
+          || strcmp (target->data_centre.text, orders->settings->data_centre)
+                 != 0)
         continue;
       order_if_needed (orders, endpoint);
       break;
--- a/daemon/target/endpoints.c
+++ b/daemon/target/endpoints.c
@@ -91,6 +91,15 @@
   return NULL;
 }
 
+static bool
+is_in_region (const cs_release_t *release, const cs_target_t *target,
+              const cs_name_t *region)
+{
+  cs_name_t other;
+  cs_release_region_of (release, cs_name_str (&target->data_centre), &other);
+  return cs_name_equal (&other, region);
+}
+
 static cs_endpoint_t *
 keep_or_create (const table_t *old, const cs_target_t *target)
 {
@@ -116,15 +125,18 @@
 cs_endpoints_update (cs_endpoints_t *endpoints, const cs_release_t *release)
 {
   size_t count;
+  cs_name_t region;
   const cs_target_t *targets = cs_release_targets (release, &count);
   table_t *table = create_table (count);
   if (table == NULL)
     return CS_ERR_NO_MEMORY;
+  cs_release_region_of (release, cs_name_str (&endpoints->data_centre),
+                        &region);
   pthread_mutex_lock (&endpoints->update_lock);
   table_t *old = endpoints->table;
   for (size_t i = 0; i < count; i++)
     {
-      if (!cs_name_equal (&targets[i].data_centre, &endpoints->data_centre))
+      if (!is_in_region (release, &targets[i], &region))
         continue;
       cs_endpoint_t *endpoint = keep_or_create (old, &targets[i]);
       if (endpoint != NULL)
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -20,7 +20,6 @@
   X (PEER_CONNECTED, 1301, 6)                                                 \
   X (PEER_LOST, 1302, 4)                                                      \
   X (PEER_REJECTED, 1303, 4)                                                  \
-  X (PEER_LEFT, 1304, 6)                                                      \
   X (OWNER_CHANGED, 1305, 6)                                                  \
   X (TARGET_LEAVING, 1401, 5)                                                 \
   X (TARGET_SILENT, 1402, 4)                                                  \
--- a/include/cranberrystile/hosts.h
+++ b/include/cranberrystile/hosts.h
@@ -40,6 +40,12 @@
 int cs_hosts_heard (cs_hosts_t *hosts, const cs_host_t *host,
                     cs_time_us_t now);
 
+/* Sets the data centres of the own region; the own one always is.  Copied.
+   Returns 0 or CS_ERR_NO_MEMORY.  */
+int cs_hosts_set_near (cs_hosts_t *hosts, const cs_name_t *data_centres,
+                       size_t count);
+bool cs_hosts_is_near (const cs_hosts_t *hosts, const cs_name_t *data_centre);
+
 /* Marks a host lost before its timeout, as when its connection closes.  */
 void cs_hosts_lost (cs_hosts_t *hosts, uint64_t id);
 void cs_hosts_set_self_leaving (cs_hosts_t *hosts);
@@ -55,13 +61,13 @@
 const cs_host_t *cs_hosts_at (const cs_hosts_t *hosts, size_t index);
 size_t cs_hosts_count (const cs_hosts_t *hosts);
 
-/* The id of the live, staying host of the own data centre that ranks first for
-   KEY.  A data centre in which all hosts leave is owned by the first of
+/* The id of the live, staying host of the own region that ranks first for
+   KEY.  A region in which all hosts leave is owned by the first of
    these, so that calls in flight still find an owner.  */
 uint64_t cs_hosts_owner (const cs_hosts_t *hosts, uint64_t key,
                          cs_time_us_t now);
 
-/* Writes the ids of the live hosts of the own data centre, self excluded.  */
+/* Writes the ids of the live hosts of the own region, self excluded.  */
 size_t cs_hosts_live_peers (const cs_hosts_t *hosts, cs_time_us_t now,
                             uint64_t *ids, size_t size);
 
--- a/include/cranberrystile/pool.h
+++ b/include/cranberrystile/pool.h
@@ -19,8 +19,9 @@
 #include "common/hash.h"
 #include "common/str.h"
 
-/* How a target for a call is chosen.  CS_PLACE_BOUNDED is what the product
-   uses; the others are baselines for measurements.  */
+/* How a target for a call is chosen.  The product uses CS_PLACE_BOUNDED for
+   models and CS_PLACE_LEAST_LOADED for plain services, which have no cache to
+   reuse; the others are baselines for measurements.  */
 typedef enum
 {
   CS_PLACE_BOUNDED,
@@ -33,13 +34,14 @@
 typedef struct
 {
   cs_place_way_t way;
-  double cap_factor;          /* a load stays <= ceil (cap_factor * mean) */
-  double short_factor;        /* cap_factor for a chat with no context */
-  double long_context_tokens; /* context from which cap_factor applies whole */
-  uint32_t spill_ranks;       /* ranked targets considered after the first */
-  cs_time_us_t settle_us;     /* a grant counts in the mean after this time */
-  cs_time_us_t ramp_us;       /* a joining target reaches full weight */
-  uint32_t spill_entries;     /* chats remembered at their spill target */
+  double cap_factor;    /* a load stays <= ceil (cap_factor * mean) */
+  double short_factor;  /* cap_factor for a chat with no context */
+  double long_share;    /* cap_factor applies whole to a chat whose context is
+                           this many times the pool's mean, or longer */
+  uint32_t spill_ranks; /* ranked targets considered after the first */
+  cs_time_us_t settle_us; /* a grant counts in the mean after this time */
+  cs_time_us_t ramp_us;   /* a joining target reaches full weight */
+  uint32_t spill_entries; /* chats remembered at their spill target */
   cs_time_us_t spill_ttl_us;
   double surge_headroom; /* share of slots kept from surging callers */
 } cs_pool_policy_t;
@@ -145,6 +147,9 @@
 /* Calls ended per second, smoothed.  */
 double cs_pool_release_rate (const cs_pool_t *pool, cs_time_us_t now);
 
+/* Calls that the live targets could still take if there were no cap.  */
+uint32_t cs_pool_free_slots (const cs_pool_t *pool);
+
 /* Calls in flight of the whole pool, and of one organisation.  */
 uint32_t cs_pool_in_flight (const cs_pool_t *pool);
 uint32_t cs_pool_in_flight_of (const cs_pool_t *pool, uint64_t organisation);
--- a/include/cranberrystile/queue.h
+++ b/include/cranberrystile/queue.h
@@ -53,6 +53,7 @@
 bool cs_queue_pop_router (cs_queue_t *queue, uint64_t router,
                           cs_queue_item_t *out);
 
+bool cs_queue_has (const cs_queue_t *queue, uint64_t router, uint64_t call);
 size_t cs_queue_length (const cs_queue_t *queue);
 
 /* Asks that would be served before a new one of this organisation.  */
--- a/include/cranberrystile/release.h
+++ b/include/cranberrystile/release.h
@@ -1,8 +1,9 @@
 /* Releases: the configuration of the fleet as an immutable, checked snapshot,
    and the notes (added, changed, withdrawn) that lead from one to the next.
 
-   A snapshot document is a JSON object with the arrays "organisations",
-   "offerings" and "targets"; entries are identified by "name".  A note is an
+   A snapshot document is a JSON object with the arrays "data_centres",
+   "organisations", "offerings" and "targets"; entries are identified by
+   "name".  A note is an
    object with any of "added", "changed" (entries) and "withdrawn" (names).  */
 
 #ifndef CS_RELEASE_H
@@ -25,6 +26,14 @@
   uint32_t burst;      /* requests */
 } cs_organisation_t;
 
+/* Data centres of one region are near enough to share their targets.  One
+   that is not listed is a region of its own.  */
+typedef struct
+{
+  cs_name_t name;
+  cs_name_t region;
+} cs_data_centre_t;
+
 /* A model or a plain service that callers can ask for.  */
 typedef struct
 {
@@ -77,6 +86,13 @@
 const cs_target_t *cs_release_targets (const cs_release_t *release,
                                        size_t *count);
 
+const cs_data_centre_t *cs_release_data_centres (const cs_release_t *release,
+                                                 size_t *count);
+
+/* The region of DATA_CENTRE.  */
+void cs_release_region_of (const cs_release_t *release, cs_str_t data_centre,
+                           cs_name_t *out);
+
 /* Both return NULL when there is none.  */
 const cs_offering_t *cs_release_find_offering (const cs_release_t *release,
                                                cs_str_t name);
--- a/include/daemon/configuration.h
+++ b/include/daemon/configuration.h
@@ -40,6 +40,10 @@
 bool cs_configuration_organisation (cs_configuration_t *configuration,
                                     cs_str_t api_key, cs_organisation_t *out);
 
+/* The region of DATA_CENTRE in the release in force.  */
+void cs_configuration_region (cs_configuration_t *configuration,
+                              cs_str_t data_centre, cs_name_t *out);
+
 /* Copies of all offerings; the caller frees *OUT.  Returns how many.  */
 size_t cs_configuration_offerings (cs_configuration_t *configuration,
                                    cs_offering_t **out);
--- a/include/daemon/daemon.h
+++ b/include/daemon/daemon.h
@@ -49,6 +49,7 @@
   cs_name_t caller_address;
   cs_name_t operator_address;
   cs_time_us_t started;
+  atomic_bool ready;     /* the first release is in force */
   atomic_bool stopping;  /* requests are refused */
   atomic_bool leaving;   /* readiness fails, requests are still taken */
   atomic_int requests;   /* requests of callers being served */
--- a/include/daemon/endpoints.h
+++ b/include/daemon/endpoints.h
@@ -1,4 +1,4 @@
-/* The endpoints of the targets of this data centre.  Readers take no lock: the
+/* The endpoints of the targets of this region.  Readers take no lock: the
    table is read under RCU and replaced whole with each release.  */
 
 #ifndef CS_DAEMON_ENDPOINTS_H
@@ -11,7 +11,8 @@
 cs_endpoints_t *cs_endpoints_create (cs_str_t data_centre);
 void cs_endpoints_destroy (cs_endpoints_t *endpoints);
 
-/* Replaces the table by the targets of RELEASE in this data centre.  An
+/* Replaces the table by the targets of RELEASE in the region of this data
+   centre.  An
    endpoint whose target has kept its name and address goes on.  */
 int cs_endpoints_update (cs_endpoints_t *endpoints,
                          const cs_release_t *release);
--- a/include/daemon/members.h
+++ b/include/daemon/members.h
@@ -14,6 +14,11 @@
 /* Immutable but for leaving and revision.  Borrowed.  */
 const cs_host_t *cs_members_self (const cs_members_t *members);
 
+/* See cs_hosts_set_near.  */
+void cs_members_set_near (cs_members_t *members, const cs_name_t *data_centres,
+                          size_t count);
+bool cs_members_is_near (cs_members_t *members, cs_str_t data_centre);
+
 void cs_members_heard (cs_members_t *members, const cs_host_t *host,
                        cs_time_us_t now);
 void cs_members_lost (cs_members_t *members, uint64_t id);
--- a/include/daemon/peers.h
+++ b/include/daemon/peers.h
@@ -40,11 +40,11 @@
 /* Makes a host's address known, so that it is dialled.  */
 void cs_peers_learn (cs_peers_t *peers, const char *address);
 
-/* Sends FRAME to HOST on the dialled link.  CS_ERR_CUT when there is none.  */
+/* Sends FRAME to HOST.  CS_ERR_CUT when no link to it is up.  */
 int cs_peers_send (cs_peers_t *peers, uint64_t host, const cs_frame_t *frame);
 
-/* Sends FRAME on every dialled link whose host is in the own data centre
-   (NEAR) or in another one.  */
+/* Sends FRAME on every dialled link whose host is in the own region (NEAR) or
+   in another one.  */
 void cs_peers_broadcast (cs_peers_t *peers, bool near,
                          const cs_frame_t *frame);
 
--- a/include/daemon/prompt.h
+++ b/include/daemon/prompt.h
@@ -17,9 +17,10 @@
   const char *model;
   bool chat; /* messages instead of a bare prompt */
   bool stream;
-  bool batch;             /* asks for a priority lower than the default */
-  const char *chat_id;    /* prompt_cache_key, or NULL */
-  uint32_t prompt_tokens; /* estimate */
+  bool batch;              /* asks for a priority lower than the default */
+  const char *chat_id;     /* prompt_cache_key, or NULL */
+  uint32_t prompt_tokens;  /* estimate */
+  uint32_t context_tokens; /* of these, what an earlier turn may have cached */
 } cs_prompt_t;
 
 /* Reads and checks BODY.  On a bad one returns CS_ERR_BAD_REQUEST with *DETAIL
--- a/include/daemon/settings.h
+++ b/include/daemon/settings.h
@@ -47,7 +47,7 @@
   uint32_t load_pause_ms; /* between two loads of a model or version */
   /* [placement] */
   uint32_t short_percent;
-  uint32_t long_context_tokens;
+  uint32_t long_percent;
   uint32_t spill_ranks;
   uint32_t settle_ms;
   uint32_t ramp_s;
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1541,7 +1541,7 @@
   (ProtobufCMessageInit) cs__peer__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__peer__hand_over__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cs__peer__hand_over__field_descriptors[5] =
 {
   {
     "pool",
@@ -1591,17 +1591,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gone",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Peer__HandOver, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__peer__hand_over__field_indices_by_name[] = {
   1,   /* field[1] = calls */
   3,   /* field[3] = first */
+  4,   /* field[4] = gone */
   2,   /* field[2] = last */
   0,   /* field[0] = pool */
 };
 static const ProtobufCIntRange cs__peer__hand_over__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cs__peer__hand_over__descriptor =
 {
@@ -1611,7 +1624,7 @@
   "Cs__Peer__HandOver",
   "cs.peer",
   sizeof(Cs__Peer__HandOver),
-  4,
+  5,
   cs__peer__hand_over__field_descriptors,
   cs__peer__hand_over__field_indices_by_name,
   1,  cs__peer__hand_over__number_ranges,
--- a/protocol/peer.pb-c.h
+++ b/protocol/peer.pb-c.h
@@ -196,6 +196,10 @@
   size_t n_calls;
   Cs__Peer__Call **calls;
   protobuf_c_boolean last;
+  /*
+   * the sender asks another owner now
+   */
+  protobuf_c_boolean gone;
   /*
    * replaces all that was handed over before
    */
@@ -203,7 +207,7 @@
 };
 #define CS__PEER__HAND_OVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__peer__hand_over__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/tests/scenarios/decision.c
@@ -0,0 +1,206 @@
+/* Verbs that drive the decision library in virtual time.  What it decides goes
+   to the transcript.  */
+
+#include "scenario.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cranberrystile/owner.h"
+
+typedef struct
+{
+  scenario_t *scenario;
+  cs_owner_t *owner;
+  cs_time_us_t now;
+} decision_t;
+
+static uint64_t
+id_of (const char *name)
+{
+  return cs_hash (cs_str (name), 0);
+}
+
+/* The names behind ids, for the transcript.  */
+static const char *
+name_of (scenario_t *scenario, uint64_t id)
+{
+  char key[64];
+  snprintf (key, sizeof key, "id.%llx", (unsigned long long)id);
+  const char *name = scenario_get (scenario, key);
+  return name == NULL ? "?" : name;
+}
+
+static uint64_t
+named_id (scenario_t *scenario, const char *name)
+{
+  char key[64];
+  uint64_t id = id_of (name);
+  snprintf (key, sizeof key, "id.%llx", (unsigned long long)id);
+  scenario_set (scenario, key, name);
+  return id;
+}
+
+static void
+on_granted (void *context, const cs_pool_ask_t *ask,
+            const cs_pool_grant_t *grant)
+{
+  decision_t *decision = context;
+  scenario_t *scenario = decision->scenario;
+  cs_buf_printf (&scenario->transcript, "%llu ms: %s granted %s (%s)\n",
+                 (unsigned long long)(decision->now / CS_US_PER_MS),
+                 name_of (scenario, ask->call),
+                 name_of (scenario, grant->target), cs_why_name (grant->why));
+}
+
+static void
+on_refused (void *context, const cs_pool_ask_t *ask, int error,
+            uint32_t retry_after_s)
+{
+  decision_t *decision = context;
+  scenario_t *scenario = decision->scenario;
+  cs_buf_printf (
+      &scenario->transcript, "%llu ms: %s refused: %s, come back in %u s\n",
+      (unsigned long long)(decision->now / CS_US_PER_MS),
+      name_of (scenario, ask->call), cs_error_name (error), retry_after_s);
+}
+
+/* pool cap=PERCENT [queue=N] [short=PERCENT] */
+void
+verb_pool (scenario_t *scenario, const words_t *words)
+{
+  cs_owner_policy_t policy = cs_owner_policy_default ();
+  decision_t *decision = calloc (1, sizeof *decision);
+  cs_owner_effects_t effects = { decision, on_granted, on_refused };
+  policy.pool.cap_factor = words_number (words, "cap", 125) / 100.0;
+  policy.pool.short_factor = words_number (words, "short", 90) / 100.0;
+  policy.queue_capacity = (size_t)words_number (words, "queue", 16);
+  decision->scenario = scenario;
+  decision->now = CS_US_PER_S;
+  decision->owner = cs_owner_create (&policy, 1, &effects);
+  scenario->decision = decision;
+}
+
+void
+scenario_end_decision (scenario_t *scenario)
+{
+  decision_t *decision = scenario->decision;
+  if (decision == NULL)
+    return;
+  cs_owner_destroy (decision->owner);
+  free (decision);
+}
+
+/* engine NAME [slots=N] [state=live|ejected|leaving|gone] [joined=1] */
+void
+verb_engine (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  cs_pool_t *pool = cs_owner_pool (decision->owner);
+  const char *state = words_option (words, "state", "live");
+  cs_target_state_t value = CS_TARGET_LIVE;
+  if (strcmp (state, "ejected") == 0)
+    value = CS_TARGET_EJECTED;
+  else if (strcmp (state, "leaving") == 0)
+    value = CS_TARGET_LEAVING;
+  uint64_t id = named_id (scenario, words->words[0]);
+  if (strcmp (state, "gone") == 0)
+    cs_pool_remove_target (pool, id);
+  else
+    cs_pool_set_target (pool, id, (uint32_t)words_number (words, "slots", 8),
+                        value, words_number (words, "joined", 0) != 0,
+                        decision->now);
+}
+
+/* at MS: moves the time on.  */
+void
+verb_at (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  decision->now = (cs_time_us_t)atol (words->words[0]) * CS_US_PER_MS;
+}
+
+/* ask ROUTER CALL [organisation=] [chat=] [context=] [priority=batch]
+   [wait=MS] [weight=] [avoid=] */
+void
+verb_ask (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  cs_queue_item_t item = { 0 };
+  const char *avoid = words_option (words, "avoid", NULL);
+  item.ask.router = named_id (scenario, words->words[0]);
+  item.ask.call = named_id (scenario, words->words[1]);
+  item.ask.organisation = id_of (words_option (words, "organisation", "o"));
+  item.ask.key = id_of (words_option (words, "chat", words->words[1]));
+  item.ask.context_tokens = (uint32_t)words_number (words, "context", 0);
+  item.ask.avoid = avoid == NULL ? 0 : id_of (avoid);
+  item.priority = strcmp (words_option (words, "priority", ""), "batch") == 0
+                      ? CS_PRIORITY_BATCH
+                      : CS_PRIORITY_INTERACTIVE;
+  item.weight = (uint32_t)words_number (words, "weight", 1);
+  item.enqueued = decision->now;
+  item.deadline
+      = decision->now
+        + (cs_time_us_t)words_number (words, "wait", 1000) * CS_US_PER_MS;
+  size_t before = cs_owner_queued (decision->owner);
+  cs_owner_ask (decision->owner, &item, decision->now);
+  if (cs_owner_queued (decision->owner) > before)
+    cs_buf_printf (&scenario->transcript, "%llu ms: %s waits\n",
+                   (unsigned long long)(decision->now / CS_US_PER_MS),
+                   words->words[1]);
+}
+
+/* release ROUTER CALL */
+void
+verb_release (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  cs_owner_release (decision->owner, id_of (words->words[0]),
+                    id_of (words->words[1]), decision->now);
+}
+
+/* drop ROUTER: it is lost.  */
+void
+verb_drop (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  cs_owner_drop_router (decision->owner, id_of (words->words[0]),
+                        decision->now);
+}
+
+/* recover ROUTER...: a new owner that awaits these.  */
+void
+verb_recover (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  uint64_t ids[WORDS_MAX];
+  for (int i = 0; i < words->count; i++)
+    ids[i] = id_of (words->words[i]);
+  cs_owner_recover (decision->owner, ids, (size_t)words->count, decision->now);
+}
+
+/* handed-over ROUTER [CALL=TARGET]... */
+void
+verb_handed_over (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  uint64_t router = id_of (words->words[0]);
+  for (int i = 1; i < words->count; i++)
+    {
+      char call[64];
+      const char *equals = strchr (words->words[i], '=');
+      snprintf (call, sizeof call, "%.*s", (int)(equals - words->words[i]),
+                words->words[i]);
+      cs_pool_adopt (cs_owner_pool (decision->owner), router, id_of (call),
+                     id_of ("o"), id_of (equals + 1), decision->now);
+    }
+  cs_owner_handed_over (decision->owner, router, decision->now);
+}
+
+void
+verb_tick (scenario_t *scenario, const words_t *words)
+{
+  decision_t *decision = scenario->decision;
+  cs_owner_tick (decision->owner, decision->now);
+}
--- /dev/null
+++ b/tests/unit/decisions_test.cc
@@ -0,0 +1,364 @@
+// Decisions of the library: retries, claims, leases, latches, ejection,
+// limits.
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/hash.h"
+#include "cranberrystile/answer.h"
+#include "cranberrystile/claim.h"
+#include "cranberrystile/eject.h"
+#include "cranberrystile/hosts.h"
+#include "cranberrystile/lease.h"
+#include "cranberrystile/limit.h"
+#include "cranberrystile/pool.h"
+#include "cranberrystile/rank.h"
+#include "cranberrystile/retry.h"
+#include "cranberrystile/target_view.h"
+}
+
+static cs_name_t
+name_of (const char *text)
+{
+  cs_name_t name;
+  cs_name_set (&name, cs_str (text));
+  return name;
+}
+
+TEST (Answer, NotRunIsSaidOnlyOfWhatCannotHaveRun)
+{
+  for (int error :
+       { CS_ERR_SILENT, CS_ERR_CUT, CS_ERR_WRONG_ANSWER, CS_ERR_IN_PROGRESS,
+         CS_ERR_OUTCOME_UNKNOWN, CS_ERR_CALLER_GONE, CS_ERR_INTERNAL })
+    EXPECT_EQ (cs_answer_for (error)->ran, CS_RAN_UNKNOWN) << error;
+  for (int error : { CS_ERR_CONNECT, CS_ERR_REFUSED, CS_ERR_OVERLOADED,
+                     CS_ERR_PLATFORM_DOWN, CS_ERR_DEADLINE })
+    EXPECT_EQ (cs_answer_for (error)->ran, CS_RAN_NO) << error;
+}
+
+TEST (Answer, EveryKindHasARow)
+{
+  for (int kind = 1; kind < CS_ERROR_COUNT; kind++)
+    {
+      EXPECT_GE (cs_answer_for (-kind)->status, 400) << kind;
+      EXPECT_STRNE (cs_answer_for (-kind)->message, "") << kind;
+      EXPECT_STRNE (cs_error_name (-kind), "unknown") << kind;
+    }
+  EXPECT_EQ (cs_answer_for (-999), cs_answer_for (CS_ERR_INTERNAL));
+}
+
+TEST (Answer, RetryAfterIsSpreadAndNeverZero)
+{
+  cs_random_t random = { 1, 0 };
+  for (int i = 0; i < 1000; i++)
+    {
+      uint32_t seconds = cs_answer_retry_after_s (4, &random);
+      EXPECT_GE (seconds, 4u);
+      EXPECT_LE (seconds, 8u);
+      EXPECT_GE (cs_answer_retry_after_s (0, &random), 1u);
+    }
+}
+
+TEST (Retry, WhatMayNotBeRepeatedIsTriedOnce)
+{
+  for (int error = -1; error > -CS_ERROR_COUNT; error--)
+    {
+      cs_retry_state_t state = { error, false, false, false, false, 1, 3 };
+      EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_GIVE_UP) << error;
+    }
+}
+
+TEST (Retry, CutStreamsAreResumedThenContinued)
+{
+  cs_retry_state_t state = { CS_ERR_CUT, true, true, true, true, 1, 3 };
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_RESUME);
+  state.tries = 2;
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_CONTINUE);
+  state.tries = 3;
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_GIVE_UP);
+  state.tries = 1;
+  state.resumable = false;
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_CONTINUE);
+  state.streaming = false;
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_GIVE_UP);
+  state.answer_begun = false;
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_ELSEWHERE);
+  state.error = CS_ERR_OVERLOADED;
+  EXPECT_EQ (cs_retry_decide (&state), CS_RETRY_GIVE_UP);
+}
+
+TEST (Retry, BudgetIsATenthOfFirstTries)
+{
+  cs_retry_budget_t budget;
+  int extra = 0;
+  cs_retry_budget_init (&budget, 0.1, 3, 20);
+  for (int i = 0; i < 1000; i++)
+    {
+      cs_retry_budget_first_try (&budget);
+      while (cs_retry_budget_take (&budget))
+        extra++;
+    }
+  EXPECT_LE (extra, 103);
+  EXPECT_GE (extra, 100);
+  for (int i = 0; i < 100000; i++)
+    cs_retry_budget_first_try (&budget);
+  for (extra = 0; cs_retry_budget_take (&budget); extra++)
+    continue;
+  EXPECT_LE (extra, 20);
+}
+
+class ClaimTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    memset (&claim, 0, sizeof claim);
+    memset (claim.request_sha256, 'a', 64);
+    claim.attempt = name_of ("one");
+    claim.deadline_wall_ms = 1000;
+  }
+  cs_claim_step_t
+  decide (const char *attempt, uint64_t now)
+  {
+    return cs_claim_decide (&claim, cs_str (attempt), claim.request_sha256,
+                            now, &error);
+  }
+  cs_claim_t claim;
+  int error = 0;
+};
+
+TEST_F (ClaimTest, OnlyTheAttemptThatMadeItRuns)
+{
+  EXPECT_EQ (decide ("one", 10), CS_CLAIM_RUN);
+  EXPECT_EQ (decide ("two", 10), CS_CLAIM_FAIL);
+  EXPECT_EQ (error, CS_ERR_IN_PROGRESS);
+  EXPECT_EQ (decide ("two", 2000), CS_CLAIM_FAIL);
+  EXPECT_EQ (error, CS_ERR_OUTCOME_UNKNOWN);
+}
+
+TEST_F (ClaimTest, EndedClaims)
+{
+  claim.state = CS_CLAIM_DONE;
+  EXPECT_EQ (decide ("two", 10), CS_CLAIM_ANSWER_STORED);
+  claim.state = CS_CLAIM_NOT_RUN;
+  EXPECT_EQ (decide ("two", 10), CS_CLAIM_TAKE_OVER);
+  claim.state = CS_CLAIM_UNKNOWN;
+  EXPECT_EQ (decide ("two", 10), CS_CLAIM_FAIL);
+  EXPECT_EQ (error, CS_ERR_OUTCOME_UNKNOWN);
+}
+
+TEST_F (ClaimTest, AnotherRequestWithTheKeyIsRefused)
+{
+  char other[65];
+  memset (other, 'b', 64);
+  other[64] = '\0';
+  claim.state = CS_CLAIM_DONE;
+  EXPECT_EQ (cs_claim_decide (&claim, cs_str ("two"), other, 10, &error),
+             CS_CLAIM_FAIL);
+  EXPECT_EQ (error, CS_ERR_KEY_REUSED);
+}
+
+TEST_F (ClaimTest, SurvivesJson)
+{
+  for (size_t len : { 0, 1, 2, 3, 4, 5, 300 })
+    {
+      std::string body;
+      for (size_t i = 0; i < len; i++)
+        body.push_back (static_cast<char> (i * 7));
+      cs_str_t bytes = { body.data (), body.size () };
+      claim.state = CS_CLAIM_DONE;
+      claim.status = 201;
+      cs_buf_clear (&claim.body);
+      cs_buf_append (&claim.body, bytes);
+      json_t *spec = cs_claim_to_json (&claim);
+      cs_claim_t read;
+      ASSERT_EQ (cs_claim_from_json (spec, &read), 0);
+      EXPECT_EQ (std::string (read.body.data == nullptr ? "" : read.body.data,
+                              read.body.len),
+                 body);
+      EXPECT_EQ (read.status, 201);
+      cs_claim_free (&read);
+      json_decref (spec);
+    }
+  cs_claim_free (&claim);
+}
+
+TEST (Lease, AnotherHolderIsWaitedOutByTheOwnClock)
+{
+  cs_lease_t lease = {};
+  cs_lease_record_t record = { name_of ("other"), 4, 17, 6 };
+  cs_str_t self = cs_str ("self");
+  EXPECT_EQ (cs_lease_next (&lease, self, 1), CS_LEASE_WAIT);
+  cs_lease_observe (&lease, &record, self, 1000000);
+  EXPECT_EQ (cs_lease_next (&lease, self, 6999999), CS_LEASE_WAIT);
+  EXPECT_EQ (cs_lease_next (&lease, self, 7000000), CS_LEASE_ACQUIRE);
+  // A renewal starts the wait anew.
+  record.version = 18;
+  cs_lease_observe (&lease, &record, self, 6000000);
+  EXPECT_EQ (cs_lease_next (&lease, self, 7000000), CS_LEASE_WAIT);
+}
+
+TEST (Lease, HolderStopsBeforeExpiryAndNewHolderWaits)
+{
+  cs_lease_t lease = {};
+  cs_str_t self = cs_str ("self");
+  cs_lease_record_t record = { name_of ("self"), 5, 20, 6 };
+  cs_lease_written (&lease, &record, 1000000, 2000000);
+  EXPECT_TRUE (cs_lease_is_valid (&lease, 1500000));
+  // The orders of the holder before may still be under way.
+  EXPECT_FALSE (cs_lease_may_order (&lease, false, 500000, 2900000));
+  EXPECT_TRUE (cs_lease_may_order (&lease, true, 500000, 2900000));
+  EXPECT_TRUE (cs_lease_may_order (&lease, false, 500000, 3000000));
+  // An order must end before the lease does.
+  EXPECT_FALSE (cs_lease_may_order (&lease, true, 3000000, 4000001));
+  EXPECT_FALSE (cs_lease_is_valid (&lease, 5800000));
+  EXPECT_EQ (cs_lease_next (&lease, self, 3100000), CS_LEASE_RENEW);
+  // A renewal keeps the same quiet time, a new holding begins another.
+  cs_lease_written (&lease, &record, 3100000, 2000000);
+  EXPECT_TRUE (cs_lease_may_order (&lease, false, 500000, 3200000));
+  // Somebody else took it while this process was paused.
+  cs_lease_record_t other = { name_of ("other"), 6, 30, 6 };
+  cs_lease_observe (&lease, &other, self, 3300000);
+  EXPECT_FALSE (cs_lease_may_order (&lease, true, 1, 3400000));
+}
+
+TEST (TargetView, LeavingIsALatchOfTheInstance)
+{
+  cs_target_view_t view = {};
+  EXPECT_EQ (cs_target_view_hear (&view, cs_str ("i1"), false), CS_VIEW_SAME);
+  EXPECT_EQ (cs_target_view_hear (&view, cs_str ("i1"), true),
+             CS_VIEW_LEAVING);
+  EXPECT_EQ (cs_target_view_hear (&view, cs_str ("i1"), false), CS_VIEW_SAME);
+  EXPECT_TRUE (view.leaving);
+  EXPECT_EQ (cs_target_view_hear (&view, cs_str ("i2"), false),
+             CS_VIEW_STARTED);
+  EXPECT_FALSE (view.leaving);
+  // An old list names the instance that has left.
+  EXPECT_EQ (cs_target_view_hear (&view, cs_str ("i1"), false), CS_VIEW_SAME);
+  EXPECT_STREQ (view.instance.text, "i2");
+  EXPECT_EQ (cs_target_view_hear (&view, cs_str ("i1"), true), CS_VIEW_SAME);
+  EXPECT_FALSE (view.leaving);
+}
+
+TEST (Eject, FailuresInARowEjectForLongerEachTime)
+{
+  cs_eject_policy_t policy = cs_eject_policy_default ();
+  cs_eject_t eject = {};
+  EXPECT_FALSE (cs_eject_failure (&eject, &policy, 0, 9, 10));
+  EXPECT_FALSE (cs_eject_failure (&eject, &policy, 0, 9, 11));
+  EXPECT_TRUE (cs_eject_failure (&eject, &policy, 0, 9, 12));
+  EXPECT_TRUE (cs_eject_is_ejected (&eject, 12 + policy.first_us - 1));
+  EXPECT_FALSE (cs_eject_is_ejected (&eject, 12 + policy.first_us));
+  // On trial one failure is enough, for twice the time.
+  cs_time_us_t later = 12 + policy.first_us;
+  EXPECT_TRUE (cs_eject_failure (&eject, &policy, 0, 9, later));
+  EXPECT_TRUE (cs_eject_is_ejected (&eject, later + 2 * policy.first_us - 1));
+  // Not more than a third of the targets at a time.
+  cs_eject_t other = {};
+  for (int i = 0; i < 10; i++)
+    EXPECT_FALSE (cs_eject_failure (&other, &policy, 3, 9, 100));
+}
+
+TEST (Limit, BucketRefillsAndTellsWhenToComeBack)
+{
+  cs_limit_t limit = {};
+  EXPECT_TRUE (cs_limit_take (&limit, 2, 2, 1000000));
+  EXPECT_TRUE (cs_limit_take (&limit, 2, 2, 1000000));
+  EXPECT_FALSE (cs_limit_take (&limit, 2, 2, 1000000));
+  EXPECT_EQ (cs_limit_retry_after_s (&limit, 2), 1u);
+  EXPECT_TRUE (cs_limit_take (&limit, 2, 2, 1500000));
+  EXPECT_TRUE (cs_limit_take (&limit, 0, 0, 1500000));
+}
+
+TEST (Rank, SharesFollowWeightsAndChangesAreSmall)
+{
+  cs_rank_member_t members[10];
+  int first[10] = {};
+  int moved = 0;
+  for (uint64_t i = 0; i < 10; i++)
+    members[i] = { cs_hash_pair (i, 5), i == 0 ? 0.5 : 1.0 };
+  for (uint64_t key = 0; key < 20000; key++)
+    {
+      size_t with = cs_rank_first (key, members, 10);
+      first[with]++;
+      // Without the last member only its own keys move.
+      size_t without = cs_rank_first (key, members, 9);
+      if (with != 9 && with != without)
+        moved++;
+    }
+  EXPECT_EQ (moved, 0);
+  EXPECT_NEAR (first[0], 20000 * 0.5 / 9.5, 150);
+  EXPECT_NEAR (first[5], 20000 / 9.5, 200);
+}
+
+TEST (Hosts, OwnerIsLiveNearAndStaying)
+{
+  cs_host_t self = {};
+  self.id = 1;
+  self.name = name_of ("a");
+  self.data_centre = name_of ("north");
+  cs_hosts_t *hosts = cs_hosts_create (&self);
+  cs_host_t other = self;
+  other.id = 2;
+  uint64_t key = 0;
+  cs_hosts_heard (hosts, &other, 1000);
+  while (cs_hosts_owner (hosts, key, 1001) != 2)
+    key++;
+  EXPECT_EQ (cs_hosts_owner (hosts, key, 1000 + CS_HOST_TIMEOUT_US), 1u);
+  // In another data centre it owns nothing here, unless that is near.
+  other.data_centre = name_of ("south");
+  cs_hosts_heard (hosts, &other, 1002);
+  EXPECT_EQ (cs_hosts_owner (hosts, key, 1003), 1u);
+  cs_name_t near[] = { name_of ("south") };
+  cs_hosts_set_near (hosts, near, 1);
+  EXPECT_EQ (cs_hosts_owner (hosts, key, 1003), 2u);
+  // Leaving is a latch: a late heartbeat without it changes nothing.
+  other.leaving = true;
+  cs_hosts_heard (hosts, &other, 1004);
+  other.leaving = false;
+  cs_hosts_heard (hosts, &other, 1005);
+  EXPECT_EQ (cs_hosts_owner (hosts, key, 1006), 1u);
+  cs_hosts_destroy (hosts);
+}
+
+TEST (Pool, ReportsCountForeignCallsOnly)
+{
+  cs_pool_policy_t policy = cs_pool_policy_default ();
+  cs_pool_t *pool = cs_pool_create (&policy, 1);
+  cs_pool_grant_t grant;
+  cs_pool_ask_t ask = { 1, 1, 1, 5, 100, 0 };
+  size_t count;
+  cs_pool_set_target (pool, 7, 8, CS_TARGET_LIVE, false, 1);
+  ASSERT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), 0);
+  // Taken before the grant: it cannot have the call.
+  cs_pool_report (pool, 7, 0, 999999);
+  EXPECT_EQ (cs_pool_targets (pool, &count)->load, 1u);
+  cs_pool_report (pool, 7, 3, 2000000);
+  EXPECT_EQ (cs_pool_targets (pool, &count)->external, 2u);
+  EXPECT_EQ (cs_pool_targets (pool, &count)->load, 3u);
+  cs_pool_report (pool, 7, 1, 3000000);
+  EXPECT_EQ (cs_pool_targets (pool, &count)->load, 1u);
+  EXPECT_TRUE (cs_pool_release (pool, 1, 1, 3000001));
+  EXPECT_FALSE (cs_pool_release (pool, 1, 1, 3000001));
+  EXPECT_EQ (cs_pool_targets (pool, &count)->load, 0u);
+  cs_pool_destroy (pool);
+}
+
+TEST (Pool, DoubtedCallsStayOnTheTargetButNotInTheMean)
+{
+  cs_pool_policy_t policy = cs_pool_policy_default ();
+  cs_pool_t *pool = cs_pool_create (&policy, 1);
+  for (uint64_t id = 1; id <= 2; id++)
+    cs_pool_set_target (pool, id, 64, CS_TARGET_LIVE, false, 1);
+  for (uint64_t call = 1; call <= 40; call++)
+    cs_pool_adopt (pool, 9, call, 1, call % 2 + 1, 1000000);
+  uint32_t before = cs_pool_cap (pool, 2000000);
+  cs_pool_doubt_router (pool, 9);
+  EXPECT_LT (cs_pool_cap (pool, 2000000), before);
+  EXPECT_EQ (cs_pool_in_flight (pool), 40u);
+  EXPECT_EQ (cs_pool_drop_router (pool, 9, 2000000), 40u);
+  EXPECT_EQ (cs_pool_in_flight (pool), 0u);
+  cs_pool_destroy (pool);
+}
