--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(BUILD)/tests/scenarios/scenario $(BUILD) tests/scenarios/demo/demo.scn
 
 check: all
+	for page in docs/man/*.scd; do scdoc < $$page > /dev/null || exit 1; done
 	./tests/run $(BUILD)
 
 check-sanitized: $(SANITIZED)/build.ninja
