Have the stand-in swap whole answers and end streams short

Cause: with the request-id check switched off in a scratch copy, whole-answers still passed: the stand-in changed only the id of a swapped answer, not its text. With the check for a stream's proper end switched off it passed as well, since curl itself reports a cut connection.

Change: a swapped answer has another call's text; short=N ends a stream in the middle with a proper end of the transfer. The rising revision gets a unit test, for no process scenario reaches it.

--- a/tests/stand-ins/target.c
+++ b/tests/stand-ins/target.c
@@ -8,7 +8,9 @@
      cut_head=N    the next N calls are cut before the answer begins
      hang_reused=1 calls on reused connections never get an answer
      late_ms=MS    answers begin this much later
-     swap=N        the next N answers carry the request id of another call
+     swap=N        the next N answers are those of another call, by their id
+                   and their text
+     short=N       the next N streams end in the middle as if they were whole
      leave=1       the instance says that it leaves
      restart=1     another instance id, empty cache
      token_ms, slots, cache_tokens, checks_fencing, fail=N (500)
@@ -41,7 +43,8 @@
   char instance[96];
   long generation;
   bool service;
-  long refuse, cut, cut_head, hang_reused, late_ms, swap, leave, fail;
+  long refuse, cut, cut_head, hang_reused, late_ms, swap, leave, fail,
+      ends_short;
   long token_ms, slots, cache_tokens, checks_fencing;
   long running, waiting, most_running;
   long fencing;
@@ -159,6 +162,7 @@
   self.hang_reused = stand_in_query (info, "hang_reused", self.hang_reused);
   self.late_ms = stand_in_query (info, "late_ms", self.late_ms);
   self.swap = stand_in_query (info, "swap", self.swap);
+  self.ends_short = stand_in_query (info, "short", self.ends_short);
   self.leave = stand_in_query (info, "leave", self.leave);
   self.fail = stand_in_query (info, "fail", self.fail);
   self.token_ms = stand_in_query (info, "token_ms", self.token_ms);
@@ -311,6 +315,16 @@
   json_decref (usage);
 }
 
+/* Returns the id to answer with; marks the text of a swapped answer.  */
+static const char *
+answer_id (model_call_t *call)
+{
+  if (!take (&self.swap))
+    return call->id;
+  snprintf (call->tag, sizeof call->tag, "other");
+  return "of-another-call";
+}
+
 static void
 send_head (struct mg_connection *connection, const char *id, const char *type,
            const char *more)
@@ -322,14 +336,15 @@
              "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Request-Id: %s\r\n"
              "endpoint-load-metrics: JSON {\"named_metrics\":{\"running\":%ld"
              "}}\r\n%s\r\n",
-             type, take (&self.swap) ? "of-another-call" : id, running, more);
+             type, id, running, more);
 }
 
 static void
-answer_stream (struct mg_connection *connection, const model_call_t *call)
+answer_stream (struct mg_connection *connection, model_call_t *call)
 {
   bool cut = take (&self.cut);
-  send_head (connection, call->id, "text/event-stream",
+  bool ends_short = take (&self.ends_short);
+  send_head (connection, answer_id (call), "text/event-stream",
              "Transfer-Encoding: chunked\r\n");
   for (long i = call->first; i < call->tokens; i++)
     {
@@ -339,6 +354,11 @@
           mg_disable_connection_keep_alive (connection);
           return;
         }
+      if (ends_short && i >= call->first + (call->tokens - call->first) / 2)
+        {
+          mg_send_chunk (connection, "", 0);
+          return;
+        }
       if (!send_token (connection, call, i))
         {
           count_run ("cancelled");
@@ -349,8 +369,9 @@
 }
 
 static void
-answer_whole (struct mg_connection *connection, const model_call_t *call)
+answer_whole (struct mg_connection *connection, model_call_t *call)
 {
+  const char *id = answer_id (call);
   char more[64];
   char token[64];
   json_t *content = json_string ("");
@@ -369,7 +390,7 @@
   char *body = json_dumps (root, JSON_COMPACT);
   size_t len = strlen (body);
   snprintf (more, sizeof more, "Content-Length: %zu\r\n", len);
-  send_head (connection, call->id, "application/json", more);
+  send_head (connection, id, "application/json", more);
   if (take (&self.cut))
     {
       len /= 2;
--- a/tests/unit/input_test.cc
+++ b/tests/unit/input_test.cc
@@ -14,6 +14,7 @@
 #include "common/hash.h"
 #include "cranberrystile/claim.h"
 #include "cranberrystile/release.h"
+#include "daemon/configuration.h"
 #include "daemon/frame.h"
 #include "daemon/prompt.h"
 #include "daemon/settings.h"
@@ -126,6 +127,30 @@
   cs_release_destroy (two);
 }
 
+TEST (Release, TheOneInForceNeverReverts)
+{
+  auto ignore = [] (void *, const cs_release_t *) {};
+  cs_configuration_t *configuration
+      = cs_configuration_create (ignore, nullptr);
+  cs_release_t *empty = cs_release_create_empty ();
+  cs_release_t *one = nullptr;
+  cs_release_t *two = nullptr;
+  json_t *note = load ("{\"withdrawn\":{\"targets\":[\"t\"]}}");
+  ASSERT_EQ (apply (empty, base_note, &one), 0);
+  ASSERT_EQ (apply (one, "{\"withdrawn\":{\"targets\":[\"t\"]}}", &two), 0);
+  EXPECT_TRUE (cs_configuration_install (configuration, two));
+  EXPECT_FALSE (cs_configuration_install (configuration, one));
+  EXPECT_EQ (cs_configuration_revision (configuration), 2u);
+  EXPECT_EQ (cs_configuration_install_note (configuration, 2, note),
+             CS_ERR_CONFLICT);
+  EXPECT_EQ (cs_configuration_install_note (configuration, 4, note),
+             CS_ERR_CONFLICT);
+  EXPECT_EQ (cs_configuration_revision (configuration), 2u);
+  json_decref (note);
+  cs_release_destroy (empty);
+  cs_configuration_destroy (configuration);
+}
+
 // Changes, cuts and repeats bytes of GOOD.
 static std::string
 mutate (const std::string &good, cs_random_t *random)
