Halve the idle cost of a daemon; free what the sanitizers found

The platform's bytes came from listing one release object, a large note, every 5 s for its version; the memory from freed copies kept by the allocator; the processor time from threads that woke 20 to 50 times a second.

Change: the follower remembers the version of the newest release that it has read and watches from there for 30 s at a time; malloc_trim after an install; pauses of 100 to 200 ms; what was allocated is freed.

--- a/bench/main.c
+++ b/bench/main.c
@@ -117,6 +117,7 @@
       printf ("Usage: cranberrystile-bench");
       arg_print_syntax (stdout, table, "\n");
       arg_print_glossary (stdout, table, "  %-24s %s\n");
+      arg_freetable (table, sizeof table / sizeof table[0]);
       return errors > 0 ? 2 : 0;
     }
   setup_t setup = { .seed = 1, .load = PEAK_LOAD };
@@ -136,5 +137,6 @@
       if (size->count == 0 || strcmp (size->sval[0], sizes[i].name) == 0)
         run_size (&setup, ours->count > 0);
     }
+  arg_freetable (table, sizeof table / sizeof table[0]);
   return 0;
 }
--- a/ctl/options.c
+++ b/ctl/options.c
@@ -34,12 +34,14 @@
   void *table[] = { help, platform, name_space, token,    host,
                     key,  user,     operation,  operands, end };
   int errors = arg_parse (argc, argv, table);
+  int status = -1;
   if (help->count > 0)
     {
       printf ("Usage: cranberrystilectl %s", command);
       arg_print_syntax (stdout, table, "\n");
       arg_print_glossary (stdout, table, "  %-24s %s\n");
-      return 0;
+      status = 0;
+      goto out;
     }
   if (errors > 0)
     {
@@ -47,7 +49,8 @@
                "cranberrystilectl %s: bad use; see cranberrystilectl %s "
                "--help\n",
                command, command);
-      return CS_EXIT_USAGE;
+      status = CS_EXIT_USAGE;
+      goto out;
     }
   memset (out, 0, sizeof *out);
   out->platform = platform->count > 0 ? platform->sval[0] : NULL;
@@ -62,7 +65,10 @@
     out->operands[i] = operands->sval[i];
   if (out->user == NULL)
     out->user = "unknown";
-  return -1;
+out:
+  /* The values point into ARGV and stay.  */
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
 }
 
 cs_platform_t *
--- a/daemon/configuration.c
+++ b/daemon/configuration.c
@@ -1,5 +1,6 @@
 #include "daemon/configuration.h"
 
+#include <malloc.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
@@ -70,6 +71,9 @@
   atomic_store (&configuration->revision, revision);
   synchronize_rcu ();
   cs_release_destroy (old);
+  /* A large release takes several times its size to apply; what is free again
+     goes back to the system.  */
+  malloc_trim (0);
   cs_log (CS_EV_RELEASE_IN_FORCE, "revision=%llu",
           (unsigned long long)revision);
   configuration->changed (configuration->context, release);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -16,46 +16,49 @@
 
 typedef struct
 {
-  struct arg_lit *help;
-  struct arg_lit *version;
-  struct arg_lit *check;
-  struct arg_file *settings;
-  struct arg_end *end;
+  const char *settings; /* points into argv */
+  bool check;
 } arguments_t;
 
 /* Returns the exit status, or -1 to go on.  */
 static int
-parse_arguments (int argc, char **argv, arguments_t *arguments)
+parse_arguments (int argc, char **argv, arguments_t *out)
 {
-  void *table[] = {
-    arguments->help = arg_lit0 ("h", "help", "print this help"),
-    arguments->version = arg_lit0 (NULL, "version", "print the version"),
-    arguments->check
-    = arg_lit0 (NULL, "check-settings", "check the settings and exit"),
-    arguments->settings
-    = arg_file0 ("s", "settings", "FILE", "settings, in INI form"),
-    arguments->end = arg_end (4),
-  };
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check-settings", "check the settings and exit");
+  struct arg_str *settings
+      = arg_str0 ("s", "settings", "FILE", "settings, in INI form");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, version, check, settings, end };
   int errors = arg_parse (argc, argv, table);
-  if (arguments->help->count > 0)
+  int status = -1;
+  if (help->count > 0)
     {
       printf ("Usage: cranberrystiled");
       arg_print_syntax (stdout, table, "\n");
       arg_print_glossary (stdout, table, "  %-24s %s\n");
-      return 0;
+      status = 0;
     }
-  if (arguments->version->count > 0)
+  else if (version->count > 0)
     {
       printf ("cranberrystiled %s\n", CS_VERSION);
-      return 0;
+      status = 0;
     }
-  if (errors > 0 || arguments->settings->count == 0)
+  else if (errors > 0 || settings->count == 0)
     {
       fprintf (stderr, "cranberrystiled: --settings FILE is needed; see "
                        "--help\n");
-      return EXIT_USAGE;
+      status = EXIT_USAGE;
+    }
+  else
+    {
+      out->settings = settings->sval[0];
+      out->check = check->count > 0;
     }
-  return -1;
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
 }
 
 static void
@@ -113,16 +116,15 @@
   if (status >= 0)
     return status;
   cs_log_init ("-", "cranberrystiled");
-  if (cs_settings_read (arguments.settings->filename[0], &settings, &reason)
-      != 0)
+  if (cs_settings_read (arguments.settings, &settings, &reason) != 0)
     {
       cs_log (CS_EV_BAD_SETTING, "%s", reason.data);
       cs_buf_free (&reason);
       return EXIT_USAGE;
     }
-  if (arguments.check->count > 0)
+  if (arguments.check)
     {
-      printf ("%s: the settings are good\n", arguments.settings->filename[0]);
+      printf ("%s: the settings are good\n", arguments.settings);
       return EXIT_SUCCESS;
     }
   cs_log_init (settings.name, "cranberrystiled");
--- a/daemon/peer/peers.c
+++ b/daemon/peer/peers.c
@@ -21,6 +21,8 @@
 #define REDIAL_FIRST_MS 50
 #define REDIAL_MOST_MS 1000
 #define THREAD_STACK_BYTES (256 * 1024)
+/* A pause looks this often whether the daemon stops.  */
+#define STOP_LOOK_MS 200
 #define CONTACTS_MAX 512
 #define ACCEPTED_MAX 1024
 #define HOSTS_IN_FRAME_MAX 64
@@ -351,7 +353,7 @@
 {
   while (ms > 0 && !atomic_load (&peers->stopping))
     {
-      uint32_t part = ms < 50 ? ms : 50;
+      uint32_t part = ms < STOP_LOOK_MS ? ms : STOP_LOOK_MS;
       poll (NULL, 0, (int)part);
       ms -= part;
     }
--- a/daemon/peer/summaries.c
+++ b/daemon/peer/summaries.c
@@ -8,6 +8,9 @@
 #define INTERVAL_MS 1000
 #define POOLS_MAX 256
 
+/* A pause looks this often whether the daemon stops.  */
+#define STOP_LOOK_MS 200
+
 struct cs_summaries
 {
   cs_placement_t *placement;
@@ -45,8 +48,8 @@
     {
       tell (summaries);
       for (int ms = 0; ms < INTERVAL_MS && !atomic_load (&summaries->stopping);
-           ms += 50)
-        poll (NULL, 0, 50);
+           ms += STOP_LOOK_MS)
+        poll (NULL, 0, STOP_LOOK_MS);
     }
   return NULL;
 }
--- a/daemon/placement/placement.c
+++ b/daemon/placement/placement.c
@@ -11,7 +11,7 @@
 
 /* Pause of the ticking thread: short while asks are queued.  */
 #define TICK_BUSY_MS 2
-#define TICK_IDLE_MS 50
+#define TICK_IDLE_MS 100
 
 /* An ask whose owner did not take it is sent again after this time.  */
 #define ASK_AGAIN_MS 10
--- a/daemon/platform/follower.c
+++ b/daemon/platform/follower.c
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,8 +11,8 @@
 #include "common/log.h"
 #include "platform/release_store.h"
 
-/* Length of one watch; short, so that stopping need not wait for long.  */
-#define WATCH_S 5
+/* Length of one watch; a stop cancels it.  */
+#define WATCH_S 30
 
 /* Hosts of a data centre that watch at the same time.  */
 #define WATCHERS 2
@@ -21,6 +22,9 @@
 #define LIST_MS 1000
 #define IDLE_FACTOR 10
 
+/* A pause looks this often whether the daemon stops.  */
+#define STOP_LOOK_MS 200
+
 struct cs_follower
 {
   const cs_settings_t *settings;
@@ -32,6 +36,7 @@
   cs_poller_t *poller;
   atomic_bool stopping;
   atomic_bool connected;
+  char version[32]; /* of the newest release read; the release thread's */
   pthread_t release_thread;
   pthread_t list_thread;
 };
@@ -60,7 +65,7 @@
 {
   while (ms > 0 && !atomic_load (&follower->stopping))
     {
-      uint32_t part = ms < 50 ? ms : 50;
+      uint32_t part = ms < STOP_LOOK_MS ? ms : STOP_LOOK_MS;
       poll (NULL, 0, (int)part);
       ms -= part;
     }
@@ -95,6 +100,35 @@
   return rc;
 }
 
+static void
+note_version (cs_follower_t *follower, const cs_release_record_t *record)
+{
+  memcpy (follower->version, record->version, sizeof follower->version);
+}
+
+/* Finds the version to watch from when the release in force came from a
+   snapshot or a peer.  */
+static int
+read_version (cs_follower_t *follower)
+{
+  cs_release_record_t record;
+  uint64_t have = cs_configuration_revision (follower->configuration);
+  if (follower->version[0] != '\0')
+    return 0;
+  if (have == 0)
+    {
+      snprintf (follower->version, sizeof follower->version, "0");
+      return 0;
+    }
+  int rc = cs_release_store_get (follower->platform, have, &record);
+  if (rc == 0)
+    {
+      note_version (follower, &record);
+      cs_release_record_free (&record);
+    }
+  return rc;
+}
+
 /* Installs the releases that have followed.  Returns 0 when up to date.  */
 static int
 catch_up (cs_follower_t *follower)
@@ -109,6 +143,7 @@
       rc = cs_release_store_get (follower->platform, next, &record);
       if (rc != 0)
         break;
+      note_version (follower, &record);
       rc = cs_configuration_install_note (follower->configuration, next,
                                           record.note);
       cs_release_record_free (&record);
@@ -132,6 +167,8 @@
     return true;
   uint64_t have = cs_configuration_revision (follower->configuration);
   bool go_on = record.revision <= have + 1;
+  if (go_on)
+    note_version (follower, &record);
   if (record.revision == have + 1)
     cs_configuration_install_note (follower->configuration, record.revision,
                                    record.note);
@@ -142,18 +179,12 @@
 static int
 follow_once (cs_follower_t *follower)
 {
-  json_t *list = NULL;
-  /* The version is read before catching up, so that the watch begins no later
-     than what was caught up with.  */
-  int rc
-      = cs_platform_list (follower->platform, CS_KIND_RELEASE, 1, "", &list);
+  int rc = catch_up (follower);
   if (rc == 0)
-    rc = catch_up (follower);
+    rc = read_version (follower);
   if (rc == 0)
     rc = cs_platform_watch (follower->platform, CS_KIND_RELEASE,
-                            cs_platform_version (list), WATCH_S, on_release,
-                            follower);
-  json_decref (list);
+                            follower->version, WATCH_S, on_release, follower);
   return rc;
 }
 
--- a/daemon/target/poller.c
+++ b/daemon/target/poller.c
@@ -19,6 +19,9 @@
 /* A poll is given up after this time, or the poll interval if longer.  */
 #define POLL_TIMEOUT_MS 1000
 
+/* Pause of a polling thread that finds no target due.  */
+#define IDLE_MS 100
+
 /* Polls that fail in a row until a target counts as unreachable.  */
 #define FAILURES_TO_TELL 2
 
@@ -306,7 +309,7 @@
       cs_endpoint_t *endpoint = take_due (poller, cs_clock_now ());
       if (endpoint == NULL)
         {
-          poll (NULL, 0, 20);
+          poll (NULL, 0, IDLE_MS);
           continue;
         }
       poll_target (poller, endpoint);
--- a/include/platform/release_store.h
+++ b/include/platform/release_store.h
@@ -21,7 +21,8 @@
   cs_name_t operator_name;
   cs_name_t operation; /* unique id, to find out about a lost answer */
   uint64_t wall_ms;
-  json_t *note; /* owned */
+  char version[32]; /* of the object; watches go on from it */
+  json_t *note;     /* owned */
 } cs_release_record_t;
 
 void cs_release_record_free (cs_release_record_t *record);
--- a/tests/scenarios/main.c
+++ b/tests/scenarios/main.c
@@ -363,6 +363,26 @@
     }
 }
 
+static void
+free_all (scenario_t *scenario)
+{
+  variable_t *variable, *next_variable;
+  HASH_ITER (hh, scenario->variables, variable, next_variable)
+  {
+    HASH_DEL (scenario->variables, variable);
+    free (variable->name);
+    free (variable->value);
+    free (variable);
+  }
+  while (scenario->processes != NULL)
+    {
+      process_t *process = scenario->processes;
+      scenario->processes = process->next;
+      free (process);
+    }
+  cs_buf_free (&scenario->transcript);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -393,6 +413,7 @@
   scenario_end_decision (&scenario);
   if (scenario.failed)
     print_logs (&scenario);
-  cs_buf_free (&scenario.transcript);
+  free_all (&scenario);
+  curl_global_cleanup ();
   return scenario.failed ? 1 : 0;
 }
