--- a/daemon/caller/model.c
+++ b/daemon/caller/model.c
@@ -40,10 +40,7 @@
   };
   cs_relay_begin (&relay, exchange);
   int rc = cs_run (exchange, &run, &relay, &retry_after_s);
-  if (rc == 0)
-    cs_relay_finish (&relay);
-  else
-    cs_exchange_fail (exchange, rc, NULL, retry_after_s);
+  cs_run_answer (exchange, &relay, rc, retry_after_s);
   cs_relay_free (&relay);
 }
 
--- a/daemon/caller/run.c
+++ b/daemon/caller/run.c
@@ -315,3 +315,13 @@
   free (attempt.continued_body);
   return rc == 0 ? 0 : first_error;
 }
+
+void
+cs_run_answer (cs_exchange_t *exchange, cs_relay_t *relay, int rc,
+               uint32_t retry_after_s)
+{
+  if (rc == 0)
+    cs_relay_finish (relay);
+  else
+    cs_exchange_fail (exchange, rc, NULL, retry_after_s);
+}
--- a/daemon/caller/service.c
+++ b/daemon/caller/service.c
@@ -84,10 +84,7 @@
      request after seeing it cannot find the claim still running.  */
   if (held != NULL)
     finish_claim (exchange, held, rc, &relay);
-  if (rc == 0)
-    cs_relay_finish (&relay);
-  else
-    cs_exchange_fail (exchange, rc, NULL, retry_after_s);
+  cs_run_answer (exchange, &relay, rc, retry_after_s);
   cs_relay_free (&relay);
 }
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -11,6 +11,7 @@
 #include "daemon/configuration_sync.h"
 #include "daemon/handlers.h"
 #include "daemon/limits.h"
+#include "daemon/socket.h"
 #include "daemon/summaries.h"
 
 /* A stopping router refuses requests until none has come for this long, so
@@ -243,7 +244,7 @@
   if (daemon->counters == NULL || daemon->limits == NULL
       || start_servers (daemon) != 0)
     goto fail;
-  int listener = cs_peers_bind (settings->peer_listen, &peer_address);
+  int listener = cs_socket_listen (settings->peer_listen, &peer_address);
   if (listener < 0)
     {
       cs_log (CS_EV_START_FAILED, "reason=\"cannot listen on %s\"",
--- a/daemon/operator/explain.c
+++ b/daemon/operator/explain.c
@@ -31,11 +31,5 @@
       = cs_placement_explain (daemon->placement, cs_str (offering), key);
   if (root == NULL)
     return 404;
-  char *text = json_dumps (root, JSON_INDENT (2));
-  json_decref (root);
-  if (text == NULL)
-    return 503;
-  cs_buf_printf (body, "%s\n", text);
-  free (text);
-  return 200;
+  return cs_operator_answer (root, body);
 }
--- a/daemon/operator/status.c
+++ b/daemon/operator/status.c
@@ -45,11 +45,5 @@
       "requests", atomic_load (&daemon->requests), "hosts",
       describe_hosts (daemon), "pools",
       cs_placement_status (daemon->placement));
-  char *text = json_dumps (root, JSON_INDENT (2));
-  json_decref (root);
-  if (text == NULL)
-    return 503;
-  cs_buf_printf (body, "%s\n", text);
-  free (text);
-  return 200;
+  return cs_operator_answer (root, body);
 }
--- a/daemon/peer/peers.c
+++ b/daemon/peer/peers.c
@@ -1,8 +1,6 @@
 #include "daemon/peers.h"
+#include "daemon/socket.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <fcntl.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -17,7 +15,6 @@
 #include "common/hash.h"
 #include "common/log.h"
 
-#define CONNECT_TIMEOUT_MS 500
 #define REDIAL_FIRST_MS 50
 #define REDIAL_MOST_MS 1000
 #define THREAD_STACK_BYTES (256 * 1024)
@@ -78,77 +75,6 @@
   size_t accepted_count;
 };
 
-static int
-parse_address (const char *text, struct sockaddr_in *out)
-{
-  char host[64];
-  const char *colon = strrchr (text, ':');
-  uint64_t port;
-  memset (out, 0, sizeof *out);
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host
-      || cs_str_to_u64 (cs_str (colon + 1), &port) != 0 || port > 65535)
-    return CS_ERR_BAD_REQUEST;
-  memcpy (host, text, (size_t)(colon - text));
-  host[colon - text] = '\0';
-  out->sin_family = AF_INET;
-  out->sin_port = htons ((uint16_t)port);
-  return inet_pton (AF_INET, host, &out->sin_addr) == 1 ? 0
-                                                        : CS_ERR_BAD_REQUEST;
-}
-
-int
-cs_peers_bind (const char *address, cs_name_t *bound)
-{
-  struct sockaddr_in at;
-  socklen_t len = sizeof at;
-  char host[64];
-  char text[CS_NAME_MAX + 1];
-  int on = 1;
-  if (parse_address (address, &at) != 0)
-    return -1;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    return -1;
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (fd, (struct sockaddr *)&at, sizeof at) != 0
-      || listen (fd, 128) != 0
-      || getsockname (fd, (struct sockaddr *)&at, &len) != 0)
-    {
-      close (fd);
-      return -1;
-    }
-  inet_ntop (AF_INET, &at.sin_addr, host, sizeof host);
-  snprintf (text, sizeof text, "%s:%u", host, ntohs (at.sin_port));
-  cs_name_set (bound, cs_str (text));
-  return fd;
-}
-
-static int
-connect_to (const char *address)
-{
-  struct sockaddr_in at;
-  int error = 0;
-  socklen_t len = sizeof error;
-  if (parse_address (address, &at) != 0)
-    return -1;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    return -1;
-  if (connect (fd, (struct sockaddr *)&at, sizeof at) != 0
-      && errno != EINPROGRESS)
-    goto fail;
-  struct pollfd wait = { fd, POLLOUT, 0 };
-  if (poll (&wait, 1, CONNECT_TIMEOUT_MS) != 1
-      || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0
-      || error != 0)
-    goto fail;
-  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) & ~O_NONBLOCK);
-  return fd;
-fail:
-  close (fd);
-  return -1;
-}
-
 static void
 fill_heartbeat (cs_peers_t *peers, Cs__Peer__Heartbeat *heartbeat,
                 cs_frame_t *frame)
@@ -327,7 +253,7 @@
 {
   cs_peers_t *peers = contact->peers;
   bool rejected;
-  int fd = connect_to (contact->address.text);
+  int fd = cs_socket_connect (contact->address.text);
   if (fd < 0)
     return false;
   cs_link_t *link = cs_link_dial (fd, cs_str (peers->settings->fleet_key),
--- a/daemon/placement/frames.c
+++ b/daemon/placement/frames.c
@@ -69,17 +69,27 @@
     }
 }
 
+/* The waiter for CALL if HOST is the present owner of its pool, whose word
+   alone counts.  */
+static waiter_t *
+find_waiter_of_owner (const cs_placement_t *placement, uint64_t host,
+                      uint64_t call)
+{
+  waiter_t *waiter = NULL;
+  HASH_FIND (hh, placement->waiters, &call, sizeof call, waiter);
+  if (waiter == NULL)
+    return NULL;
+  const pool_slot_t *slot = find_slot (placement, waiter->pool);
+  return slot != NULL && slot->owner_id == host ? waiter : NULL;
+}
+
 static void
 handle_grant (cs_placement_t *placement, uint64_t host,
               const Cs__Peer__Grant *grant)
 {
-  waiter_t *waiter = NULL;
   uint64_t call = grant->call;
-  HASH_FIND (hh, placement->waiters, &call, sizeof call, waiter);
-  const pool_slot_t *slot
-      = waiter == NULL ? NULL : find_slot (placement, waiter->pool);
-  /* Only the present owner's word counts.  */
-  if (slot == NULL || slot->owner_id != host || waiter->answered)
+  const waiter_t *waiter = find_waiter_of_owner (placement, host, call);
+  if (waiter == NULL || waiter->answered)
     {
       return_grant (placement, host, call);
       return;
@@ -93,12 +103,8 @@
 handle_refusal (cs_placement_t *placement, uint64_t host,
                 const Cs__Peer__Refusal *refusal)
 {
-  waiter_t *waiter = NULL;
   uint64_t call = refusal->call;
-  HASH_FIND (hh, placement->waiters, &call, sizeof call, waiter);
-  const pool_slot_t *slot
-      = waiter == NULL ? NULL : find_slot (placement, waiter->pool);
-  if (slot == NULL || slot->owner_id != host)
+  if (find_waiter_of_owner (placement, host, call) == NULL)
     return;
   if (refusal->not_owner)
     waiter_ask_again (placement, call);
--- a/daemon/placement/internal.h
+++ b/daemon/placement/internal.h
@@ -89,7 +89,7 @@
 
 /* The pool of an offering in the own region.  */
 uint64_t pool_id_of (const cs_placement_t *placement, cs_str_t offering);
-pool_slot_t *find_slot (cs_placement_t *placement, uint64_t pool);
+pool_slot_t *find_slot (const cs_placement_t *placement, uint64_t pool);
 
 /* All of these want the lock held.  */
 int slot_ensure_owner (cs_placement_t *placement, pool_slot_t *slot,
--- a/daemon/placement/slots.c
+++ b/daemon/placement/slots.c
@@ -23,7 +23,7 @@
 }
 
 pool_slot_t *
-find_slot (cs_placement_t *placement, uint64_t pool)
+find_slot (const cs_placement_t *placement, uint64_t pool)
 {
   pool_slot_t *slot = NULL;
   HASH_FIND (hh, placement->slots, &pool, sizeof pool, slot);
--- a/include/daemon/handlers.h
+++ b/include/daemon/handlers.h
@@ -25,6 +25,9 @@
 cs_operator_fn cs_operate_readyz;
 cs_operator_fn cs_operate_status;
 
+/* Writes ROOT, whose reference it takes, to BODY.  Returns the status.  */
+int cs_operator_answer (json_t *root, cs_buf_t *body);
+
 /* Starts a server on ADDRESS; BOUND receives the address with the port that
    the kernel chose.  NULL when that fails.  Stop with mg_stop.  */
 struct mg_context *cs_server_start_callers (cs_daemon_t *daemon,
--- a/include/daemon/peers.h
+++ b/include/daemon/peers.h
@@ -25,10 +25,6 @@
 
 typedef struct cs_peers cs_peers_t;
 
-/* Binds ADDRESS and returns the listening socket, or -1.  BOUND receives the
-   address with the port that the kernel chose.  */
-int cs_peers_bind (const char *address, cs_name_t *bound);
-
 /* Takes over LISTENER and starts the threads.  NULL when that fails.  */
 cs_peers_t *cs_peers_create (const cs_settings_t *settings,
                              cs_members_t *members, cs_counters_t *counters,
--- a/include/daemon/run.h
+++ b/include/daemon/run.h
@@ -26,4 +26,8 @@
 int cs_run (cs_exchange_t *exchange, const cs_run_t *run, cs_relay_t *relay,
             uint32_t *retry_after_s);
 
+/* Gives the caller what cs_run has ended with.  */
+void cs_run_answer (cs_exchange_t *exchange, cs_relay_t *relay, int rc,
+                    uint32_t retry_after_s);
+
 #endif
