Split the measuring loop into calls, changes of the fleet and figures

Change: state.h holds the run's state, changes.c what happens to engines and owners, summary.c the figures; world.c keeps calls and time. No behaviour.

--- a/bench/world.c
+++ b/bench/world.c
@@ -1,124 +1,11 @@
-#include "world.h"
+#include "state.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "cache.h"
-#include "cranberrystile/eject.h"
-#include "cranberrystile/retry.h"
-#include "heap.h"
 #include "peer.pb-c.h"
 
-#define ORGANISATIONS 10
-#define SERVICE_MEAN_S 16.0
-#define NEW_CHAT_SHARE 0.1
-#define TURN_TOKENS 500
-#define BURST_FACTOR 10.0
-#define BURST_S 20
-#define WAIT_MOST_US (30 * CS_US_PER_S)
-#define TICK_US (2 * CS_US_PER_MS)
-#define TRIES_MOST 3
-#define HEARTBEATS_PER_S 4
-#define FRAME_HEAD_BYTES 4
-
-/* A joined engine counts in the true mean this long after a router has learned
-   of it: the time in which that router's word reaches the owner.  */
-#define WORD_US (5 * CS_US_PER_MS)
-
-enum
-{
-  EV_ARRIVAL,
-  EV_ASK,     /* at the owner */
-  EV_CALL,    /* at the engine */
-  EV_END,     /* at the engine */
-  EV_RELEASE, /* at the owner */
-  EV_SAMPLE,
-  EV_REFRESH, /* of the baselines' views */
-  EV_TICK,
-  EV_REPLACE, /* an engine is replaced by a cold one */
-  EV_FLAP,
-  EV_LEARN_GONE, /* the owner learns that an engine is away */
-  EV_LEARN_BACK,
-  EV_BACK,
-  EV_COUNTS, /* the engine counts in the true mean */
-  EV_FAIL,
-  EV_OWNER_LOST,
-  EV_SWITCH, /* a router hands over to the new owner */
-  EV_STOP
-};
-
-typedef struct
-{
-  uint32_t tokens; /* context at its last call, 0 before the first */
-  uint32_t organisation;
-} chat_t;
-
-typedef struct
-{
-  uint64_t id;
-  uint32_t running;
-  uint32_t epoch; /* rises with each restart; older calls are void */
-  bool up;
-  bool counted; /* in the true mean */
-  bool failing; /* refuses connections, but is believed live */
-  cache_t *cache;
-  cs_eject_t eject;
-} engine_t;
-
-typedef struct
-{
-  bool used;
-  uint32_t chat;
-  uint32_t router;
-  uint32_t engine;
-  uint32_t epoch;
-  uint32_t tries;
-  uint64_t avoid;
-  uint64_t serial; /* the call's id towards the owner */
-  cs_time_us_t ends;
-  cs_time_us_t arrived;
-  bool granted;
-  bool at_engine;
-  bool asked;
-} call_t;
-
-typedef struct
-{
-  setup_t setup;
-  result_t *result;
-  heap_t heap;
-  cs_time_us_t now;
-  cs_time_us_t warm;
-  cs_time_us_t end;
-  cs_random_t random;
-  engine_t *engines;
-  cs_owner_t **owners; /* one, or one a router for the baselines */
-  uint32_t owner_count;
-  cs_owner_t *old_owner;
-  bool *switched;             /* routers that ask the new owner */
-  cs_retry_budget_t *budgets; /* one a router */
-  chat_t *chats;
-  uint32_t chat_count;
-  uint32_t chat_capacity;
-  call_t *calls;
-  uint32_t call_count;
-  uint32_t call_capacity;
-  uint32_t *free_calls;
-  uint32_t free_count;
-  uint64_t serial;
-  cache_t *best_cache;
-  uint64_t could, found, best_found;
-  double *samples;
-  uint32_t sample_count;
-  double *waits;
-  uint32_t wait_count;
-  uint32_t wait_capacity;
-  double *bytes; /* control bytes of each router */
-  uint64_t place_cpu_us;
-  uint64_t place_count;
-} world_t;
-
 const char *
 case_name (case_t scenario)
 {
@@ -128,14 +15,14 @@
   return names[scenario];
 }
 
-static bool
-is_ours (const world_t *world)
+bool
+world_is_ours (const world_t *world)
 {
   return world->setup.way == CS_PLACE_BOUNDED;
 }
 
-static bool
-is_measured (const world_t *world)
+bool
+world_is_measured (const world_t *world)
 {
   return world->now >= world->warm;
 }
@@ -144,7 +31,7 @@
 static cs_owner_t *
 owner_of (const world_t *world, uint32_t router)
 {
-  if (!is_ours (world))
+  if (!world_is_ours (world))
     return world->owners[router];
   if (world->old_owner != NULL && !world->switched[router])
     return world->old_owner;
@@ -155,7 +42,7 @@
 static void
 count_bytes (world_t *world, uint32_t router, size_t bytes)
 {
-  if (!is_measured (world) || !is_ours (world) || router == 0)
+  if (!world_is_measured (world) || !world_is_ours (world) || router == 0)
     return;
   world->bytes[router] += (double)bytes;
   world->bytes[0] += (double)bytes;
@@ -250,20 +137,20 @@
   if (in_burst (world))
     return calm * BURST_FACTOR;
   /* Organisation 0 alone sends half again as much as all slots serve.  */
-  if (world->setup.scenario == CASE_SURGE && is_measured (world))
+  if (world->setup.scenario == CASE_SURGE && world_is_measured (world))
     return calm * 3;
   return calm;
 }
 
-static void
-ask (world_t *world, uint32_t i)
+void
+world_ask (world_t *world, uint32_t i)
 {
   call_t *call = &world->calls[i];
   call->asked = true;
   call->granted = false;
   call->serial = ++world->serial;
   cs_time_us_t delay = 0;
-  if (is_ours (world) && call->router != 0)
+  if (world_is_ours (world) && call->router != 0)
     delay = world->setup.size.hop_us;
   heap_push (&world->heap, world->now + delay, EV_ASK, i);
 }
@@ -279,7 +166,8 @@
   call_t *call = &world->calls[i];
   memset (call, 0, sizeof *call);
   call->used = true;
-  bool surge = world->setup.scenario == CASE_SURGE && is_measured (world);
+  bool surge
+      = world->setup.scenario == CASE_SURGE && world_is_measured (world);
   bool fresh = world->chat_count < 100
                || (!in_burst (world)
                    && cs_random_unit (&world->random) < NEW_CHAT_SHARE);
@@ -292,10 +180,10 @@
   call->router = (uint32_t)(cs_random_unit (&world->random)
                             * world->setup.size.routers);
   call->arrived = world->now;
-  if (is_measured (world))
+  if (world_is_measured (world))
     world->result->first_tries++;
   cs_retry_budget_first_try (&world->budgets[call->router]);
-  ask (world, i);
+  world_ask (world, i);
 }
 
 /* ---- Placement.  */
@@ -354,7 +242,7 @@
 static void
 count_refused (world_t *world, const call_t *call)
 {
-  if (!is_measured (world))
+  if (!world_is_measured (world))
     return;
   world->result->refused++;
   if (world->chats[call->chat].organisation != 0)
@@ -379,7 +267,7 @@
   call->engine = engine_index (world, grant->target);
   call->epoch = world->engines[call->engine].epoch;
   cs_time_us_t delay = world->setup.size.hop_us;
-  if (is_ours (world) && call->router != 0)
+  if (world_is_ours (world) && call->router != 0)
     delay *= 2;
   heap_push (&world->heap, world->now + delay, EV_CALL,
              (uint32_t)(call - world->calls));
@@ -399,8 +287,8 @@
 
 /* ---- Engines.  */
 
-static void
-true_counts (const world_t *world, uint32_t *total, uint32_t *count)
+void
+world_true_counts (const world_t *world, uint32_t *total, uint32_t *count)
 {
   *total = 0;
   *count = 0;
@@ -417,9 +305,9 @@
 check_cap (world_t *world, const engine_t *engine)
 {
   uint32_t total, count;
-  if (!is_measured (world) || !engine->counted)
+  if (!world_is_measured (world) || !engine->counted)
     return;
-  true_counts (world, &total, &count);
+  world_true_counts (world, &total, &count);
   double mean = (double)total / count;
   uint32_t cap = (uint32_t)ceil (world->setup.cap_factor * mean - 1e-9);
   world->result->placements++;
@@ -434,7 +322,7 @@
 add_wait (world_t *world, const call_t *call)
 {
   /* The surging organisation is 0; the others are calm.  */
-  if (!is_measured (world) || world->chats[call->chat].organisation == 0)
+  if (!world_is_measured (world) || world->chats[call->chat].organisation == 0)
     return;
   if (world->wait_count == world->wait_capacity)
     {
@@ -458,18 +346,18 @@
   uint32_t found = cache_use (engine->cache, call->chat, after);
   uint32_t best = cache_use (world->best_cache, call->chat, after);
   chat->tokens = after;
-  if (!is_measured (world))
+  if (!world_is_measured (world))
     return;
   world->could += before;
   world->found += found;
   world->best_found += best;
 }
 
-static void
-send_release (world_t *world, uint32_t i)
+void
+world_send_release (world_t *world, uint32_t i)
 {
   cs_time_us_t delay = world->setup.size.hop_us;
-  if (is_ours (world) && world->calls[i].router != 0)
+  if (world_is_ours (world) && world->calls[i].router != 0)
     delay *= 2;
   heap_push (&world->heap, world->now + delay, EV_RELEASE, i);
 }
@@ -502,9 +390,9 @@
       free_call (world, i);
       return;
     }
-  if (is_measured (world))
+  if (world_is_measured (world))
     world->result->extra_tries++;
-  ask (world, i);
+  world_ask (world, i);
 }
 
 static void
@@ -538,7 +426,7 @@
     return;
   call->at_engine = false;
   engine->running--;
-  send_release (world, i);
+  world_send_release (world, i);
 }
 
 static void
@@ -556,123 +444,8 @@
   free_call (world, i);
 }
 
-/* ---- Changes of the fleet.  */
-
-static uint32_t
-slots_of (const world_t *world)
-{
-  return world->setup.scenario == CASE_SURGE ? 12 : 512;
-}
-
-static void
-set_believed (world_t *world)
-{
-  uint32_t count = 0;
-  for (uint32_t i = 0; i < world->setup.size.engines; i++)
-    if (world->engines[i].counted)
-      count++;
-  for (uint32_t i = 0; i < world->owner_count; i++)
-    cs_pool_set_believed_targets (cs_owner_pool (world->owners[i]), count);
-}
-
-static void
-tell_owners (world_t *world, const engine_t *engine, cs_target_state_t state,
-             bool joined)
-{
-  for (uint32_t i = 0; i < world->owner_count; i++)
-    cs_pool_set_target (cs_owner_pool (world->owners[i]), engine->id,
-                        slots_of (world), state, joined, world->now);
-}
-
-/* The routers see the connections of its calls end.  */
-static void
-cut_calls (world_t *world, uint32_t engine)
-{
-  for (uint32_t i = 0; i < world->call_count; i++)
-    {
-      call_t *call = &world->calls[i];
-      if (!call->used || !call->at_engine || call->engine != engine)
-        continue;
-      call->at_engine = false;
-      send_release (world, i);
-    }
-}
-
-static void
-take_down (world_t *world, uint32_t i)
-{
-  engine_t *engine = &world->engines[i];
-  cut_calls (world, i);
-  engine->up = false;
-  engine->counted = false;
-  engine->epoch++;
-  engine->running = 0;
-}
-
-/* How late the owner's view of engines is.  */
-static cs_time_us_t
-view_delay (world_t *world)
-{
-  double most = world->setup.scenario == CASE_DISAGREE ? 2e6 : 0.5e6;
-  return (cs_time_us_t)(cs_random_unit (&world->random) * most);
-}
-
-static void
-handle_replace (world_t *world)
-{
-  uint32_t count = world->setup.size.engines;
-  double mean_s = 3600.0 / (0.1 * count);
-  double pause = cs_random_exponential (&world->random, mean_s * 1e6);
-  heap_push (&world->heap, world->now + (cs_time_us_t)pause + 1, EV_REPLACE,
-             0);
-  uint32_t i = (uint32_t)(cs_random_unit (&world->random) * count);
-  if (!world->engines[i].up)
-    return;
-  take_down (world, i);
-  cache_clear (world->engines[i].cache);
-  heap_push (&world->heap, world->now + view_delay (world), EV_LEARN_GONE, i);
-  heap_push (&world->heap, world->now + 5 * CS_US_PER_S, EV_BACK, i);
-}
-
-static void
-handle_flap (world_t *world)
-{
-  uint32_t count = world->setup.size.engines;
-  heap_push (&world->heap, world->now + 5 * CS_US_PER_S, EV_FLAP, 0);
-  uint32_t i = (uint32_t)(cs_random_unit (&world->random) * count);
-  if (!world->engines[i].up)
-    return;
-  /* Its process lives on, and so does its cache.  */
-  take_down (world, i);
-  heap_push (&world->heap, world->now + view_delay (world), EV_LEARN_GONE, i);
-  heap_push (&world->heap, world->now + 3 * CS_US_PER_S, EV_BACK, i);
-}
-
-static void
-handle_back (world_t *world, uint32_t i)
-{
-  world->engines[i].up = true;
-  heap_push (&world->heap, world->now + WORD_US, EV_COUNTS, i);
-  heap_push (&world->heap, world->now + WORD_US + view_delay (world),
-             EV_LEARN_BACK, i);
-}
-
-static void
-handle_fail (world_t *world)
-{
-  for (uint32_t i = 0; i < world->setup.size.engines; i += 3)
-    {
-      take_down (world, i);
-      world->engines[i].up = true;
-      world->engines[i].failing = true;
-    }
-  set_believed (world);
-}
-
-/* ---- The owner is lost.  */
-
-static cs_owner_t *
-create_owner (world_t *world, uint64_t seed)
+cs_owner_t *
+world_create_owner (world_t *world, uint64_t seed)
 {
   cs_owner_policy_t policy = cs_owner_policy_default ();
   cs_owner_effects_t effects = { world, on_granted, on_refused };
@@ -691,55 +464,6 @@
   return owner;
 }
 
-/* The old owner stops answering at once and its asks are void; the routers
-   notice at different times within a second and hand over.  */
-static void
-handle_owner_lost (world_t *world)
-{
-  uint32_t routers = world->setup.size.routers;
-  uint64_t *ids = calloc (routers, sizeof *ids);
-  world->old_owner = world->owners[0];
-  world->owners[0] = create_owner (world, world->setup.seed + 1);
-  for (uint32_t i = 0; i < world->setup.size.engines; i++)
-    if (world->engines[i].up)
-      cs_pool_set_target (cs_owner_pool (world->owners[0]),
-                          world->engines[i].id, slots_of (world),
-                          CS_TARGET_LIVE, false, world->now);
-  set_believed (world);
-  for (uint32_t i = 0; i < routers; i++)
-    {
-      ids[i] = i + 1;
-      world->switched[i] = false;
-      heap_push (&world->heap,
-                 world->now
-                     + (cs_time_us_t)(cs_random_unit (&world->random) * 1e6),
-                 EV_SWITCH, i);
-    }
-  cs_owner_recover (world->owners[0], ids, routers, world->now);
-  free (ids);
-}
-
-static void
-handle_switch (world_t *world, uint32_t router)
-{
-  cs_pool_t *pool = cs_owner_pool (world->owners[0]);
-  world->switched[router] = true;
-  cs_pool_doubt_router (cs_owner_pool (world->old_owner), router + 1);
-  for (uint32_t i = 0; i < world->call_count; i++)
-    {
-      const call_t *call = &world->calls[i];
-      if (!call->used || call->router != router)
-        continue;
-      if (call->granted)
-        cs_pool_adopt (pool, router + 1, call->serial << 24 | i,
-                       world->chats[call->chat].organisation + 1,
-                       world->engines[call->engine].id, world->now);
-      else if (call->asked)
-        ask (world, i);
-    }
-  cs_owner_handed_over (world->owners[0], router + 1, world->now);
-}
-
 /* ---- Time passing.  */
 
 static void
@@ -748,7 +472,7 @@
   uint32_t total, count;
   uint32_t most = 0;
   heap_push (&world->heap, world->now + CS_US_PER_S, EV_SAMPLE, 0);
-  true_counts (world, &total, &count);
+  world_true_counts (world, &total, &count);
   for (uint32_t i = 0; i < world->setup.size.engines; i++)
     if (world->engines[i].counted && world->engines[i].running > most)
       most = world->engines[i].running;
@@ -758,11 +482,11 @@
       engine_t *engine = &world->engines[i];
       if (engine->eject.ejected_until != 0
           && !cs_eject_is_ejected (&engine->eject, world->now))
-        tell_owners (world, engine, CS_TARGET_LIVE, false);
+        changes_tell_owners (world, engine, CS_TARGET_LIVE, false);
     }
-  if (is_measured (world) && total > 0)
+  if (world_is_measured (world) && total > 0)
     world->samples[world->sample_count++] = most / ((double)total / count);
-  if (is_measured (world) && is_ours (world))
+  if (world_is_measured (world) && world_is_ours (world))
     for (uint32_t i = 0; i < world->setup.size.routers; i++)
       {
         Cs__Peer__Heartbeat beat = CS__PEER__HEARTBEAT__INIT;
@@ -797,24 +521,6 @@
     cs_owner_tick (world->old_owner, world->now);
 }
 
-static void
-handle_learn_gone (world_t *world, uint32_t i)
-{
-  if (world->engines[i].up)
-    return;
-  tell_owners (world, &world->engines[i], CS_TARGET_EJECTED, false);
-  set_believed (world);
-}
-
-static void
-handle_learn_back (world_t *world, uint32_t i)
-{
-  if (!world->engines[i].up)
-    return;
-  bool cold = world->setup.scenario != CASE_FLAP;
-  tell_owners (world, &world->engines[i], CS_TARGET_LIVE, cold);
-}
-
 static void
 handle_event (world_t *world, const event_t *event)
 {
@@ -846,32 +552,32 @@
       handle_tick (world);
       break;
     case EV_REPLACE:
-      handle_replace (world);
+      changes_replace (world);
       break;
     case EV_FLAP:
-      handle_flap (world);
+      changes_flap (world);
       break;
     case EV_LEARN_GONE:
-      handle_learn_gone (world, i);
+      changes_learn_gone (world, i);
       break;
     case EV_LEARN_BACK:
-      handle_learn_back (world, i);
+      changes_learn_back (world, i);
       break;
     case EV_BACK:
-      handle_back (world, i);
+      changes_back (world, i);
       break;
     case EV_COUNTS:
       world->engines[i].counted = true;
-      set_believed (world);
+      changes_set_believed (world);
       break;
     case EV_FAIL:
-      handle_fail (world);
+      changes_fail (world);
       break;
     case EV_OWNER_LOST:
-      handle_owner_lost (world);
+      changes_owner_lost (world);
       break;
     case EV_SWITCH:
-      handle_switch (world, i);
+      changes_switch (world, i);
       break;
     default:
       break;
@@ -908,77 +614,35 @@
   world->warm = world->now + half;
   world->end = world->warm + half;
   create_engines (world);
-  world->owner_count = is_ours (world) ? 1 : size->routers;
+  world->owner_count = world_is_ours (world) ? 1 : size->routers;
   world->owners = calloc (world->owner_count, sizeof *world->owners);
   world->switched = calloc (size->routers, sizeof *world->switched);
   world->budgets = calloc (size->routers, sizeof *world->budgets);
   world->bytes = calloc (size->routers, sizeof *world->bytes);
   world->samples = calloc (size->seconds + 16, sizeof *world->samples);
   for (uint32_t i = 0; i < world->owner_count; i++)
-    world->owners[i] = create_owner (world, world->setup.seed * 1000 + i);
+    world->owners[i]
+        = world_create_owner (world, world->setup.seed * 1000 + i);
   for (uint32_t i = 0; i < size->routers; i++)
     cs_retry_budget_init (&world->budgets[i], 0.1, 3, 20);
   for (uint32_t i = 0; i < size->engines; i++)
-    tell_owners (world, &world->engines[i], CS_TARGET_LIVE, false);
-  set_believed (world);
+    changes_tell_owners (world, &world->engines[i], CS_TARGET_LIVE, false);
+  changes_set_believed (world);
   heap_push (&world->heap, world->now, EV_ARRIVAL, 0);
   heap_push (&world->heap, world->now, EV_SAMPLE, 0);
   heap_push (&world->heap, world->now, EV_TICK, 0);
   heap_push (&world->heap, world->now, EV_REPLACE, 0);
-  if (!is_ours (world))
+  if (!world_is_ours (world))
     heap_push (&world->heap, world->now, EV_REFRESH, 0);
   if (world->setup.scenario == CASE_FLAP
       || world->setup.scenario == CASE_DISAGREE)
     heap_push (&world->heap, world->warm, EV_FLAP, 0);
   if (world->setup.scenario == CASE_FAIL)
     heap_push (&world->heap, world->warm + 10 * CS_US_PER_S, EV_FAIL, 0);
-  if (world->setup.scenario == CASE_OWNER && is_ours (world))
+  if (world->setup.scenario == CASE_OWNER && world_is_ours (world))
     heap_push (&world->heap, world->warm + 15 * CS_US_PER_S, EV_OWNER_LOST, 0);
 }
 
-static int
-compare_doubles (const void *a, const void *b)
-{
-  double x = *(const double *)a;
-  double y = *(const double *)b;
-  return x < y ? -1 : x > y;
-}
-
-static double
-quantile (double *values, uint32_t count, double share)
-{
-  if (count == 0)
-    return 0;
-  qsort (values, count, sizeof *values, compare_doubles);
-  uint32_t i = (uint32_t)(share * count);
-  return values[i < count ? i : count - 1];
-}
-
-static void
-summarise (world_t *world)
-{
-  result_t *result = world->result;
-  double seconds = world->setup.size.seconds;
-  result->reuse
-      = world->could == 0 ? 0 : (double)world->found / (double)world->could;
-  result->best_reuse = world->could == 0
-                           ? 0
-                           : (double)world->best_found / (double)world->could;
-  result->skew_median = quantile (world->samples, world->sample_count, 0.5);
-  result->skew_p99 = quantile (world->samples, world->sample_count, 0.99);
-  result->skew_worst = quantile (world->samples, world->sample_count, 1.0);
-  result->calm_wait_p95_ms = quantile (world->waits, world->wait_count, 0.95);
-  result->place_us
-      = (double)world->place_cpu_us / (double)(world->place_count + 1);
-  for (uint32_t i = 0; i < world->setup.size.routers; i++)
-    {
-      double rate = world->bytes[i] / seconds;
-      result->control_bytes += rate / world->setup.size.routers;
-      if (rate > result->control_most)
-        result->control_most = rate;
-    }
-}
-
 static void
 finish (world_t *world)
 {
@@ -1016,6 +680,6 @@
       world.now = event.at;
       handle_event (&world, &event);
     }
-  summarise (&world);
+  summary_fill (&world);
   finish (&world);
 }
