--- a/daemon/main.c
+++ b/daemon/main.c
@@ -129,8 +129,16 @@
     }
   cs_log_init (settings.name, "cranberrystiled");
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  mg_init_library (MG_FEATURES_TLS);
-  status = run (&settings);
+  bool has_tls = (mg_init_library (MG_FEATURES_TLS) & MG_FEATURES_TLS) != 0;
+  /* Without its TLS library CivetWeb would crash at the first connection.  */
+  if (settings.tls_certificate[0] != '\0' && !has_tls)
+    {
+      cs_log (CS_EV_START_FAILED,
+              "reason=\"this CivetWeb cannot load its TLS library\"");
+      status = EXIT_FAILURE;
+    }
+  else
+    status = run (&settings);
   mg_exit_library ();
   curl_global_cleanup ();
   return status;
--- a/tests/scenarios/main.c
+++ b/tests/scenarios/main.c
@@ -37,6 +37,7 @@
   { "release", verb_release },
   { "request", verb_request },
   { "router", verb_router },
+  { "router-refuses", verb_router_refuses },
   { "signal", verb_signal },
   { "sleep", verb_sleep },
   { "start", verb_start },
--- a/tests/scenarios/processes.c
+++ b/tests/scenarios/processes.c
@@ -225,6 +225,33 @@
     }
 }
 
+/* router-refuses NAME TEXT SECTION.KEY=VALUE...: it does not start, and its
+   log has TEXT.  */
+void
+verb_router_refuses (scenario_t *scenario, const words_t *words)
+{
+  char program[512], file[512];
+  cs_buf_t log = { 0 };
+  words_t settings = { 1, { words->words[0] } };
+  for (int i = 2; i < words->count; i++)
+    settings.words[settings.count++] = words->words[i];
+  snprintf (program, sizeof program, "%s/daemon/cranberrystiled",
+            scenario->build);
+  snprintf (file, sizeof file, "%s/%s.ini", scenario->folder, words->words[0]);
+  write_settings (file, &settings);
+  char *arguments[] = { program, (char *)"--settings", file, NULL };
+  process_t *process = start_process (scenario, words->words[0], arguments);
+  waitpid (process->pid, &process->status, 0);
+  process->running = false;
+  read_file (process->log, &log);
+  if (!WIFEXITED (process->status) || WEXITSTATUS (process->status) == 0
+      || log.len == 0 || strstr (log.data, words->words[1]) == NULL)
+    scenario_fail (scenario, "%s does not refuse with %s: status %d, %s",
+                   words->words[0], words->words[1], process->status,
+                   log.len == 0 ? "" : log.data);
+  cs_buf_free (&log);
+}
+
 static int
 number_of_signal (const char *name)
 {
