Try the only live target again rather than none

Cause: a retry avoids the target that has just failed; with one live target in the pool that left none, and a request that may be repeated was not repeated.

Change: the target to be avoided is used when no other is live.

Before: the new unit test got no_target (-8) for 0. After: 28 unit tests pass.

--- a/cranberrystile/placement/pool.c
+++ b/cranberrystile/placement/pool.c
@@ -366,12 +366,22 @@
   pool->mean_context += (tokens - pool->mean_context) * CONTEXT_WEIGHT;
 }
 
+static bool
+has_live_target (const cs_pool_t *pool, uint64_t avoid)
+{
+  for (size_t i = 0; i < pool->count; i++)
+    if (pool->targets[i].state == CS_TARGET_LIVE
+        && pool->targets[i].id != avoid)
+      return true;
+  return false;
+}
+
 int
 cs_pool_place (cs_pool_t *pool, const cs_pool_ask_t *ask, cs_time_us_t now,
                cs_pool_grant_t *grant)
 {
   uint32_t index = 0;
-  bool any_live = false;
+  cs_pool_ask_t wanted = *ask;
   /* A repeated ask, sent again after a lost answer, gets the same grant.  */
   const call_t *known = find_call (pool, ask->router, ask->call);
   if (known != NULL)
@@ -380,12 +390,12 @@
       grant->why = CS_WHY_FIRST;
       return 0;
     }
-  for (size_t i = 0; i < pool->count && !any_live; i++)
-    any_live = pool->targets[i].state == CS_TARGET_LIVE
-               && pool->targets[i].id != ask->avoid;
-  if (!any_live)
+  if (!has_live_target (pool, 0))
     return CS_ERR_NO_TARGET;
-  int rc = cs_pool_choose (pool, ask, now, &index, &grant->why);
+  /* Better the target that has just failed than none.  */
+  if (!has_live_target (pool, ask->avoid))
+    wanted.avoid = 0;
+  int rc = cs_pool_choose (pool, &wanted, now, &index, &grant->why);
   if (rc != 0)
     return rc;
   learn_context (pool, ask->context_tokens);
--- a/include/cranberrystile/pool.h
+++ b/include/cranberrystile/pool.h
@@ -73,7 +73,8 @@
   uint64_t organisation;
   uint64_t key;            /* chat key */
   uint32_t context_tokens; /* tokens that a warm cache would save */
-  uint64_t avoid;          /* id of a target not to use, or 0 */
+  uint64_t avoid;          /* id of a target to use only if no other
+                              is live, or 0 */
 } cs_pool_ask_t;
 
 typedef struct
--- a/tests/unit/decisions_test.cc
+++ b/tests/unit/decisions_test.cc
@@ -346,6 +346,23 @@
   cs_pool_destroy (pool);
 }
 
+TEST (Pool, TheOnlyTargetIsUsedThoughItIsToBeAvoided)
+{
+  cs_pool_policy_t policy = cs_pool_policy_default ();
+  cs_pool_t *pool = cs_pool_create (&policy, 1);
+  cs_pool_grant_t grant;
+  cs_pool_ask_t ask = { 1, 1, 1, 5, 100, 7 };
+  EXPECT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), CS_ERR_NO_TARGET);
+  cs_pool_set_target (pool, 7, 8, CS_TARGET_LIVE, false, 1);
+  ASSERT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), 0);
+  EXPECT_EQ (grant.target, 7u);
+  cs_pool_set_target (pool, 8, 8, CS_TARGET_LIVE, false, 1);
+  ask.call = 2;
+  ASSERT_EQ (cs_pool_place (pool, &ask, 2000000, &grant), 0);
+  EXPECT_EQ (grant.target, 8u);
+  cs_pool_destroy (pool);
+}
+
 TEST (Pool, DoubtedCallsStayOnTheTargetButNotInTheMean)
 {
   cs_pool_policy_t policy = cs_pool_policy_default ();
