--- a/cranberrystile/release/note.c
+++ b/cranberrystile/release/note.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cranberrystile/release.h"
+#include "release/read.h"
 
 static int
 fault (cs_buf_t *reason, const char *part, const char *section,
@@ -110,7 +111,7 @@
       rc = CS_ERR_BAD_RELEASE;
       goto out;
     }
-  rc = cs_release_create (cs_release_revision (base) + 1, document, out,
+  return cs_release_take (cs_release_revision (base) + 1, document, out,
                           reason);
 out:
   json_decref (document);
--- a/cranberrystile/release/read.h
+++ b/cranberrystile/release/read.h
@@ -7,6 +7,10 @@
 
 #include "cranberrystile/release.h"
 
+/* As cs_release_create, but takes over DOCUMENT in each case.  */
+int cs_release_take (uint64_t revision, json_t *document, cs_release_t **out,
+                     cs_buf_t *reason);
+
 /* Refuses anything but the known sections, each an array.  */
 int cs_release_read_sections (const json_t *document, cs_buf_t *reason);
 
--- a/cranberrystile/release/release.c
+++ b/cranberrystile/release/release.c
@@ -96,31 +96,40 @@
   return 0;
 }
 
-/* A copy in which each section is there.  */
-static json_t *
-copy_document (const json_t *document)
+/* Adds the sections that are not there.  */
+static void
+complete_document (json_t *document)
 {
   static const char *const sections[]
       = { "data_centres", "organisations", "offerings", "targets" };
-  json_t *copy = json_deep_copy (document);
-  for (size_t i = 0; i < 4 && json_is_object (copy); i++)
-    if (json_object_get (copy, sections[i]) == NULL)
-      json_object_set_new (copy, sections[i], json_array ());
-  return copy;
+  for (size_t i = 0; i < 4 && json_is_object (document); i++)
+    if (json_object_get (document, sections[i]) == NULL)
+      json_object_set_new (document, sections[i], json_array ());
 }
 
 int
 cs_release_create (uint64_t revision, const json_t *document,
                    cs_release_t **out, cs_buf_t *reason)
+{
+  json_t *copy = json_deep_copy (document);
+  return copy == NULL ? CS_ERR_NO_MEMORY
+                      : cs_release_take (revision, copy, out, reason);
+}
+
+int
+cs_release_take (uint64_t revision, json_t *document, cs_release_t **out,
+                 cs_buf_t *reason)
 {
   int rc = CS_ERR_NO_MEMORY;
   cs_release_t *release = calloc (1, sizeof *release);
   if (release == NULL)
-    goto fail;
+    {
+      json_decref (document);
+      return rc;
+    }
   release->revision = revision;
-  release->document = copy_document (document);
-  if (release->document == NULL)
-    goto fail;
+  release->document = document;
+  complete_document (document);
   rc = cs_release_read_sections (document, reason);
   if (rc != 0)
     goto fail;
