--- a/tests/scenarios/processes.c
+++ b/tests/scenarios/processes.c
@@ -140,17 +140,6 @@
         "platform.timeout_ms=1000",    "stop.lame_duck_ms=200",
         "target.poll_ms=200" };
 
-static const char *
-setting_of (const words_t *words, const char *key, const char *fallback)
-{
-  size_t len = strlen (key);
-  for (int i = 0; i < words->count; i++)
-    if (strncmp (words->words[i], key, len) == 0
-        && words->words[i][len] == '=')
-      return words->words[i] + len + 1;
-  return fallback;
-}
-
 static void
 write_setting (FILE *stream, const char *setting, const char *value)
 {
@@ -173,7 +162,7 @@
       size_t len = strcspn (defaults[i], "=");
       memcpy (key, defaults[i], len);
       key[len] = '\0';
-      if (setting_of (words, key, NULL) == NULL)
+      if (words_option (words, key, NULL) == NULL)
         write_setting (stream, defaults[i], strchr (defaults[i], '=') + 1);
     }
   for (int i = 1; i < words->count; i++)
@@ -206,7 +195,7 @@
   snprintf (file, sizeof file, "%s/%s.ini", scenario->folder, router);
   write_settings (file, words);
   FILE *stream = fopen (file, "a");
-  if (setting_of (words, "host.name", NULL) == NULL)
+  if (words_option (words, "host.name", NULL) == NULL)
     fprintf (stream, "[host]\nname = %s\n", router);
   fclose (stream);
   char *arguments[] = { program, (char *)"--settings", file, NULL };
