Tell the owner how many targets an asker knows

Comments say region where a region is meant.

After: 28 unit tests, process/chat, start-refused, leaving, whole-answers pass, one run each.

--- a/daemon/caller/run.c
+++ b/daemon/caller/run.c
@@ -130,7 +130,7 @@
   return cs_placement_ask (daemon->placement, &request, placed, retry_after_s);
 }
 
-/* One try on a target of this data centre.  */
+/* One try on a target of this region.  */
 static int
 try_here (attempt_t *attempt, uint32_t *retry_after_s, bool *was_placed)
 {
@@ -186,7 +186,7 @@
   return rc;
 }
 
-/* Hands the request to a router of another data centre.  One hop only.  */
+/* Hands the request to a router of another region.  One hop only.  */
 static int
 try_elsewhere (attempt_t *attempt)
 {
--- a/daemon/placement/frames.c
+++ b/daemon/placement/frames.c
@@ -29,6 +29,13 @@
       refuse_as_not_owner (placement, host, ask->call);
       return;
     }
+  /* A target that only the asker has heard of lowers the cap as well.  */
+  if (ask->targets > slot->believed)
+    {
+      slot->believed = ask->targets;
+      cs_pool_set_believed_targets (cs_owner_pool (slot->owner),
+                                    slot_believed_live (slot));
+    }
   item.ask.router = host;
   item.ask.call = ask->call;
   item.ask.organisation = ask->organisation;
--- a/daemon/placement/internal.h
+++ b/daemon/placement/internal.h
@@ -55,8 +55,11 @@
   cs_name_t offering;
   uint32_t cap_percent;
   bool is_service;
-  uint64_t owner_id; /* host that we ask, 0 before the first look */
-  cs_owner_t *owner; /* when we own it, or calls were handed to us */
+  uint32_t target_count; /* targets known here that do not leave */
+  uint32_t believed;     /* the most that an asker has told since the last
+                            look at the targets */
+  uint64_t owner_id;     /* host that we ask, 0 before the first look */
+  cs_owner_t *owner;     /* when we own it, or calls were handed to us */
   uint64_t handed_over[NEAR_HOSTS_MAX]; /* hosts that have handed over */
   size_t handed_over_count;
   target_health_t *health;
@@ -96,6 +99,9 @@
                        cs_time_us_t now);
 void slot_sync_targets (cs_placement_t *placement, pool_slot_t *slot,
                         cs_time_us_t now);
+/* Live targets as askers believe, less those that only the owner knows to be
+   down.  */
+uint32_t slot_believed_live (const pool_slot_t *slot);
 void slot_count_result (cs_placement_t *placement, pool_slot_t *slot,
                         uint64_t target, int error, cs_time_us_t now);
 void slot_free (pool_slot_t *slot);
--- a/daemon/placement/placement.c
+++ b/daemon/placement/placement.c
@@ -232,6 +232,7 @@
                         ? (uint32_t)((request->deadline - now) / CS_US_PER_MS)
                         : 0;
   message.avoid = request->avoid;
+  message.targets = slot->target_count;
   cs__peer__frame__init (&frame);
   frame.body_case = CS__PEER__FRAME__BODY_ASK;
   frame.ask = &message;
--- a/daemon/placement/report.c
+++ b/daemon/placement/report.c
@@ -1,4 +1,4 @@
-/* What operators and other data centres are told of the pools.  */
+/* What operators and other regions are told of the pools.  */
 
 #include <math.h>
 #include <string.h>
--- a/daemon/placement/slots.c
+++ b/daemon/placement/slots.c
@@ -167,16 +167,35 @@
       cs_pool_remove_target (pool, targets[i - 1].id);
 }
 
-void
-slot_sync_targets (cs_placement_t *placement, pool_slot_t *slot,
-                   cs_time_us_t now)
+static uint32_t
+count_staying (cs_endpoint_t *const *list, size_t count)
+{
+  uint32_t staying = 0;
+  for (size_t i = 0; i < count; i++)
+    if (!cs_endpoint_is_leaving (list[i]))
+      staying++;
+  return staying;
+}
+
+uint32_t
+slot_believed_live (const pool_slot_t *slot)
+{
+  size_t count;
+  uint32_t down = 0;
+  const cs_pool_target_t *targets
+      = cs_pool_targets (cs_owner_pool (slot->owner), &count);
+  for (size_t i = 0; i < count; i++)
+    if (targets[i].state != CS_TARGET_LIVE)
+      down++;
+  return slot->believed > down ? slot->believed - down : 0;
+}
+
+static void
+set_targets (pool_slot_t *slot, cs_endpoint_t *const *list, size_t count,
+             cs_time_us_t now)
 {
-  cs_endpoint_t **list;
-  if (slot->owner == NULL)
-    return;
   cs_pool_t *pool = cs_owner_pool (slot->owner);
-  size_t count = cs_endpoints_list (placement->endpoints,
-                                    cs_name_str (&slot->offering), &list);
+  cs_pool_set_believed_targets (pool, 0);
   for (size_t i = 0; i < count; i++)
     {
       /* A target that finds no memory is taken at the next refresh.  */
@@ -185,6 +204,19 @@
                                 state_of (slot, list[i], now), false, now);
     }
   remove_withdrawn (pool, list, count);
+}
+
+void
+slot_sync_targets (cs_placement_t *placement, pool_slot_t *slot,
+                   cs_time_us_t now)
+{
+  cs_endpoint_t **list;
+  size_t count = cs_endpoints_list (placement->endpoints,
+                                    cs_name_str (&slot->offering), &list);
+  slot->target_count = count_staying (list, count);
+  slot->believed = 0;
+  if (slot->owner != NULL)
+    set_targets (slot, list, count, now);
   cs_endpoints_free_list (list, count);
 }
 
--- a/daemon/platform/follower.c
+++ b/daemon/platform/follower.c
@@ -14,7 +14,7 @@
 /* Length of one watch; a stop cancels it.  */
 #define WATCH_S 30
 
-/* Hosts of a data centre that watch at the same time.  */
+/* Hosts of a region that watch at the same time.  */
 #define WATCHERS 2
 
 /* Pause of the lists' poll, and how much longer a host waits that is not one
@@ -71,7 +71,7 @@
     }
 }
 
-/* Whether this host ranks first in its data centre for one of the watches.  */
+/* Whether this host ranks first in its region for one of the watches.  */
 static bool
 is_watcher (cs_follower_t *follower)
 {
--- a/include/cranberrystile/pool.h
+++ b/include/cranberrystile/pool.h
@@ -1,7 +1,7 @@
-/* The owner's table of one pool: the targets of one offering in one data
-   centre, with the exact number of calls that each one carries.
+/* The owner's table of one pool: the targets of one offering in one region,
+   with the exact number of calls that each one carries.
 
-   One live router of the data centre owns a pool (see cranberrystile/hosts.h).
+   One live router of the region owns a pool (see cranberrystile/hosts.h).
    Every router asks the owner before it sends a call, so the cap on a target's
    load is judged on exact counts instead of lagged views.
 
@@ -107,7 +107,7 @@
 /* Removes target ID; its calls still count until they are released.  */
 void cs_pool_remove_target (cs_pool_t *pool, uint64_t id);
 
-/* Tells how many targets any router of the data centre believes to be live.
+/* Tells how many targets any router of the region believes to be live.
    The mean is taken over the larger of this and the own number, so that a
    target which the owner has not heard of yet cannot raise the cap.  */
 void cs_pool_set_believed_targets (cs_pool_t *pool, uint32_t count);
--- a/include/daemon/exchange.h
+++ b/include/daemon/exchange.h
@@ -15,7 +15,7 @@
   cs_name_t request_id;
   cs_time_us_t arrived;
   cs_time_us_t deadline;
-  bool handed_over; /* by a router of another data centre */
+  bool handed_over; /* by a router of another region */
   bool head_sent;
   bool chunked;
   bool first_byte_seen;
--- a/include/daemon/follower.h
+++ b/include/daemon/follower.h
@@ -1,5 +1,5 @@
 /* Follows the platform: releases by watch, and the lagging lists of targets
-   and hosts by polling.  Only a few hosts of a data centre do either at a
+   and hosts by polling.  Only a few hosts of a region do either at a
    time; the others learn from them.  */
 
 #ifndef CS_DAEMON_FOLLOWER_H
--- a/include/daemon/placement.h
+++ b/include/daemon/placement.h
@@ -69,7 +69,7 @@
 /* A link to HOST came up: what it owns is handed over to it again.  */
 void cs_placement_host_connected (cs_placement_t *placement, uint64_t host);
 
-/* A load report of a target of this data centre.  */
+/* A load report of a target of this region.  */
 void cs_placement_report (cs_placement_t *placement, uint64_t target,
                           uint32_t running, cs_time_us_t taken);
 
@@ -94,7 +94,7 @@
 json_t *cs_placement_explain (cs_placement_t *placement, cs_str_t offering,
                               uint64_t key);
 
-/* Spare calls of each owned pool, for summaries to other data centres.  */
+/* Spare calls of each owned pool, for summaries to other regions.  */
 typedef struct
 {
   uint64_t offering; /* hash of its name */
--- a/include/daemon/poller.h
+++ b/include/daemon/poller.h
@@ -1,4 +1,4 @@
-/* Polls targets for their load and life.  Each target of the data centre is
+/* Polls targets for their load and life.  Each target of the region is
    polled by one router, found by rendezvous hashing, which tells the others
    what has changed.  */
 
--- a/include/daemon/summaries.h
+++ b/include/daemon/summaries.h
@@ -1,4 +1,4 @@
-/* Tells other data centres once a second what this host's pools can take
+/* Tells other regions once a second what this host's pools can take
    over.  */
 
 #ifndef CS_DAEMON_SUMMARIES_H
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1104,7 +1104,7 @@
   (ProtobufCMessageInit) cs__peer__hosts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__peer__ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cs__peer__ask__field_descriptors[10] =
 {
   {
     "pool",
@@ -1214,6 +1214,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "targets",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Peer__Ask, targets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__peer__ask__field_indices_by_name[] = {
   8,   /* field[8] = avoid */
@@ -1223,13 +1235,14 @@
   3,   /* field[3] = key */
   2,   /* field[2] = organisation */
   0,   /* field[0] = pool */
+  9,   /* field[9] = targets */
   7,   /* field[7] = wait_ms */
   6,   /* field[6] = weight */
 };
 static const ProtobufCIntRange cs__peer__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cs__peer__ask__descriptor =
 {
@@ -1239,7 +1252,7 @@
   "Cs__Peer__Ask",
   "cs.peer",
   sizeof(Cs__Peer__Ask),
-  9,
+  10,
   cs__peer__ask__field_descriptors,
   cs__peer__ask__field_indices_by_name,
   1,  cs__peer__ask__number_ranges,
--- a/protocol/peer.pb-c.h
+++ b/protocol/peer.pb-c.h
@@ -123,10 +123,14 @@
   uint32_t weight;
   uint32_t wait_ms;
   uint64_t avoid;
+  /*
+   * that the asker believes to be there
+   */
+  uint32_t targets;
 };
 #define CS__PEER__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__peer__ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cs__Peer__Grant
