Hold the measuring loop against the stated targets in make check

Cause: the targets were compared with the figures by eye; the ones that are missed had no test.

Change: the loop prints a verdict a target and size; make check takes each as a test, bounds from the targets as they were stated.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 check: all
 	for page in docs/man/*.scd; do scdoc < $$page > /dev/null || exit 1; done
-	./tests/run $(BUILD)
+	./tests/run $(BUILD) targets
 
 check-sanitized: $(SANITIZED)/build.ninja
 	ninja -C $(SANITIZED)
--- a/bench/main.c
+++ b/bench/main.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "targets.h"
 #include "world.h"
 
 static const size_row_t sizes[] = {
@@ -57,7 +58,7 @@
 
 static void
 run_case (const setup_t *base, case_t scenario, size_t way, double cap_factor,
-          cs_time_us_t lag_us)
+          cs_time_us_t lag_us, targets_t *targets)
 {
   result_t result;
   setup_t setup = *base;
@@ -66,6 +67,7 @@
   setup.cap_factor = cap_factor;
   setup.lag_us = lag_us;
   world_run (&setup, &result);
+  targets_judge (targets, &setup, &result);
   print_row (&setup, ways[way].name, &result);
 }
 
@@ -79,16 +81,18 @@
 run_size (const setup_t *base, bool only_ours)
 {
   double c = own_cap_factor (&base->size);
+  targets_t targets = { { false }, 0 };
   for (int scenario = 0; scenario < CASE_COUNT; scenario++)
     for (size_t way = 0; way < (only_ours ? 1 : WAY_COUNT); way++)
       {
-        run_case (base, (case_t)scenario, way, c, 500000);
+        run_case (base, (case_t)scenario, way, c, 500000, &targets);
         /* Views of twice the age matter to those that place by them.  */
         if (way > 0 && way < 3 && scenario == CASE_BURST)
-          run_case (base, (case_t)scenario, way, c, 2000000);
+          run_case (base, (case_t)scenario, way, c, 2000000, &targets);
       }
   if (c < 1.5)
-    run_case (base, CASE_CALM, 0, 1.5, 500000);
+    run_case (base, CASE_CALM, 0, 1.5, 500000, &targets);
+  targets_print (&targets, base);
 }
 
 int
