--- a/tests/scenarios/http.c
+++ b/tests/scenarios/http.c
@@ -336,6 +336,17 @@
   cs_buf_free (&answer);
 }
 
+/* transcript TEXT: adds a text, such as $ID.output, to the transcript.  */
+void
+verb_transcript (scenario_t *scenario, const words_t *words)
+{
+  cs_buf_t text = { 0 };
+  cs_buf_append (&text, cs_str (words->words[0]));
+  normalise (&text);
+  cs_buf_append (&scenario->transcript, cs_buf_str (&text));
+  cs_buf_free (&text);
+}
+
 /* golden NAME: the transcript so far must be that of tests/golden/NAME.  */
 void
 verb_golden (scenario_t *scenario, const words_t *words)
--- a/tests/scenarios/main.c
+++ b/tests/scenarios/main.c
@@ -44,6 +44,7 @@
   { "stopped", verb_stopped },
   { "target", verb_target },
   { "tick", verb_tick },
+  { "transcript", verb_transcript },
   { "wait", verb_wait },
 };
 
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -68,8 +68,8 @@
     verb_handed_over, verb_include, verb_log_has, verb_note, verb_platform,
     verb_pool, verb_print, verb_print_lines, verb_raw, verb_recover,
     verb_release, verb_request, verb_router, verb_router_refuses, verb_signal,
-    verb_sleep, verb_start, verb_stopped, verb_target, verb_tick, verb_engine,
-    verb_wait;
+    verb_sleep, verb_start, verb_stopped, verb_target, verb_tick,
+    verb_transcript, verb_engine, verb_wait;
 
 /* Says what is wrong with the present line, and fails the scenario.  */
 void scenario_fail (scenario_t *scenario, const char *format, ...)
