Keep a call's place while its cut stream is resumed

No test looked.

Change: the place of the last try is given back when another one is asked for or the request is over. Resuming needs such a place.

Before: process/resumed-place saw 0 calls in flight during the resumed part. After: 1, and 0 when it is over. whole-answers, once, chat, regions, graceful-stop, outage, golden-errors and golden-sessions pass, one run each.

--- a/daemon/caller/run.c
+++ b/daemon/caller/run.c
@@ -30,7 +30,9 @@
   uint32_t tries;
   uint64_t avoid;
   bool resume;
-  uint64_t resume_target;
+  cs_placed_t placed; /* the place of the last try, while HAS_PLACE */
+  bool has_place;
+  int last_error; /* how the last try there ended */
 } attempt_t;
 
 static void
@@ -130,6 +132,17 @@
   return cs_placement_ask (daemon->placement, &request, placed, retry_after_s);
 }
 
+/* Gives the place of the last try back.  It is kept until then, so that a
+   stream which is resumed on its engine still counts there.  */
+static void
+end_place (attempt_t *attempt)
+{
+  if (attempt->has_place)
+    cs_placement_finish (attempt->exchange->daemon->placement,
+                         &attempt->placed, attempt->last_error);
+  attempt->has_place = false;
+}
+
 /* One try on a target of this region.  */
 static int
 try_here (attempt_t *attempt, uint32_t *retry_after_s, bool *was_placed)
@@ -137,34 +150,31 @@
   cs_daemon_t *daemon = attempt->exchange->daemon;
   header_texts_t texts;
   cs_call_request_t request;
-  cs_placed_t placed;
   *was_placed = false;
-  int rc = place (attempt, &placed, retry_after_s);
+  end_place (attempt);
+  int rc = place (attempt, &attempt->placed, retry_after_s);
   if (rc != 0)
     return rc;
   *was_placed = true;
+  attempt->has_place = true;
+  attempt->last_error = 0;
+  attempt->avoid = attempt->placed.target;
   cs_endpoint_t *endpoint
-      = cs_endpoints_find (daemon->endpoints, placed.target);
+      = cs_endpoints_find (daemon->endpoints, attempt->placed.target);
+  /* The owner may have a newer release than this router.  */
   if (endpoint == NULL)
-    {
-      /* The owner has a newer release than this router.  */
-      cs_placement_finish (daemon->placement, &placed, 0);
-      attempt->avoid = placed.target;
-      return CS_ERR_CONNECT;
-    }
+    return CS_ERR_CONNECT;
   fill_request (attempt, &texts, &request);
   rc = call_endpoint (attempt, endpoint, &request);
-  cs_placement_finish (daemon->placement, &placed, rc);
+  attempt->last_error = rc;
   if (attempt->relay->has_load)
     cs_endpoint_set_load (endpoint, &attempt->relay->load);
-  attempt->avoid = rc == 0 ? 0 : placed.target;
-  attempt->resume_target = placed.target;
   cs_endpoint_unref (endpoint);
   return rc;
 }
 
-/* Takes a cut stream up again on the engine that has it.  The engine already
-   carries this call, so no new place is asked for.  */
+/* Takes a cut stream up again on the engine that has it, in the place that it
+   has there.  */
 static int
 try_resume (attempt_t *attempt)
 {
@@ -172,7 +182,7 @@
   header_texts_t texts;
   cs_call_request_t request;
   cs_endpoint_t *endpoint
-      = cs_endpoints_find (daemon->endpoints, attempt->resume_target);
+      = cs_endpoints_find (daemon->endpoints, attempt->placed.target);
   if (endpoint == NULL)
     return CS_ERR_CONNECT;
   cs_counters_add (daemon->counters, CS_COUNTER_RESUMES, 1);
@@ -182,6 +192,7 @@
           attempt->relay->last_event_id);
   fill_request (attempt, &texts, &request);
   int rc = call_endpoint (attempt, endpoint, &request);
+  attempt->last_error = rc;
   cs_endpoint_unref (endpoint);
   return rc;
 }
@@ -268,7 +279,8 @@
     .idempotent = attempt->run->idempotent,
     .streaming = attempt->run->streaming,
     .answer_begun = attempt->relay->begun,
-    .resumable = attempt->relay->last_event_id[0] != '\0' && !attempt->resume,
+    .resumable = attempt->relay->last_event_id[0] != '\0' && !attempt->resume
+                 && attempt->has_place,
     .tries = attempt->tries,
     .tries_most = exchange->daemon->settings.tries,
   };
@@ -305,6 +317,7 @@
         break;
       cs_counters_add (daemon->counters, CS_COUNTER_RETRIES, 1);
     }
+  end_place (&attempt);
   if (rc == CS_ERR_CALLER_GONE)
     {
       cs_counters_add (daemon->counters, CS_COUNTER_CANCELS, 1);
