--- a/platform/client.c
+++ b/api/client.c
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "api/client.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
--- a/platform/release_store.c
+++ b/api/release_store.c
@@ -1,4 +1,4 @@
-#include "platform/release_store.h"
+#include "api/release_store.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/common/hash.c
+++ b/common/hash.c
@@ -1,9 +1,7 @@
 #include "common/hash.h"
 
 #include <math.h>
-#include <stdio.h>
 
-#include <openssl/sha.h>
 #include <xxhash.h>
 
 uint64_t
@@ -35,12 +33,3 @@
 {
   return -mean * log (1.0 - cs_random_unit (random));
 }
-
-void
-cs_sha256_hex (cs_str_t s, char out[65])
-{
-  unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256 ((const unsigned char *)s.data, s.len, digest);
-  for (int i = 0; i < SHA256_DIGEST_LENGTH; i++)
-    snprintf (out + (size_t)i * 2, 3, "%02x", digest[i]);
-}
--- a/common/log.c
+++ b/common/log.c
@@ -1,6 +1,8 @@
 #include "common/log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <time.h>
 #include <unistd.h>
@@ -8,9 +10,15 @@
 #include "common/str.h"
 
 #define LINE_MAX_BYTES 1024
+#define PRIORITY_NOTICE 5
 
 static cs_name_t log_host;
 static cs_name_t log_program;
+static int log_fd = STDERR_FILENO;
+static uint32_t lines_most = UINT32_MAX; /* in a second */
+static _Atomic uint64_t second;          /* that LINES counts */
+static _Atomic uint32_t lines;
+static _Atomic uint64_t dropped;
 
 static int
 event_priority (cs_event_t event)
@@ -33,18 +41,51 @@
   cs_name_set (&log_program, cs_str (program));
 }
 
+void
+cs_log_to (int fd)
+{
+  int flags = fcntl (fd, F_GETFL);
+  log_fd = fd;
+  if (flags >= 0)
+    fcntl (fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+void
+cs_log_limit (uint32_t lines_per_s)
+{
+  lines_most = lines_per_s;
+}
+
+uint64_t
+cs_log_dropped (void)
+{
+  return dropped;
+}
+
+/* Counts a line; returns false when it is one too many in its second.  Lines
+   more urgent than a notice always pass.  */
+static bool
+is_within_limit (cs_event_t event, time_t now)
+{
+  if (second != (uint64_t)now)
+    {
+      second = (uint64_t)now;
+      lines = 0;
+    }
+  return event_priority (event) < PRIORITY_NOTICE || lines++ < lines_most;
+}
+
 static size_t
-line_head (char *line, size_t size, cs_event_t event)
+line_head (char *line, size_t size, cs_event_t event,
+           const struct timespec *now)
 {
-  struct timespec now;
   struct tm utc;
   char stamp[32];
-  clock_gettime (CLOCK_REALTIME, &now);
-  gmtime_r (&now.tv_sec, &utc);
+  gmtime_r (&now->tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
   int len
       = snprintf (line, size, "<%d>%s.%03ldZ %s %s[%d]: CS%d ",
-                  event_priority (event), stamp, now.tv_nsec / 1000000,
+                  event_priority (event), stamp, now->tv_nsec / 1000000,
                   log_host.text, log_program.text, (int)getpid (), (int)event);
   return len < 0 ? 0 : (size_t)len;
 }
@@ -62,7 +103,14 @@
 cs_log (cs_event_t event, const char *format, ...)
 {
   char line[LINE_MAX_BYTES];
-  size_t head = line_head (line, sizeof line, event);
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  if (!is_within_limit (event, now.tv_sec))
+    {
+      dropped++;
+      return;
+    }
+  size_t head = line_head (line, sizeof line, event, &now);
   va_list args;
   va_start (args, format);
   int len = vsnprintf (line + head, sizeof line - head - 1, format, args);
@@ -72,7 +120,7 @@
     total = sizeof line - 2;
   replace_controls (line, total);
   line[total] = '\n';
-  /* Nothing can be done about a log that cannot be written.  */
-  if (write (STDERR_FILENO, line, total + 1) < 0)
-    return;
+  /* A reader that is too slow must not hold up the program.  */
+  if (write (log_fd, line, total + 1) < 0)
+    dropped++;
 }
--- a/cranberrystile/answer/answer.c
+++ b/cranberrystile/answer/answer.c
@@ -63,6 +63,12 @@
     "The frame is not valid." },
   { 500, SERVER, "internal", CS_RAN_UNKNOWN, CS_ADVICE_CHECK,
     "The router failed." },
+  { 431, REQUEST, "head_too_large", CS_RAN_NO, CS_ADVICE_NEVER,
+    "The header fields are larger than this router takes." },
+  { 408, REQUEST, "slow_caller", CS_RAN_NO, CS_ADVICE_LATER,
+    "The request did not arrive in time." },
+  { 502, SERVER, "target_failed", CS_RAN_UNKNOWN, CS_ADVICE_CHECK,
+    "The target failed while it ran the request." },
 };
 
 const cs_answer_t *
--- /dev/null
+++ b/cranberrystile/fleet/fleet.c
@@ -0,0 +1,217 @@
+#include "cranberrystile/fleet.h"
+
+#include <stdlib.h>
+
+#include "common/error.h"
+#include "common/hash.h"
+
+struct cs_fleet
+{
+  cs_target_t **targets;
+  bool *listed; /* parallel: named by the list that is being taken in */
+  size_t count;
+  size_t capacity;
+  cs_fleet_gone_fn *gone;
+  void *context;
+};
+
+cs_fleet_t *
+cs_fleet_create (cs_fleet_gone_fn *gone, void *context)
+{
+  cs_fleet_t *fleet = calloc (1, sizeof *fleet);
+  if (fleet == NULL)
+    return NULL;
+  fleet->gone = gone;
+  fleet->context = context;
+  return fleet;
+}
+
+static void
+drop_at (cs_fleet_t *fleet, size_t at)
+{
+  cs_target_t *target = fleet->targets[at];
+  fleet->count--;
+  fleet->targets[at] = fleet->targets[fleet->count];
+  fleet->listed[at] = fleet->listed[fleet->count];
+  target->leaving = true;
+  fleet->gone (fleet->context, target);
+  cs_target_release (target);
+}
+
+void
+cs_fleet_destroy (cs_fleet_t *fleet)
+{
+  if (fleet == NULL)
+    return;
+  while (fleet->count > 0)
+    drop_at (fleet, fleet->count - 1);
+  free (fleet->targets);
+  free (fleet->listed);
+  free (fleet);
+}
+
+static size_t
+find (const cs_fleet_t *fleet, cs_str_t id)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    if (cs_str_equal (cs_name_str (&fleet->targets[i]->id), id))
+      return i;
+  return fleet->count;
+}
+
+static int
+reserve (cs_fleet_t *fleet)
+{
+  size_t capacity = fleet->capacity == 0 ? 32 : fleet->capacity * 2;
+  if (fleet->count < fleet->capacity)
+    return CS_OK;
+  cs_target_t **targets
+      = realloc (fleet->targets, capacity * sizeof (cs_target_t *));
+  if (targets == NULL)
+    return CS_ERR_NO_MEMORY;
+  fleet->targets = targets;
+  bool *listed = realloc (fleet->listed, capacity * sizeof *listed);
+  if (listed == NULL)
+    return CS_ERR_NO_MEMORY;
+  fleet->listed = listed;
+  fleet->capacity = capacity;
+  return CS_OK;
+}
+
+static int
+add (cs_fleet_t *fleet, const cs_target_entry_t *entry)
+{
+  if (reserve (fleet) != 0)
+    return CS_ERR_NO_MEMORY;
+  cs_target_t *target = calloc (1, sizeof *target);
+  if (target == NULL)
+    return CS_ERR_NO_MEMORY;
+  cs_name_set (&target->id, entry->id);
+  cs_name_set (&target->service, entry->service);
+  cs_name_set (&target->data_centre, entry->data_centre);
+  target->hash = cs_hash (entry->id, 0);
+  target->started_ms = entry->started_ms;
+  target->address = entry->address;
+  target->slots = entry->slots;
+  target->leaving = entry->draining;
+  target->references = 1;
+  fleet->targets[fleet->count] = target;
+  fleet->listed[fleet->count] = true;
+  fleet->count++;
+  return CS_OK;
+}
+
+static bool
+is_same_incarnation (const cs_target_t *target, const cs_target_entry_t *entry)
+{
+  return target->started_ms == entry->started_ms
+         && target->address.sin_addr.s_addr == entry->address.sin_addr.s_addr
+         && target->address.sin_port == entry->address.sin_port
+         && cs_str_equal (cs_name_str (&target->service), entry->service);
+}
+
+int
+cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry, bool *added)
+{
+  size_t at = find (fleet, entry->id);
+  *added = false;
+  if (at < fleet->count)
+    {
+      cs_target_t *target = fleet->targets[at];
+      fleet->listed[at] = true;
+      if (entry->started_ms < target->started_ms)
+        return CS_OK;
+      if (is_same_incarnation (target, entry))
+        {
+          target->missing_since = 0;
+          target->slots = entry->slots;
+          /* One way: an incarnation that leaves does not come back.  */
+          target->leaving = target->leaving || entry->draining;
+          return CS_OK;
+        }
+      drop_at (fleet, at);
+    }
+  *added = true;
+  return add (fleet, entry);
+}
+
+static void
+remove_at (cs_fleet_t *fleet, size_t at, bool lapsing, cs_time_us_t now)
+{
+  cs_target_t *target = fleet->targets[at];
+  if (!lapsing)
+    drop_at (fleet, at);
+  else if (target->missing_since == 0)
+    target->missing_since = now;
+}
+
+bool
+cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, bool lapsing,
+                 cs_time_us_t now)
+{
+  size_t at = find (fleet, id);
+  if (at == fleet->count)
+    return false;
+  remove_at (fleet, at, lapsing, now);
+  return true;
+}
+
+void
+cs_fleet_list_begin (cs_fleet_t *fleet)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    fleet->listed[i] = false;
+}
+
+void
+cs_fleet_list_end (cs_fleet_t *fleet, bool lapsing, cs_time_us_t now)
+{
+  for (size_t i = fleet->count; i-- > 0;)
+    if (!fleet->listed[i])
+      remove_at (fleet, i, lapsing, now);
+}
+
+void
+cs_fleet_drop_missing (cs_fleet_t *fleet, cs_time_us_t after_us,
+                       cs_time_us_t now)
+{
+  for (size_t i = fleet->count; i-- > 0;)
+    {
+      cs_time_us_t since = fleet->targets[i]->missing_since;
+      if (since != 0 && now - since >= after_us)
+        drop_at (fleet, i);
+    }
+}
+
+cs_target_t *const *
+cs_fleet_targets (const cs_fleet_t *fleet, size_t *count)
+{
+  *count = fleet->count;
+  return fleet->targets;
+}
+
+cs_target_t *
+cs_target_reference (cs_target_t *target)
+{
+  target->references++;
+  return target;
+}
+
+void
+cs_target_release (cs_target_t *target)
+{
+  if (target != NULL && --target->references == 0)
+    free (target);
+}
+
+uint32_t
+cs_target_estimate (const cs_target_t *target)
+{
+  if (!target->load.known)
+    return target->in_flight;
+  int64_t others = (int64_t)target->load.running + target->load.waiting
+                   - target->load.own;
+  if (others < 0)
+    others = 0;
+  return (uint32_t)others + target->in_flight;
+}
--- a/cranberrystile/once/claim.c
+++ b/cranberrystile/once/claim.c
@@ -6,6 +6,7 @@
 #include <openssl/evp.h>
 
 #include "common/hash.h"
+#include "common/sha256.h"
 
 static const char *const state_names[]
     = { "running", "done", "not_run", "unknown" };
--- /dev/null
+++ b/cranberrystile/placement/chooser.c
@@ -0,0 +1,193 @@
+#include "cranberrystile/chooser.h"
+
+#include <stdlib.h>
+
+#include "common/error.h"
+#include "common/hash.h"
+#include "cranberrystile/rank.h"
+
+#define HOMES_MOST 8
+
+struct cs_chooser
+{
+  cs_choice_policy_t policy;
+  cs_random_t random;
+  cs_target_t **candidates; /* scratch for one choice */
+  cs_rank_member_t *members;
+  size_t capacity;
+};
+
+cs_choice_policy_t
+cs_choice_policy_default (void)
+{
+  cs_choice_policy_t policy = {
+    .home_factor = 1.25, /* the brief's cap for the order desk */
+    .home_extra = 1,
+    .homes = 3,
+    .local_extra = 1,
+  };
+  return policy;
+}
+
+cs_chooser_t *
+cs_chooser_create (const cs_choice_policy_t *policy, uint64_t seed)
+{
+  cs_chooser_t *chooser = calloc (1, sizeof *chooser);
+  if (chooser == NULL)
+    return NULL;
+  chooser->policy = *policy;
+  chooser->random.seed = seed;
+  return chooser;
+}
+
+void
+cs_chooser_destroy (cs_chooser_t *chooser)
+{
+  if (chooser == NULL)
+    return;
+  free (chooser->candidates);
+  free (chooser->members);
+  free (chooser);
+}
+
+static int
+reserve (cs_chooser_t *chooser, size_t count)
+{
+  if (count <= chooser->capacity)
+    return CS_OK;
+  cs_target_t **candidates
+      = realloc (chooser->candidates, count * sizeof (cs_target_t *));
+  if (candidates == NULL)
+    return CS_ERR_NO_MEMORY;
+  chooser->candidates = candidates;
+  cs_rank_member_t *members
+      = realloc (chooser->members, count * sizeof *members);
+  if (members == NULL)
+    return CS_ERR_NO_MEMORY;
+  chooser->members = members;
+  chooser->capacity = count;
+  return CS_OK;
+}
+
+static bool
+is_avoided (const cs_choice_ask_t *ask, const cs_target_t *target)
+{
+  for (uint32_t i = 0; i < ask->avoid_count; i++)
+    if (ask->avoid[i] == target)
+      return true;
+  return false;
+}
+
+/* Collects the targets of the service that may get the call.  */
+static size_t
+collect (cs_chooser_t *chooser, const cs_fleet_t *fleet,
+         const cs_choice_ask_t *ask, bool ejected_too, cs_time_us_t now)
+{
+  size_t total;
+  size_t count = 0;
+  cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
+  for (size_t i = 0; i < total; i++)
+    {
+      cs_target_t *target = targets[i];
+      if (target->leaving || is_avoided (ask, target)
+          || !cs_str_equal (cs_name_str (&target->service), ask->service))
+        continue;
+      if (!ejected_too && cs_eject_is_ejected (&target->eject, now))
+        continue;
+      chooser->members[count].id = target->hash;
+      chooser->members[count].weight = 1.0;
+      chooser->candidates[count] = target;
+      count++;
+    }
+  return count;
+}
+
+static double
+mean_load (const cs_chooser_t *chooser, size_t count)
+{
+  double sum = 0;
+  for (size_t i = 0; i < count; i++)
+    sum += cs_target_estimate (chooser->candidates[i]);
+  return sum / (double)count;
+}
+
+/* The least loaded candidate, those of other data centres counted as
+   LOCAL_EXTRA calls busier; equals are drawn at random so that routers do not
+   herd.  */
+static cs_target_t *
+least_loaded (cs_chooser_t *chooser, const cs_choice_ask_t *ask, size_t count)
+{
+  cs_target_t *best = NULL;
+  double best_load = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      cs_target_t *target = chooser->candidates[i];
+      double load
+          = cs_target_estimate (target) + cs_random_unit (&chooser->random);
+      if (!cs_str_equal (cs_name_str (&target->data_centre), ask->data_centre))
+        load += chooser->policy.local_extra;
+      if (best == NULL || load < best_load)
+        {
+          best = target;
+          best_load = load;
+        }
+    }
+  return best;
+}
+
+/* The first home under the threshold, or NULL.  */
+static cs_target_t *
+free_home (cs_chooser_t *chooser, uint64_t key, size_t count, double mean)
+{
+  uint32_t ranked[HOMES_MOST];
+  uint32_t homes = chooser->policy.homes;
+  double threshold
+      = mean * chooser->policy.home_factor + chooser->policy.home_extra;
+  size_t found = cs_rank (key, chooser->members, count, ranked,
+                          homes < HOMES_MOST ? homes : HOMES_MOST);
+  for (size_t i = 0; i < found; i++)
+    if (cs_target_estimate (chooser->candidates[ranked[i]]) < threshold)
+      return chooser->candidates[ranked[i]];
+  return NULL;
+}
+
+int
+cs_chooser_choose (cs_chooser_t *chooser, const cs_fleet_t *fleet,
+                   const cs_choice_ask_t *ask, cs_time_us_t now,
+                   cs_choice_t *out)
+{
+  size_t total;
+  uint64_t key
+      = ask->context == NULL ? 0 : cs_prompt_context_key (ask->context);
+  *out = (cs_choice_t){ 0 };
+  cs_fleet_targets (fleet, &total);
+  if (reserve (chooser, total) != 0)
+    return CS_ERR_NO_MEMORY;
+  size_t count = collect (chooser, fleet, ask, false, now);
+  out->why = CS_CHOICE_LEAST;
+  if (count == 0)
+    {
+      count = collect (chooser, fleet, ask, true, now);
+      out->why = CS_CHOICE_LAST;
+    }
+  if (count == 0)
+    return CS_ERR_NO_TARGET;
+  out->live = (uint32_t)count;
+  out->mean = mean_load (chooser, count);
+  if (key != 0)
+    {
+      out->target = free_home (chooser, key, count, out->mean);
+      out->why = out->target != NULL ? CS_CHOICE_HOME : CS_CHOICE_SPILL;
+    }
+  if (out->target == NULL)
+    out->target = least_loaded (chooser, ask, count);
+  out->load = cs_target_estimate (out->target);
+  return CS_OK;
+}
+
+const char *
+cs_choice_why_name (cs_choice_why_t why)
+{
+  static const char *const names[] = { "home", "spill", "least", "last" };
+  return names[why];
+}
--- a/cranberrystile/release/release.c
+++ b/cranberrystile/release/release.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/hash.h"
+#include "common/sha256.h"
 #include "release/read.h"
 
 struct cs_release
--- /dev/null
+++ b/cranberrystile/routing/routing.c
@@ -0,0 +1,104 @@
+#include "cranberrystile/routing.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+cs_routing_t *
+cs_routing_create (void)
+{
+  cs_routing_t *routing = calloc (1, sizeof *routing);
+  if (routing != NULL)
+    routing->references = 1;
+  return routing;
+}
+
+cs_routing_t *
+cs_routing_reference (cs_routing_t *routing)
+{
+  if (routing != NULL)
+    routing->references++;
+  return routing;
+}
+
+static void
+free_str (cs_str_t s)
+{
+  free ((char *)s.data);
+}
+
+void
+cs_routing_release (cs_routing_t *routing)
+{
+  if (routing == NULL || --routing->references > 0)
+    return;
+  for (size_t i = 0; i < routing->route_count; i++)
+    {
+      free_str (routing->routes[i].name);
+      free_str (routing->routes[i].host);
+      free_str (routing->routes[i].prefix);
+      free (routing->routes[i].parts);
+    }
+  for (size_t i = 0; i < routing->service_count; i++)
+    {
+      free_str (routing->services[i].name);
+      free_str (routing->services[i].health_path);
+    }
+  for (size_t i = 0; i < routing->organisation_count; i++)
+    free_str (routing->organisations[i].name);
+  for (size_t i = 0; i < routing->key_count; i++)
+    free_str (routing->keys[i].text);
+  free (routing->routes);
+  free (routing->services);
+  free (routing->organisations);
+  free (routing->keys);
+  free (routing);
+}
+
+static int
+compare_text (cs_str_t a, cs_str_t b)
+{
+  size_t len = a.len < b.len ? a.len : b.len;
+  int order = len == 0 ? 0 : memcmp (a.data, b.data, len);
+  if (order != 0)
+    return order;
+  return (a.len > b.len) - (a.len < b.len);
+}
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  return compare_text (((const cs_api_key_t *)a)->text,
+                       ((const cs_api_key_t *)b)->text);
+}
+
+/* Longest prefix first, so that the first match of a search is the answer.  */
+static int
+compare_routes (const void *a, const void *b)
+{
+  size_t left = ((const cs_route_t *)a)->prefix.len;
+  size_t right = ((const cs_route_t *)b)->prefix.len;
+  return (left < right) - (left > right);
+}
+
+void
+cs_routing_seal (cs_routing_t *routing)
+{
+  if (routing->key_count > 0)
+    qsort (routing->keys, routing->key_count, sizeof *routing->keys,
+           compare_keys);
+  if (routing->route_count > 0)
+    qsort (routing->routes, routing->route_count, sizeof *routing->routes,
+           compare_routes);
+}
+
+const cs_organisation_t *
+cs_routing_find_key (const cs_routing_t *routing, cs_str_t key)
+{
+  cs_api_key_t wanted = { .text = key };
+  if (routing->key_count == 0)
+    return NULL;
+  const cs_api_key_t *found
+      = bsearch (&wanted, routing->keys, routing->key_count,
+                 sizeof *routing->keys, compare_keys);
+  return found == NULL ? NULL : &routing->organisations[found->organisation];
+}
--- /dev/null
+++ b/cranberrystile/stream/event_stream.c
@@ -0,0 +1,116 @@
+#include "cranberrystile/event_stream.h"
+
+#include <string.h>
+
+#include "common/error.h"
+
+/* An event beyond this size is not one of a model's stream.  */
+#define EVENT_BYTES_MOST (1024U * 1024)
+
+/* Length of the first event of TEXT with its blank line, or 0.  */
+static size_t
+first_event_len (cs_str_t text)
+{
+  size_t line = 0;
+  for (size_t i = 0; i < text.len; i++)
+    {
+      if (text.data[i] != '\n')
+        continue;
+      bool blank = i == line || (i == line + 1 && text.data[line] == '\r');
+      if (blank)
+        return i + 1;
+      line = i + 1;
+    }
+  return 0;
+}
+
+/* The value of the field "id" of EVENT; empty without one.  */
+static cs_str_t
+event_id (cs_str_t event)
+{
+  cs_str_t id = { NULL, 0 };
+  size_t at = 0;
+  while (at < event.len)
+    {
+      const char *end = memchr (event.data + at, '\n', event.len - at);
+      size_t len
+          = end == NULL ? event.len - at : (size_t)(end - event.data) - at;
+      cs_str_t line = { event.data + at, len };
+      at += len + 1;
+      if (line.len > 0 && line.data[line.len - 1] == '\r')
+        line.len--;
+      if (!cs_str_starts_with (line, cs_str ("id:")))
+        continue;
+      size_t skip = line.len > 3 && line.data[3] == ' ' ? 4 : 3;
+      id = (cs_str_t){ line.data + skip, line.len - skip };
+    }
+  return id;
+}
+
+/* Notes the id of EVENT; returns false for one that was passed on before.  */
+static bool
+is_news (cs_event_stream_t *stream, cs_str_t event)
+{
+  cs_str_t id = event_id (event);
+  uint64_t number;
+  if (id.len == 0)
+    return true;
+  if (cs_str_to_u64 (id, &number) == 0)
+    {
+      if (stream->last_id.len > 0 && number <= stream->last_number)
+        return false;
+      stream->last_number = number;
+    }
+  cs_name_set (&stream->last_id, id);
+  return true;
+}
+
+int
+cs_event_stream_add (cs_event_stream_t *stream, cs_str_t part, cs_buf_t *whole)
+{
+  cs_str_t rest = part;
+  size_t len;
+  if (stream->partial.len > 0)
+    {
+      if (stream->partial.len + part.len > EVENT_BYTES_MOST
+          || cs_buf_append (&stream->partial, part) != 0)
+        return CS_ERR_NO_MEMORY;
+      rest = cs_buf_str (&stream->partial);
+    }
+  while ((len = first_event_len (rest)) > 0)
+    {
+      cs_str_t event = { rest.data, len };
+      if (is_news (stream, event))
+        {
+          if (cs_buf_append (whole, event) != 0)
+            return CS_ERR_NO_MEMORY;
+          stream->count++;
+        }
+      rest.data += len;
+      rest.len -= len;
+    }
+  if (stream->partial.len == 0)
+    return rest.len == 0 ? CS_OK : cs_buf_append (&stream->partial, rest);
+  if (rest.len > 0)
+    memmove (stream->partial.data, rest.data, rest.len);
+  stream->partial.len = rest.len;
+  return CS_OK;
+}
+
+void
+cs_event_stream_cut (cs_event_stream_t *stream)
+{
+  cs_buf_clear (&stream->partial);
+}
+
+bool
+cs_event_stream_is_whole (const cs_event_stream_t *stream)
+{
+  return stream->partial.len == 0;
+}
+
+void
+cs_event_stream_free (cs_event_stream_t *stream)
+{
+  cs_buf_free (&stream->partial);
+}
--- a/ctl/commands/check.c
+++ b/ctl/commands/check.c
@@ -4,9 +4,9 @@
 
 #include <stdio.h>
 
+#include "api/release_store.h"
 #include "ctl/commands.h"
 #include "ctl/options.h"
-#include "platform/release_store.h"
 
 static int
 load_base (const cs_options_t *options, cs_release_t **base, cs_buf_t *reason)
--- a/ctl/trail.h
+++ b/ctl/trail.h
@@ -3,7 +3,7 @@
 #ifndef CS_CTL_TRAIL_H
 #define CS_CTL_TRAIL_H
 
-#include "platform/release_store.h"
+#include "api/release_store.h"
 
 /* One line: revision, time, operator, operation and what changed.  */
 void cs_trail_print (const cs_release_record_t *record);
--- a/daemon/caller/service.c
+++ b/daemon/caller/service.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/hash.h"
+#include "common/sha256.h"
 #include "cranberrystile/retry.h"
 #include "daemon/handlers.h"
 #include "daemon/run.h"
--- a/daemon/platform/follower.c
+++ b/daemon/platform/follower.c
@@ -7,9 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "api/release_store.h"
 #include "common/hash.h"
 #include "common/log.h"
-#include "platform/release_store.h"
 
 /* Length of one watch; a stop cancels it.  */
 #define WATCH_S 30
--- /dev/null
+++ b/http/reader.c
@@ -0,0 +1,323 @@
+#include "http/reader.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+#include "common/error.h"
+
+/* More fields than this are an attack or a loop.  */
+#define FIELDS_MOST 128
+
+struct cs_http_reader
+{
+  http_parser parser;
+  cs_http_side_t side;
+  cs_http_state_t state;
+  size_t head_most;
+  cs_http_handlers_t handlers;
+  void *context;
+  cs_http_head_t head;
+  cs_str_t field_name;
+  bool no_body;
+  bool stop;
+  int error;
+};
+
+static int
+on_url (http_parser *parser, const char *data, size_t len)
+{
+  cs_http_reader_t *reader = parser->data;
+  reader->head.target = (cs_str_t){ data, len };
+  return 0;
+}
+
+static int
+on_field (http_parser *parser, const char *data, size_t len)
+{
+  cs_http_reader_t *reader = parser->data;
+  reader->field_name = (cs_str_t){ data, len };
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *data, size_t len)
+{
+  cs_http_reader_t *reader = parser->data;
+  cs_str_t value = { data, len };
+  while (value.len > 0
+         && (value.data[value.len - 1] == ' '
+             || value.data[value.len - 1] == '\t'))
+    value.len--;
+  if (reader->head.count >= FIELDS_MOST)
+    return 1;
+  return cs_http_head_add (&reader->head, reader->field_name, value) != 0;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  cs_http_reader_t *reader = parser->data;
+  cs_http_head_t *head = &reader->head;
+  head->minor = (uint8_t)parser->http_minor;
+  head->status = (uint16_t)parser->status_code;
+  head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  head->length = head->has_length ? parser->content_length : 0;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->ends_at_close = reader->side == CS_HTTP_RESPONSES && !reader->no_body
+                        && !head->chunked && !head->has_length
+                        && head->status >= 200 && head->status != 204
+                        && head->status != 304;
+  return reader->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t len)
+{
+  cs_http_reader_t *reader = parser->data;
+  reader->handlers.on_body (reader->context, (cs_str_t){ data, len });
+  return 0;
+}
+
+/* Stops the parser so that bytes after the message stay unread.  */
+static int
+on_complete (http_parser *parser)
+{
+  cs_http_reader_t *reader = parser->data;
+  reader->state = CS_HTTP_COMPLETE;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+static void
+init_parser (cs_http_reader_t *reader)
+{
+  http_parser_init (&reader->parser, reader->side == CS_HTTP_REQUESTS
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+  reader->parser.data = reader;
+}
+
+cs_http_reader_t *
+cs_http_reader_create (cs_http_side_t side, size_t head_most,
+                       const cs_http_handlers_t *handlers, void *context)
+{
+  cs_http_reader_t *reader = calloc (1, sizeof *reader);
+  if (reader == NULL)
+    return NULL;
+  reader->side = side;
+  reader->head_most = head_most;
+  reader->handlers = *handlers;
+  reader->context = context;
+  init_parser (reader);
+  return reader;
+}
+
+void
+cs_http_reader_destroy (cs_http_reader_t *reader)
+{
+  if (reader == NULL)
+    return;
+  cs_http_head_free (&reader->head);
+  free (reader);
+}
+
+static void
+break_off (cs_http_reader_t *reader, int error)
+{
+  reader->state = CS_HTTP_BROKEN;
+  reader->error = error;
+}
+
+/* Each line must end in CR LF, none may continue the one before, and no CR or
+   NUL may stand elsewhere: readers disagree about such heads.  */
+static bool
+has_plain_lines (cs_str_t head)
+{
+  for (size_t i = 0; i < head.len; i++)
+    {
+      char c = head.data[i];
+      if (c == '\0')
+        return false;
+      if (c == '\r' && (i + 1 == head.len || head.data[i + 1] != '\n'))
+        return false;
+      if (c != '\n')
+        continue;
+      if (i == 0 || head.data[i - 1] != '\r')
+        return false;
+      if (i + 1 < head.len
+          && (head.data[i + 1] == ' ' || head.data[i + 1] == '\t'))
+        return false;
+    }
+  return true;
+}
+
+static bool
+has_one_framing (const cs_http_head_t *head)
+{
+  const cs_str_t *coding = cs_http_head_find (head, "transfer-encoding");
+  if (cs_http_head_count (head, "content-length") > 1)
+    return false;
+  if (coding == NULL)
+    return true;
+  return cs_http_head_count (head, "transfer-encoding") == 1
+         && cs_http_name_is (*coding, "chunked") && head->minor == 1
+         && !head->has_length;
+}
+
+static bool
+is_request_line_plain (cs_http_head_t *head)
+{
+  const char *space = memchr (head->bytes.data, ' ', head->bytes.len);
+  if (space == NULL || head->target.len == 0 || head->target.data[0] != '/')
+    return false;
+  head->method
+      = (cs_str_t){ head->bytes.data, (size_t)(space - head->bytes.data) };
+  return true;
+}
+
+/* Runs the parser over the whole head, so that its views stay in one place. */
+static void
+parse_head (cs_http_reader_t *reader)
+{
+  cs_http_head_t *head = &reader->head;
+  if (!has_plain_lines (cs_buf_str (&head->bytes)))
+    {
+      break_off (reader, CS_ERR_BAD_REQUEST);
+      return;
+    }
+  reader->state = CS_HTTP_IN_BODY;
+  size_t parsed = http_parser_execute (&reader->parser, &callbacks,
+                                       head->bytes.data, head->bytes.len);
+  enum http_errno fault = HTTP_PARSER_ERRNO (&reader->parser);
+  bool fine = fault == HPE_OK || fault == HPE_PAUSED;
+  if (!fine || parsed < head->bytes.len || reader->parser.upgrade != 0
+      || head->minor > 1 || reader->parser.http_major != 1
+      || !has_one_framing (head)
+      || (reader->side == CS_HTTP_REQUESTS && !is_request_line_plain (head)))
+    {
+      break_off (reader, CS_ERR_BAD_REQUEST);
+      return;
+    }
+  if (!reader->handlers.on_head (reader->context, head))
+    reader->stop = true;
+}
+
+static const char head_end[] = "\r\n\r\n";
+#define HEAD_END_LEN (sizeof head_end - 1)
+
+/* Collects head bytes from DATA; returns how many belong to the head.  */
+static size_t
+collect_head (cs_http_reader_t *reader, cs_str_t data)
+{
+  cs_buf_t *bytes = &reader->head.bytes;
+  size_t skipped = 0;
+  if (bytes->len == 0 && reader->side == CS_HTTP_REQUESTS)
+    while (skipped + 1 < data.len && data.data[skipped] == '\r'
+           && data.data[skipped + 1] == '\n')
+      skipped += 2;
+  size_t before = bytes->len;
+  size_t room = reader->head_most + HEAD_END_LEN - before;
+  cs_str_t part = { data.data + skipped, data.len - skipped };
+  if (part.len > room)
+    part.len = room;
+  if (cs_buf_append (bytes, part) != 0)
+    {
+      break_off (reader, CS_ERR_NO_MEMORY);
+      return data.len;
+    }
+  size_t from = before < HEAD_END_LEN ? 0 : before - HEAD_END_LEN + 1;
+  char *end = bytes->len == 0 ? NULL
+                              : memmem (bytes->data + from, bytes->len - from,
+                                        head_end, HEAD_END_LEN);
+  if (end == NULL)
+    {
+      if (bytes->len > reader->head_most)
+        break_off (reader, CS_ERR_TOO_LARGE);
+      return skipped + part.len;
+    }
+  size_t head_len = (size_t)(end - bytes->data) + HEAD_END_LEN;
+  bytes->len = head_len;
+  if (head_len > reader->head_most)
+    break_off (reader, CS_ERR_TOO_LARGE);
+  else
+    parse_head (reader);
+  return skipped + head_len - before;
+}
+
+size_t
+cs_http_reader_feed (cs_http_reader_t *reader, cs_str_t data)
+{
+  size_t taken = 0;
+  reader->stop = false;
+  if (reader->state == CS_HTTP_IN_HEAD && data.len > 0)
+    taken = collect_head (reader, data);
+  if (reader->state != CS_HTTP_IN_BODY || reader->stop || taken >= data.len)
+    return taken;
+  size_t parsed = http_parser_execute (&reader->parser, &callbacks,
+                                       data.data + taken, data.len - taken);
+  enum http_errno fault = HTTP_PARSER_ERRNO (&reader->parser);
+  if (fault != HPE_OK && fault != HPE_PAUSED)
+    break_off (reader, CS_ERR_BAD_REQUEST);
+  return taken + parsed;
+}
+
+void
+cs_http_reader_end (cs_http_reader_t *reader)
+{
+  if (reader->state == CS_HTTP_IN_BODY && reader->head.ends_at_close)
+    reader->state = CS_HTTP_COMPLETE;
+  else if (reader->state != CS_HTTP_COMPLETE
+           && cs_http_reader_has_begun (reader))
+    break_off (reader, CS_ERR_BAD_REQUEST);
+}
+
+void
+cs_http_reader_next (cs_http_reader_t *reader)
+{
+  cs_http_head_clear (&reader->head);
+  init_parser (reader);
+  reader->state = CS_HTTP_IN_HEAD;
+  reader->no_body = false;
+}
+
+void
+cs_http_reader_expect_no_body (cs_http_reader_t *reader, bool no_body)
+{
+  reader->no_body = no_body;
+}
+
+cs_http_state_t
+cs_http_reader_state (const cs_http_reader_t *reader)
+{
+  return reader->state;
+}
+
+bool
+cs_http_reader_has_begun (const cs_http_reader_t *reader)
+{
+  return reader->state != CS_HTTP_IN_HEAD || reader->head.bytes.len > 0;
+}
+
+int
+cs_http_reader_error (const cs_http_reader_t *reader)
+{
+  return reader->error;
+}
+
+cs_http_head_t *
+cs_http_reader_head (cs_http_reader_t *reader)
+{
+  return &reader->head;
+}
--- a/include/platform/release_store.h
+++ b/include/api/release_store.h
@@ -8,8 +8,8 @@
 #ifndef CS_RELEASE_STORE_H
 #define CS_RELEASE_STORE_H
 
+#include "api/client.h"
 #include "cranberrystile/release.h"
-#include "platform/client.h"
 
 /* The snapshot is renewed when it is this many revisions behind.  */
 #define CS_SNAPSHOT_INTERVAL 16
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -33,10 +33,13 @@
   CS_ERR_BAD_SETTING = -23,     /* settings file is not valid */
   CS_ERR_BAD_RELEASE = -24,     /* release note is not valid */
   CS_ERR_BAD_FRAME = -25,       /* peer frame malformed or not allowed */
-  CS_ERR_INTERNAL = -26
+  CS_ERR_INTERNAL = -26,
+  CS_ERR_HEAD_TOO_LARGE = -27, /* header fields over the configured limit */
+  CS_ERR_SLOW_CALLER = -28,    /* the caller took too long to send a request */
+  CS_ERR_TARGET_FAILED = -29   /* the target answered with a failure */
 } cs_error_t;
 
-#define CS_ERROR_COUNT 27
+#define CS_ERROR_COUNT 30
 
 /* Short constant name, such as "overloaded".  Never NULL.  */
 const char *cs_error_name (int error);
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -15,6 +15,10 @@
   X (READY, 1007, 5)                                                          \
   X (RELEASE_IN_FORCE, 1101, 5)                                               \
   X (RELEASE_REJECTED, 1102, 3)                                               \
+  X (ROUTING_IN_FORCE, 1103, 5)                                               \
+  X (ROUTING_REJECTED, 1104, 3)                                               \
+  X (SETTINGS_RELOADED, 1008, 5)                                              \
+  X (LINES_DROPPED, 1009, 4)                                                  \
   X (PLATFORM_LOST, 1201, 4)                                                  \
   X (PLATFORM_BACK, 1202, 5)                                                  \
   X (PEER_CONNECTED, 1301, 6)                                                 \
@@ -27,8 +31,13 @@
   X (TARGET_RETURNED, 1404, 5)                                                \
   X (TARGET_STARTED, 1405, 5)                                                 \
   X (WRONG_ANSWER, 1406, 4)                                                   \
+  X (TARGET_LISTED, 1407, 5)                                                  \
+  X (TARGET_GONE, 1408, 5)                                                    \
+  X (TARGET_MISSING, 1409, 4)                                                 \
   X (REQUEST_FAILED, 1501, 6)                                                 \
   X (STREAM_RESUMED, 1502, 6)                                                 \
+  X (REQUEST_DONE, 1503, 6)                                                   \
+  X (ATTEMPT_FAILED, 1504, 6)                                                 \
   X (CLAIM_UNKNOWN, 1601, 4)                                                  \
   X (CLAIM_SWEPT, 1602, 6)                                                    \
   X (LEASE_TAKEN, 1701, 5)                                                    \
--- a/include/common/hash.h
+++ b/include/common/hash.h
@@ -27,7 +27,4 @@
 /* Exponentially distributed with mean MEAN, by inversion.  */
 double cs_random_exponential (cs_random_t *random, double mean);
 
-/* Writes the SHA-256 of S as 64 lower-case hex digits and a zero.  */
-void cs_sha256_hex (cs_str_t s, char out[65]);
-
 #endif
--- /dev/null
+++ b/include/cranberrystile/fleet.h
@@ -0,0 +1,99 @@
+/* The targets that are known, by service, with what this router knows of each.
+   Not thread-safe.  */
+
+#ifndef CS_FLEET_H
+#define CS_FLEET_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/str.h"
+#include "cranberrystile/eject.h"
+
+/* What a target says of itself in the platform's list.  The strings are
+   borrowed.  */
+typedef struct
+{
+  cs_str_t id;
+  cs_str_t service;
+  cs_str_t data_centre;
+  struct sockaddr_in address;
+  uint64_t started_ms; /* wall clock; a later start is another incarnation */
+  uint32_t slots;
+  uint32_t cold_ms; /* still slow for this long after its start */
+  bool draining;
+} cs_target_entry_t;
+
+/* Load as the target last told it with an answer.  */
+typedef struct
+{
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+  uint32_t own; /* calls of this router in flight at that time */
+  cs_time_us_t at;
+  bool known;
+} cs_target_load_t;
+
+typedef struct cs_target
+{
+  cs_name_t id;
+  cs_name_t service;
+  cs_name_t data_centre;
+  uint64_t hash; /* of the id */
+  struct sockaddr_in address;
+  uint64_t started_ms;
+  uint32_t slots;
+  bool leaving;               /* for good: it gets no new call */
+  cs_time_us_t missing_since; /* not listed since a lapse; 0: listed */
+  cs_target_load_t load;
+  uint32_t in_flight; /* calls of this router */
+  cs_eject_t eject;
+  uint32_t references;
+  void *user; /* of the program: its connections to the target */
+} cs_target_t;
+
+typedef struct cs_fleet cs_fleet_t;
+
+/* Told when a target is no longer known; in-flight calls go on.  */
+typedef void cs_fleet_gone_fn (void *context, cs_target_t *target);
+
+cs_fleet_t *cs_fleet_create (cs_fleet_gone_fn *gone, void *context);
+void cs_fleet_destroy (cs_fleet_t *fleet);
+
+/* Takes in an entry.  A newer start under a known id replaces the incarnation
+   before; an older one is ignored.  *ADDED tells whether a new incarnation
+   came.  Returns 0 or CS_ERR_NO_MEMORY.  */
+int cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry,
+                  bool *added);
+
+/* The entry ID has been removed.  While LAPSING (the platform was away, so
+   that live targets may have lapsed) it is only noted as missing; else the
+   target gets no new calls.  Returns whether it was known.  */
+bool cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, bool lapsing,
+                      cs_time_us_t now);
+
+/* Before a whole list is taken in, and after: what the list did not name is
+   removed as above.  */
+void cs_fleet_list_begin (cs_fleet_t *fleet);
+void cs_fleet_list_end (cs_fleet_t *fleet, bool lapsing, cs_time_us_t now);
+
+/* Drops targets that have been missing for longer than AFTER_US.  */
+void cs_fleet_drop_missing (cs_fleet_t *fleet, cs_time_us_t after_us,
+                            cs_time_us_t now);
+
+/* All targets, in no order.  */
+cs_target_t *const *cs_fleet_targets (const cs_fleet_t *fleet, size_t *count);
+
+/* Keeps a target that is in use beyond its time in the fleet.  */
+cs_target_t *cs_target_reference (cs_target_t *target);
+void cs_target_release (cs_target_t *target);
+
+/* Calls expected to be at the target now: what it last told, moved on by this
+   router's own calls since.  */
+uint32_t cs_target_estimate (const cs_target_t *target);
+
+#endif
--- a/include/ctl/options.h
+++ b/include/ctl/options.h
@@ -7,8 +7,8 @@
 
 #include <jansson.h>
 
+#include "api/client.h"
 #include "cranberrystile/release.h"
-#include "platform/client.h"
 
 #define CS_EXIT_FAILED 1
 #define CS_EXIT_USAGE 2
--- a/include/daemon/claims.h
+++ b/include/daemon/claims.h
@@ -4,11 +4,11 @@
 #ifndef CS_DAEMON_CLAIMS_H
 #define CS_DAEMON_CLAIMS_H
 
+#include "api/client.h"
 #include "cranberrystile/claim.h"
 #include "cranberrystile/counters.h"
 #include "daemon/members.h"
 #include "daemon/settings.h"
-#include "platform/client.h"
 
 typedef struct cs_claims cs_claims_t;
 
--- a/include/daemon/daemon.h
+++ b/include/daemon/daemon.h
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "api/client.h"
 #include "cranberrystile/counters.h"
 #include "cranberrystile/limit.h"
 #include "cranberrystile/retry.h"
@@ -22,7 +23,6 @@
 #include "daemon/poller.h"
 #include "daemon/settings.h"
 #include "daemon/summaries.h"
-#include "platform/client.h"
 
 typedef struct cs_limits cs_limits_t;
 struct mg_context;
--- a/include/daemon/follower.h
+++ b/include/daemon/follower.h
@@ -5,13 +5,13 @@
 #ifndef CS_DAEMON_FOLLOWER_H
 #define CS_DAEMON_FOLLOWER_H
 
+#include "api/client.h"
 #include "daemon/configuration.h"
 #include "daemon/endpoints.h"
 #include "daemon/members.h"
 #include "daemon/peers.h"
 #include "daemon/poller.h"
 #include "daemon/settings.h"
-#include "platform/client.h"
 
 typedef struct cs_follower cs_follower_t;
 
--- a/include/daemon/orders.h
+++ b/include/daemon/orders.h
@@ -5,12 +5,12 @@
 #ifndef CS_DAEMON_ORDERS_H
 #define CS_DAEMON_ORDERS_H
 
+#include "api/client.h"
 #include "cranberrystile/counters.h"
 #include "daemon/configuration.h"
 #include "daemon/endpoints.h"
 #include "daemon/members.h"
 #include "daemon/settings.h"
-#include "platform/client.h"
 
 typedef struct cs_orders cs_orders_t;
 
--- a/include/daemon/settings.h
+++ b/include/daemon/settings.h
@@ -5,10 +5,9 @@
 
 #include <stdint.h>
 
+#include "common/settings_table.h"
 #include "common/str.h"
 
-#define CS_SETTING_TEXT_MAX 512
-
 typedef struct
 {
   /* [host] */
--- /dev/null
+++ b/include/http/head.h
@@ -0,0 +1,58 @@
+/* The head of an HTTP/1.1 message: start line and header fields.  */
+
+#ifndef CS_HTTP_HEAD_H
+#define CS_HTTP_HEAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+typedef struct
+{
+  cs_str_t name;
+  cs_str_t value;
+} cs_http_field_t;
+
+/* Initialise with zeros; release with cs_http_head_free.  All strings are
+   views into BYTES.  */
+typedef struct
+{
+  cs_buf_t bytes; /* the head as it was received, blank line included */
+  cs_http_field_t *fields;
+  size_t count;
+  size_t capacity;
+  cs_str_t method;    /* of a request */
+  cs_str_t target;    /* of a request: path and query */
+  uint16_t status;    /* of a response */
+  uint8_t minor;      /* HTTP/1.MINOR */
+  bool keep_alive;    /* the connection may carry another message */
+  bool chunked;       /* the body comes in chunks */
+  bool has_length;    /* LENGTH was given */
+  uint64_t length;    /* of the body, in bytes */
+  bool ends_at_close; /* of a response: the body ends with the connection */
+} cs_http_head_t;
+
+/* Value of the first field NAME (lower or upper case), or NULL.  */
+const cs_str_t *cs_http_head_find (const cs_http_head_t *head,
+                                   const char *name);
+
+/* How many fields have that name.  */
+size_t cs_http_head_count (const cs_http_head_t *head, const char *name);
+
+/* Adds a field; both strings must be views into BYTES.  Returns 0 or
+   CS_ERR_NO_MEMORY.  */
+int cs_http_head_add (cs_http_head_t *head, cs_str_t name, cs_str_t value);
+
+void cs_http_head_clear (cs_http_head_t *head);
+void cs_http_head_free (cs_http_head_t *head);
+
+bool cs_http_name_is (cs_str_t name, const char *expected);
+
+/* Whether FIELD concerns one connection only (RFC 9110, section 7.6.1), named
+   in the Connection field of HEAD or by the standard, or frames the body.  */
+bool cs_http_is_hop_by_hop (const cs_http_head_t *head,
+                            const cs_http_field_t *field);
+
+#endif
--- /dev/null
+++ b/include/net/listener.h
@@ -0,0 +1,18 @@
+/* Accepts TCP connections on an event loop.  */
+
+#ifndef CS_NET_LISTENER_H
+#define CS_NET_LISTENER_H
+
+#include "common/str.h"
+#include "net/loop.h"
+
+typedef struct cs_listener cs_listener_t;
+
+/* ADDRESS is "IP:PORT".  ON_ACCEPT owns FD, which does not block.  Returns
+   NULL when the address is bad or taken; errno says why.  */
+cs_listener_t *cs_listener_create (cs_loop_t *loop, cs_str_t address,
+                                   void (*on_accept) (void *context, int fd),
+                                   void *context);
+void cs_listener_destroy (cs_listener_t *listener);
+
+#endif
--- /dev/null
+++ b/include/router/counters.h
@@ -0,0 +1,58 @@
+/* Counters and latency histograms of a router, printed as text for metrics. */
+
+#ifndef CS_ROUTER_COUNTERS_H
+#define CS_ROUTER_COUNTERS_H
+
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/str.h"
+
+/* X (name, help)  */
+#define CS_COUNTER_LIST(X)                                                    \
+  X (connections, "caller connections accepted")                              \
+  X (requests, "requests read")                                               \
+  X (answers_passed, "answers of targets passed on whole")                    \
+  X (callers_gone, "callers that left before their answer")                   \
+  X (attempts, "requests sent to targets")                                    \
+  X (repeats, "attempts beyond the first of a request")                       \
+  X (repeats_denied, "repeats that the budget did not allow")                 \
+  X (streams_resumed, "cut streams taken up at another target")               \
+  X (streams_cut, "streams that ended before their end")                      \
+  X (connects, "connections opened to targets")                               \
+  X (connects_failed, "connections to targets that could not be opened")      \
+  X (wrong_answers, "answers of targets that could not be used")              \
+  X (stale_answers, "answers of earlier requests that were dropped")          \
+  X (store_calls, "calls to the platform")                                    \
+  X (store_failures, "calls to the platform that failed")                     \
+  X (log_lines_dropped, "log lines dropped")
+
+typedef struct
+{
+#define CS_COUNTER_FIELD(name, help) uint64_t name;
+  CS_COUNTER_LIST (CS_COUNTER_FIELD)
+#undef CS_COUNTER_FIELD
+  uint64_t failed[CS_ERROR_COUNT]; /* requests ended, by error kind */
+} cs_router_counters_t;
+
+/* Upper bounds of the latency classes double from 1 ms.  */
+#define CS_LATENCY_CLASSES 16
+
+typedef struct
+{
+  uint64_t classes[CS_LATENCY_CLASSES];
+  uint64_t count;
+  cs_time_us_t sum_us;
+} cs_latency_t;
+
+void cs_latency_add (cs_latency_t *latency, cs_time_us_t value_us);
+
+/* Both append metrics in the Prometheus text format.  Return 0 or
+   CS_ERR_NO_MEMORY.  */
+int cs_router_counters_print (const cs_router_counters_t *counters,
+                              cs_buf_t *out);
+int cs_latency_print (const cs_latency_t *latency, const char *name,
+                      cs_buf_t *out);
+
+#endif
--- /dev/null
+++ b/include/router/follower.h
@@ -0,0 +1,31 @@
+/* Follows one kind of objects in the platform's store: lists them, then waits
+   for changes.  */
+
+#ifndef CS_ROUTER_FOLLOWER_H
+#define CS_ROUTER_FOLLOWER_H
+
+#include "platform/store.h"
+#include "router/router.h"
+
+typedef struct cs_follower cs_follower_t;
+
+typedef struct
+{
+  /* A whole list begins, and ends; its objects come in between.  */
+  void (*on_list_begin) (cs_router_t *router);
+  void (*on_list_end) (cs_router_t *router, bool lapsing, cs_time_us_t now);
+  /* An object of the list, or a change.  LAPSING: the store was away so
+     recently that a deletion may be one that comes back.  */
+  void (*on_object) (cs_router_t *router, const cs_store_object_t *object,
+                     bool lapsing, cs_time_us_t now);
+} cs_follower_handlers_t;
+
+cs_follower_t *cs_follower_create (cs_router_t *router, cs_store_kind_t kind,
+                                   const cs_follower_handlers_t *handlers);
+void cs_follower_destroy (cs_follower_t *follower);
+
+/* What is done with the objects of each kind.  */
+extern const cs_follower_handlers_t cs_follow_routing;
+extern const cs_follower_handlers_t cs_follow_targets;
+
+#endif
--- /dev/null
+++ b/include/router/settings.h
@@ -0,0 +1,54 @@
+/* The settings of a router, read from an INI file at start and again when the
+   file changes.  */
+
+#ifndef CS_ROUTER_SETTINGS_H
+#define CS_ROUTER_SETTINGS_H
+
+#include <stdint.h>
+
+#include "common/settings_table.h"
+#include "common/str.h"
+
+typedef struct
+{
+  /* [host] */
+  char name[CS_SETTING_TEXT_MAX];
+  char data_centre[CS_SETTING_TEXT_MAX];
+  /* [listen] */
+  char callers[CS_SETTING_TEXT_MAX];
+  char readiness[CS_SETTING_TEXT_MAX];
+  char metrics[CS_SETTING_TEXT_MAX]; /* empty: none */
+  /* [platform] */
+  char platform[CS_SETTING_TEXT_MAX];
+  uint32_t watch_ms;    /* longest wait of one watch */
+  uint32_t coalesce_ms; /* pause between two watches, so that a burst of
+                           changes is one call */
+  uint32_t call_timeout_ms;
+  uint32_t lapse_ms; /* targets that lapsed during an outage may be back this
+                        long after it */
+  /* [retry] */
+  double retry_ratio; /* repeats per first try, all routers together */
+  uint32_t retry_window_s;
+  /* [target] */
+  uint32_t connect_timeout_ms;
+  uint32_t unacknowledged_ms; /* sent bytes may wait this long for an ack */
+  uint32_t idle_ms;           /* a kept connection is closed after this */
+  uint32_t fresh_ms;          /* work that may not repeat goes on a connection
+                                 used within this time, or on a new one */
+  /* [stop] */
+  uint32_t lame_duck_ms; /* requests are still taken for this long */
+  uint32_t grace_ms;     /* the process is gone after this */
+  /* [log] */
+  uint32_t lines_per_s;
+} cs_router_settings_t;
+
+/* Reads FILE.  Returns 0, or CS_ERR_BAD_SETTING with one line "FILE:LINE: what
+   is wrong" appended to REASON; OUT is unspecified then.  */
+int cs_router_settings_read (const char *file, cs_router_settings_t *out,
+                             cs_buf_t *reason);
+
+/* The same for text held in memory; FILE only names it in messages.  */
+int cs_router_settings_parse (const char *file, const char *text,
+                              cs_router_settings_t *out, cs_buf_t *reason);
+
+#endif
--- /dev/null
+++ b/net/channel.c
@@ -0,0 +1,349 @@
+#include "net/channel.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+
+/* How long a finished channel waits for its peer to close.  */
+#define LINGER_US (2 * CS_US_PER_S)
+
+struct cs_channel
+{
+  cs_loop_t *loop;
+  int fd;
+  struct event readable;
+  struct event writable;
+  struct evbuffer *queue; /* made when output first has to wait */
+  cs_channel_handlers_t handlers;
+  void *context;
+  cs_timer_t timer; /* connecting, then lingering */
+  bool connecting;
+  bool has_sent;
+  bool finishing;
+  bool paused;
+  bool in_callback;
+  bool closed;
+};
+
+static void
+release (cs_channel_t *channel)
+{
+  if (channel->queue != NULL)
+    evbuffer_free (channel->queue);
+  free (channel);
+}
+
+void
+cs_channel_close (cs_channel_t *channel)
+{
+  if (channel == NULL || channel->closed)
+    return;
+  channel->closed = true;
+  event_del (&channel->readable);
+  event_del (&channel->writable);
+  cs_timer_clear (&channel->timer);
+  close (channel->fd);
+  if (!channel->in_callback)
+    release (channel);
+}
+
+/* Frees the channel when a callback has closed it; true when it is gone.  */
+static bool
+leave_callback (cs_channel_t *channel)
+{
+  channel->in_callback = false;
+  if (!channel->closed)
+    return false;
+  release (channel);
+  return true;
+}
+
+static void
+end (cs_channel_t *channel, int error)
+{
+  event_del (&channel->readable);
+  event_del (&channel->writable);
+  cs_timer_clear (&channel->timer);
+  if (channel->finishing)
+    {
+      cs_channel_close (channel);
+      return;
+    }
+  if (channel->connecting)
+    error = CS_ERR_CONNECT;
+  channel->in_callback = true;
+  channel->handlers.on_end (channel->context, error);
+  leave_callback (channel);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *argument)
+{
+  cs_channel_t *channel = argument;
+  size_t size;
+  char *buffer = cs_loop_read_buffer (channel->loop, &size);
+  ssize_t got = recv (fd, buffer, size, 0);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got <= 0)
+    {
+      end (channel, got == 0 ? CS_OK : CS_ERR_CUT);
+      return;
+    }
+  if (channel->finishing)
+    return;
+  channel->in_callback = true;
+  channel->handlers.on_data (channel->context,
+                             (cs_str_t){ buffer, (size_t)got });
+  leave_callback (channel);
+}
+
+static void
+finish_output (cs_channel_t *channel)
+{
+  if (channel->finishing)
+    {
+      shutdown (channel->fd, SHUT_WR);
+      return;
+    }
+  if (channel->handlers.on_drained == NULL)
+    return;
+  channel->in_callback = true;
+  channel->handlers.on_drained (channel->context);
+  leave_callback (channel);
+}
+
+static void
+flush_queue (cs_channel_t *channel)
+{
+  if (evbuffer_get_length (channel->queue) > 0)
+    {
+      int sent = evbuffer_write (channel->queue, channel->fd);
+      if (sent < 0 && errno != EAGAIN && errno != EINTR)
+        {
+          end (channel, CS_ERR_CUT);
+          return;
+        }
+      if (sent > 0)
+        channel->has_sent = true;
+    }
+  if (evbuffer_get_length (channel->queue) > 0)
+    event_add (&channel->writable, NULL);
+  else
+    finish_output (channel);
+}
+
+static bool
+complete_connect (cs_channel_t *channel)
+{
+  int fault = 0;
+  socklen_t len = sizeof fault;
+  getsockopt (channel->fd, SOL_SOCKET, SO_ERROR, &fault, &len);
+  if (fault != 0)
+    {
+      end (channel, CS_ERR_CONNECT);
+      return false;
+    }
+  channel->connecting = false;
+  cs_timer_clear (&channel->timer);
+  if (!channel->paused)
+    event_add (&channel->readable, NULL);
+  if (channel->handlers.on_open == NULL)
+    return true;
+  channel->in_callback = true;
+  channel->handlers.on_open (channel->context);
+  return !leave_callback (channel);
+}
+
+static void
+on_writable (evutil_socket_t fd, short what, void *argument)
+{
+  cs_channel_t *channel = argument;
+  if (channel->connecting && !complete_connect (channel))
+    return;
+  if (channel->queue != NULL)
+    flush_queue (channel);
+}
+
+static void
+on_timer (void *context, cs_time_us_t now)
+{
+  cs_channel_t *channel = context;
+  end (channel, CS_ERR_CUT);
+}
+
+static cs_channel_t *
+create (cs_loop_t *loop, int fd, const cs_channel_handlers_t *handlers,
+        void *context)
+{
+  cs_channel_t *channel = calloc (1, sizeof *channel);
+  int one = 1;
+  if (channel == NULL)
+    {
+      close (fd);
+      return NULL;
+    }
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  channel->loop = loop;
+  channel->fd = fd;
+  cs_channel_set_owner (channel, handlers, context);
+  event_assign (&channel->readable, cs_loop_base (loop), fd,
+                EV_READ | EV_PERSIST, on_readable, channel);
+  event_assign (&channel->writable, cs_loop_base (loop), fd, EV_WRITE,
+                on_writable, channel);
+  cs_timer_init (&channel->timer, loop, on_timer, channel);
+  return channel;
+}
+
+cs_channel_t *
+cs_channel_connect (cs_loop_t *loop, const struct sockaddr_in *address,
+                    cs_time_us_t connect_us, cs_time_us_t user_timeout_us,
+                    const cs_channel_handlers_t *handlers, void *context)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  if (connect (fd, (const struct sockaddr *)address, sizeof *address) != 0
+      && errno != EINPROGRESS)
+    {
+      close (fd);
+      return NULL;
+    }
+  cs_channel_t *channel = create (loop, fd, handlers, context);
+  if (channel == NULL)
+    return NULL;
+  unsigned timeout_ms = (unsigned)(user_timeout_us / CS_US_PER_MS);
+  if (timeout_ms > 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                sizeof timeout_ms);
+  channel->connecting = true;
+  cs_timer_set (&channel->timer, connect_us);
+  event_add (&channel->writable, NULL);
+  return channel;
+}
+
+cs_channel_t *
+cs_channel_adopt (cs_loop_t *loop, int fd,
+                  const cs_channel_handlers_t *handlers, void *context)
+{
+  cs_channel_t *channel = create (loop, fd, handlers, context);
+  if (channel != NULL)
+    event_add (&channel->readable, NULL);
+  return channel;
+}
+
+void
+cs_channel_set_owner (cs_channel_t *channel,
+                      const cs_channel_handlers_t *handlers, void *context)
+{
+  channel->handlers = *handlers;
+  channel->context = context;
+  channel->has_sent = false;
+}
+
+void
+cs_channel_finish (cs_channel_t *channel)
+{
+  if (channel->closed || channel->finishing)
+    return;
+  channel->finishing = true;
+  cs_channel_pause (channel, false);
+  cs_timer_set (&channel->timer, LINGER_US);
+  if (cs_channel_queued (channel) == 0)
+    shutdown (channel->fd, SHUT_WR);
+}
+
+static int
+queue_output (cs_channel_t *channel, cs_str_t data)
+{
+  if (channel->queue == NULL)
+    channel->queue = evbuffer_new ();
+  if (channel->queue == NULL
+      || evbuffer_add (channel->queue, data.data, data.len) != 0)
+    return CS_ERR_NO_MEMORY;
+  if (!channel->connecting)
+    event_add (&channel->writable, NULL);
+  return CS_OK;
+}
+
+int
+cs_channel_send (cs_channel_t *channel, cs_str_t data)
+{
+  if (channel->closed)
+    return CS_OK;
+  if (!channel->connecting && cs_channel_queued (channel) == 0)
+    {
+      ssize_t sent = send (channel->fd, data.data, data.len, MSG_NOSIGNAL);
+      /* A failed connection shows when it is read or written next.  */
+      if (sent > 0)
+        {
+          channel->has_sent = true;
+          data.data += sent;
+          data.len -= (size_t)sent;
+        }
+    }
+  return data.len == 0 ? CS_OK : queue_output (channel, data);
+}
+
+size_t
+cs_channel_queued (const cs_channel_t *channel)
+{
+  return channel->queue == NULL ? 0 : evbuffer_get_length (channel->queue);
+}
+
+bool
+cs_channel_has_sent (const cs_channel_t *channel)
+{
+  return channel->has_sent;
+}
+
+void
+cs_channel_pause (cs_channel_t *channel, bool paused)
+{
+  if (channel->closed || channel->paused == paused)
+    return;
+  channel->paused = paused;
+  if (channel->connecting)
+    return;
+  if (paused)
+    event_del (&channel->readable);
+  else
+    event_add (&channel->readable, NULL);
+}
+
+void
+cs_channel_probe_peer (cs_channel_t *channel, int idle_s, int count)
+{
+  int one = 1;
+  setsockopt (channel->fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+  setsockopt (channel->fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (channel->fd, IPPROTO_TCP, TCP_KEEPINTVL, &one, sizeof one);
+  setsockopt (channel->fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+}
+
+int
+cs_address_parse (cs_str_t text, struct sockaddr_in *address)
+{
+  char host[INET_ADDRSTRLEN];
+  const char *colon = memrchr (text.data, ':', text.len);
+  uint64_t port;
+  if (colon == NULL || (size_t)(colon - text.data) >= sizeof host)
+    return CS_ERR_BAD_REQUEST;
+  size_t len = (size_t)(colon - text.data);
+  memcpy (host, text.data, len);
+  host[len] = '\0';
+  cs_str_t number = { colon + 1, text.len - len - 1 };
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  if (inet_pton (AF_INET, host, &address->sin_addr) != 1
+      || cs_str_to_u64 (number, &port) != 0 || port > UINT16_MAX)
+    return CS_ERR_BAD_REQUEST;
+  address->sin_port = htons ((uint16_t)port);
+  return CS_OK;
+}
--- /dev/null
+++ b/router/forward/forward.c
@@ -0,0 +1,249 @@
+#include "router/forward.h"
+
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "cranberrystile/answer.h"
+#include "http/answer.h"
+#include "router/caller.h"
+#include "router/forward/internal.h"
+
+/* A caller that is refused comes back after this time, spread over as much
+   again so that callers do not return together; a target's queue of work turns
+   over in about that time.  */
+#define RETRY_AFTER_S 0.4
+/* Part of the time left that a caller may be told to wait.  */
+#define RETRY_AFTER_SHARE (1.0 / 3)
+
+static void
+log_end (const cs_forward_t *forward, const char *outcome, int status,
+         cs_time_us_t now)
+{
+  cs_time_us_t first
+      = forward->first_byte == 0 ? 0 : forward->first_byte - forward->arrived;
+  cs_log (
+      CS_EV_REQUEST_DONE,
+      "id=%.*s route=%.*s organisation=%.*s version=%llu target=%s "
+      "why=%s load=%u mean=%.1f live=%u tries=%u connects_failed=%u "
+      "first_ms=%llu total_ms=%llu status=%d outcome=%s",
+      CS_STR_ARG (forward->request.id),
+      forward->route == NULL ? 0 : (int)forward->route->name.len,
+      forward->route == NULL ? "" : forward->route->name.data,
+      forward->organisation == NULL ? 0 : (int)forward->organisation->name.len,
+      forward->organisation == NULL ? "" : forward->organisation->name.data,
+      forward->routing == NULL ? 0ULL
+                               : (unsigned long long)forward->routing->version,
+      forward->target == NULL ? "" : forward->target->id.text,
+      cs_choice_why_name (forward->choice.why), forward->choice.load,
+      forward->choice.mean, forward->choice.live, forward->sends,
+      forward->connects, (unsigned long long)(first / CS_US_PER_MS),
+      (unsigned long long)((now - forward->arrived) / CS_US_PER_MS), status,
+      outcome);
+}
+
+static void
+destroy (cs_forward_t *forward)
+{
+  cs_timer_clear (&forward->timer);
+  if (forward->connection != NULL)
+    {
+      forward->target->in_flight--;
+      cs_connection_abort (forward->connection);
+    }
+  for (uint32_t i = 0; i < forward->tried_count; i++)
+    cs_target_release (forward->tried[i]);
+  cs_http_head_free (&forward->head);
+  cs_buf_free (&forward->body);
+  cs_buf_free (&forward->answer_head);
+  cs_buf_free (&forward->answer_body);
+  cs_event_stream_free (&forward->events);
+  cs_routing_release (forward->routing);
+  forward->router->in_flight--;
+  free (forward);
+}
+
+void
+cs_forward_complete (cs_forward_t *forward, bool close, cs_time_us_t now)
+{
+  cs_caller_t *caller = forward->caller;
+  forward->router->counters.answers_passed++;
+  cs_latency_add (&forward->router->total, now - forward->arrived);
+  log_end (forward, "passed", forward->status, now);
+  destroy (forward);
+  cs_caller_complete (caller, close);
+}
+
+/* Seconds after which the caller should come back.  */
+static double
+retry_after_s (cs_forward_t *forward, cs_time_us_t now)
+{
+  double after
+      = RETRY_AFTER_S * (1.0 + cs_random_unit (&forward->router->random));
+  cs_time_us_t waits_until
+      = forward->arrived + forward->request.deadline_ms * CS_US_PER_MS;
+  if (forward->request.deadline_ms == 0)
+    return after;
+  double left
+      = waits_until <= now ? 0 : (double)(waits_until - now) / CS_US_PER_S;
+  double most = left * RETRY_AFTER_SHARE;
+  return after < most ? after : most;
+}
+
+static void
+answer_error (cs_forward_t *forward, int error, cs_time_us_t now)
+{
+  const cs_answer_t *row = cs_answer_for (error);
+  cs_caller_t *caller = forward->caller;
+  bool close = cs_caller_should_close (caller);
+  bool is_head = cs_str_equal (forward->head.method, cs_str ("HEAD"));
+  cs_buf_t fields = { 0 };
+  cs_buf_t body = { 0 };
+  cs_buf_t answer = { 0 };
+  double after
+      = row->advice == CS_ADVICE_LATER ? retry_after_s (forward, now) : 0;
+  int rc = cs_buf_printf (
+      &fields, "%s: %.*s\r\n%s", cs_headers_request_id_name (),
+      CS_STR_ARG (forward->request.id), "Content-Type: application/json\r\n");
+  if (rc == 0 && after > 0)
+    rc = cs_buf_printf (&fields, "Retry-After: %.3f\r\n", after);
+  if (rc == 0)
+    rc = cs_answer_body (error, (cs_str_t){ NULL, 0 }, forward->request.id,
+                         (uint32_t)(after + 1), &body);
+  if (rc == 0)
+    rc = cs_http_write_answer (row->status, cs_buf_str (&fields),
+                               cs_buf_str (&body), is_head, close, &answer);
+  if (rc == 0)
+    cs_caller_send (caller, cs_buf_str (&answer));
+  log_end (forward, cs_error_name (error), row->status, now);
+  destroy (forward);
+  if (rc == 0)
+    cs_caller_complete (caller, close);
+  else
+    cs_caller_break (caller);
+  cs_buf_free (&fields);
+  cs_buf_free (&body);
+  cs_buf_free (&answer);
+}
+
+void
+cs_forward_fail (cs_forward_t *forward, int error, cs_time_us_t now)
+{
+  cs_caller_t *caller = forward->caller;
+  /* "Not run" may be said only when no try can have run.  */
+  if (forward->outcome_unknown && cs_answer_for (error)->ran == CS_RAN_NO)
+    error = CS_ERR_CUT;
+  forward->router->counters.failed[-error]++;
+  if (!forward->begun)
+    {
+      answer_error (forward, error, now);
+      return;
+    }
+  forward->router->counters.streams_cut++;
+  log_end (forward, cs_error_name (error), forward->status, now);
+  destroy (forward);
+  cs_caller_break (caller);
+}
+
+static void
+on_give_up (void *context, cs_time_us_t now)
+{
+  cs_forward_t *forward = context;
+  bool is_sent = forward->connection != NULL;
+  forward->outcome_unknown = forward->outcome_unknown || is_sent;
+  cs_forward_fail (forward, is_sent ? CS_ERR_SILENT : CS_ERR_DEADLINE, now);
+}
+
+/* Finds the route and the organisation.  Returns 0 or the error to answer.  */
+static int
+admit (cs_forward_t *forward)
+{
+  cs_router_t *router = forward->router;
+  const char *why = "";
+  int rc = cs_headers_read_request (&forward->head, &forward->request, &why);
+  if (rc != 0)
+    return rc;
+  if (forward->routing == NULL)
+    return CS_ERR_NOT_READY;
+  forward->route = cs_routing_find (forward->routing, forward->request.host,
+                                    forward->request.path);
+  if (forward->route == NULL)
+    return CS_ERR_NOT_FOUND;
+  if (forward->request.key.len > 0)
+    forward->organisation
+        = cs_routing_find_key (forward->routing, forward->request.key);
+  if (forward->organisation == NULL && !forward->route->is_public
+      && forward->routing->organisation_count > 0)
+    return CS_ERR_UNAUTHORISED;
+  const cs_service_t *service = cs_routing_pick_service (
+      forward->routing, forward->route, cs_random_unit (&router->random));
+  if (service == NULL)
+    return CS_ERR_NO_TARGET;
+  forward->service = cs_service_table_get (&router->services, service->name);
+  return forward->service == NULL ? CS_ERR_NO_MEMORY : CS_OK;
+}
+
+static void
+set_timer (cs_forward_t *forward, cs_time_us_t now)
+{
+  uint32_t limit_ms = forward->route->timeout_ms;
+  if (forward->request.deadline_ms > 0
+      && forward->request.deadline_ms < limit_ms)
+    limit_ms = forward->request.deadline_ms;
+  forward->give_up = forward->arrived + limit_ms * CS_US_PER_MS;
+  cs_timer_set (&forward->timer,
+                forward->give_up > now ? forward->give_up - now : 0);
+}
+
+cs_forward_t *
+cs_forward_create (cs_router_t *router, cs_caller_t *caller,
+                   cs_http_head_t *head, cs_buf_t *body, cs_time_us_t now)
+{
+  cs_forward_t *forward = calloc (1, sizeof *forward);
+  if (forward == NULL)
+    return NULL;
+  forward->router = router;
+  forward->caller = caller;
+  forward->head = *head;
+  forward->body = *body;
+  *head = (cs_http_head_t){ 0 };
+  *body = (cs_buf_t){ 0 };
+  forward->arrived = now;
+  forward->routing = cs_routing_reference (router->routing);
+  cs_timer_init (&forward->timer, router->loop, on_give_up, forward);
+  router->in_flight++;
+  router->counters.requests++;
+  return forward;
+}
+
+void
+cs_forward_run (cs_forward_t *forward, cs_time_us_t now)
+{
+  int rc = admit (forward);
+  if (rc != 0)
+    {
+      cs_forward_fail (forward, rc, now);
+      return;
+    }
+  set_timer (forward, now);
+  cs_retry_window_first_try (&forward->service->repeats, now);
+  cs_forward_try (forward, now);
+}
+
+void
+cs_forward_abandon (cs_forward_t *forward)
+{
+  cs_time_us_t now = cs_loop_now (forward->router->loop);
+  forward->router->counters.callers_gone++;
+  log_end (forward, cs_error_name (CS_ERR_CALLER_GONE), 0, now);
+  destroy (forward);
+}
+
+void
+cs_forward_drained (cs_forward_t *forward)
+{
+  if (!forward->paused)
+    return;
+  forward->paused = false;
+  if (forward->connection != NULL)
+    cs_connection_pause (forward->connection, false);
+}
--- /dev/null
+++ b/router/forward/try.c
@@ -0,0 +1,213 @@
+/* The tries of a request: where it is sent, and what follows a failure.  */
+
+#include "common/log.h"
+#include "cranberrystile/retry.h"
+#include "router/forward/internal.h"
+
+/* Tries that found no connection; those cost the targets nothing, but each one
+   costs the caller time.  */
+#define CONNECTS_MOST 3
+
+static bool
+is_repeatable (const cs_forward_t *forward)
+{
+  switch (forward->route->kind)
+    {
+    case CS_ROUTE_SAFE:
+      return true;
+    case CS_ROUTE_STREAMING:
+      return forward->route->resumable;
+    case CS_ROUTE_UNSAFE:
+      break;
+    }
+  return false;
+}
+
+static uint32_t
+milliseconds_left (const cs_forward_t *forward, cs_time_us_t now)
+{
+  if (forward->give_up <= now)
+    return 0;
+  return (uint32_t)((forward->give_up - now) / CS_US_PER_MS);
+}
+
+static void
+remember_tried (cs_forward_t *forward)
+{
+  if (forward->tried_count < CS_CHOICE_AVOID_MOST)
+    forward->tried[forward->tried_count++]
+        = cs_target_reference (forward->target);
+}
+
+/* Whether the request carries a body, be it empty.  */
+static bool
+has_body (const cs_forward_t *forward)
+{
+  return forward->head.has_length || forward->head.chunked;
+}
+
+static int
+send_to_target (cs_forward_t *forward, cs_time_us_t now)
+{
+  cs_router_t *router = forward->router;
+  cs_target_t *target = forward->target;
+  cs_buf_t head = { 0 };
+  cs_target_request_t fields = {
+    .target_id = cs_name_str (&target->id),
+    .deadline_ms = milliseconds_left (forward, now),
+    .priority = -1,
+    .has_body = has_body (forward),
+    .body_len = forward->body.len,
+  };
+  if (forward->organisation != NULL)
+    fields.organisation = forward->organisation->name;
+  if (forward->events.last_id.len > 0)
+    fields.last_event_id = cs_name_str (&forward->events.last_id);
+  int rc = cs_headers_write_request (&forward->head, &fields, &head);
+  if (rc != 0)
+    goto out;
+  cs_connection_request_t request = {
+    .head = cs_buf_str (&head),
+    .body = cs_buf_str (&forward->body),
+    .request_id = forward->request.id,
+    .is_head = cs_str_equal (forward->head.method, cs_str ("HEAD")),
+    .fresh = !is_repeatable (forward),
+  };
+  forward->connection
+      = cs_connection_send (&router->scope, target, &request,
+                            &cs_forward_connection_handlers, forward);
+  if (forward->connection == NULL)
+    rc = CS_ERR_CONNECT;
+out:
+  cs_buf_free (&head);
+  return rc;
+}
+
+void
+cs_forward_try (cs_forward_t *forward, cs_time_us_t now)
+{
+  cs_router_t *router = forward->router;
+  cs_choice_ask_t ask = {
+    .service = cs_name_str (&forward->service->name),
+    .data_centre = cs_str (router->settings.data_centre),
+    .context = forward->route->has_context ? &forward->request.context : NULL,
+    .avoid_count = forward->tried_count,
+  };
+  for (uint32_t i = 0; i < forward->tried_count; i++)
+    ask.avoid[i] = forward->tried[i];
+  int rc = cs_chooser_choose (router->chooser, router->fleet, &ask, now,
+                              &forward->choice);
+  if (rc != 0)
+    {
+      cs_forward_fail (forward, rc, now);
+      return;
+    }
+  forward->target = forward->choice.target;
+  remember_tried (forward);
+  rc = send_to_target (forward, now);
+  if (rc != 0)
+    {
+      cs_forward_try_failed (forward, rc, false, now);
+      return;
+    }
+  forward->target->in_flight++;
+  router->counters.attempts++;
+}
+
+static void
+note_outcome (cs_forward_t *forward, int error, cs_time_us_t now)
+{
+  static cs_eject_policy_t policy;
+  size_t total;
+  uint32_t ejected = 0;
+  uint32_t live = 0;
+  cs_target_t *const *targets
+      = cs_fleet_targets (forward->router->fleet, &total);
+  if (error == CS_ERR_REFUSED)
+    return;
+  if (policy.failures_to_eject == 0)
+    policy = cs_eject_policy_default ();
+  for (size_t i = 0; i < total; i++)
+    {
+      if (!cs_name_equal (&targets[i]->service, &forward->target->service))
+        continue;
+      live++;
+      if (cs_eject_is_ejected (&targets[i]->eject, now))
+        ejected++;
+    }
+  if (cs_eject_failure (&forward->target->eject, &policy, ejected, live, now))
+    cs_log (CS_EV_TARGET_EJECTED, "target=%s error=%s ejected=%u of=%u",
+            forward->target->id.text, cs_error_name (error), ejected + 1,
+            live);
+}
+
+/* Whether another target may get the request after a try that ended with
+   ERROR.  */
+static bool
+may_try_again (cs_forward_t *forward, int error, bool was_sent,
+               cs_time_us_t now)
+{
+  cs_router_t *router = forward->router;
+  if (forward->tried_count == CS_CHOICE_AVOID_MOST
+      || milliseconds_left (forward, now) == 0)
+    return false;
+  /* Only a stream with numbered events can be taken up in its middle.  */
+  if (forward->begun
+      && (!forward->is_events || forward->events.last_id.len == 0))
+    return false;
+  if (!was_sent)
+    return forward->connects < CONNECTS_MOST;
+  if (forward->sends >= forward->route->attempts_most)
+    return false;
+  if (error != CS_ERR_REFUSED && !is_repeatable (forward))
+    return false;
+  if (cs_retry_window_take (&forward->service->repeats, now))
+    {
+      router->counters.repeats++;
+      return true;
+    }
+  router->counters.repeats_denied++;
+  return false;
+}
+
+void
+cs_forward_try_failed (cs_forward_t *forward, int error, bool was_sent,
+                       cs_time_us_t now)
+{
+  if (!was_sent)
+    {
+      error = CS_ERR_CONNECT;
+      forward->connects++;
+    }
+  else
+    {
+      forward->sends++;
+      if (error != CS_ERR_REFUSED)
+        forward->outcome_unknown = true;
+    }
+  note_outcome (forward, error, now);
+  bool again = may_try_again (forward, error, was_sent, now);
+  cs_log (CS_EV_ATTEMPT_FAILED,
+          "id=%.*s target=%s error=%s sent=%d events=%llu next=%s",
+          CS_STR_ARG (forward->request.id), forward->target->id.text,
+          cs_error_name (error), was_sent,
+          (unsigned long long)forward->events.count,
+          again ? "another target" : "give up");
+  if (!again && error == CS_ERR_TARGET_FAILED)
+    {
+      cs_forward_pass_whole (forward, now);
+      return;
+    }
+  if (!again)
+    {
+      cs_forward_fail (forward, error, now);
+      return;
+    }
+  if (forward->begun)
+    forward->router->counters.streams_resumed++;
+  cs_event_stream_cut (&forward->events);
+  cs_buf_clear (&forward->answer_body);
+  if (!forward->begun)
+    cs_buf_clear (&forward->answer_head);
+  cs_forward_try (forward, now);
+}
--- /dev/null
+++ b/router/store/client.c
@@ -0,0 +1,191 @@
+#include "router/store_client.h"
+
+#include <stdlib.h>
+
+#include "http/reader.h"
+#include "net/channel.h"
+
+#define HEAD_BYTES (16U * 1024)
+/* A list holds up to about a megabyte; more is not one of the store's.  */
+#define BODY_BYTES_MOST (8U * 1024 * 1024)
+/* A waiting watch shows no traffic, so the kernel asks whether its peer is
+   there: first after so many seconds, then so many times a second apart.  */
+#define PROBE_IDLE_S 1
+#define PROBE_COUNT 2
+
+struct cs_store_client
+{
+  cs_router_t *router;
+  cs_store_answer_fn *answer;
+  void *context;
+  struct sockaddr_in address;
+  cs_channel_t *channel; /* kept between calls */
+  cs_http_reader_t *reader;
+  cs_buf_t body;
+  cs_timer_t timer;
+  bool busy;
+};
+
+static void
+drop_channel (cs_store_client_t *client)
+{
+  cs_channel_close (client->channel);
+  client->channel = NULL;
+}
+
+/* Ends the call.  STATUS 0: without an answer, on a connection that is not
+   used again.  */
+static void
+end (cs_store_client_t *client, int status)
+{
+  json_t *root = NULL;
+  if (!client->busy)
+    return;
+  client->busy = false;
+  cs_timer_clear (&client->timer);
+  if (status == 200)
+    root = json_loadb (client->body.data, client->body.len, 0, NULL);
+  if (status == 200 && root == NULL)
+    status = 0;
+  if (status != 200)
+    {
+      client->router->counters.store_failures++;
+      drop_channel (client);
+    }
+  cs_buf_free (&client->body);
+  client->answer (client->context, status, root);
+  json_decref (root);
+}
+
+static void
+on_timeout (void *context, cs_time_us_t now)
+{
+  end (context, 0);
+}
+
+static bool
+on_head (void *context, const cs_http_head_t *head)
+{
+  return true;
+}
+
+static void
+on_body (void *context, cs_str_t part)
+{
+  cs_store_client_t *client = context;
+  if (client->body.len + part.len <= BODY_BYTES_MOST)
+    cs_buf_append (&client->body, part);
+}
+
+static const cs_http_handlers_t reader_handlers
+    = { .on_head = on_head, .on_body = on_body };
+
+static void
+on_data (void *context, cs_str_t data)
+{
+  cs_store_client_t *client = context;
+  size_t taken = 0;
+  if (client->busy)
+    taken = cs_http_reader_feed (client->reader, data);
+  cs_http_state_t state = cs_http_reader_state (client->reader);
+  if (!client->busy || state == CS_HTTP_BROKEN)
+    {
+      /* Bytes that answer nothing, or are no answer.  */
+      drop_channel (client);
+      end (client, 0);
+      return;
+    }
+  if (state != CS_HTTP_COMPLETE)
+    return;
+  const cs_http_head_t *head = cs_http_reader_head (client->reader);
+  int status = head->status;
+  if (!head->keep_alive || taken < data.len)
+    drop_channel (client);
+  cs_http_reader_next (client->reader);
+  end (client, status);
+}
+
+static void
+on_end (void *context, int error)
+{
+  cs_store_client_t *client = context;
+  int status = 0;
+  if (error == CS_OK)
+    cs_http_reader_end (client->reader);
+  if (client->busy
+      && cs_http_reader_state (client->reader) == CS_HTTP_COMPLETE)
+    status = cs_http_reader_head (client->reader)->status;
+  drop_channel (client);
+  end (client, status);
+}
+
+static const cs_channel_handlers_t channel_handlers
+    = { .on_data = on_data, .on_end = on_end };
+
+cs_store_client_t *
+cs_store_client_create (cs_router_t *router, cs_store_answer_fn *answer,
+                        void *context)
+{
+  cs_store_client_t *client = calloc (1, sizeof *client);
+  if (client == NULL)
+    return NULL;
+  client->router = router;
+  client->answer = answer;
+  client->context = context;
+  cs_timer_init (&client->timer, router->loop, on_timeout, client);
+  client->reader = cs_http_reader_create (CS_HTTP_RESPONSES, HEAD_BYTES,
+                                          &reader_handlers, client);
+  if (client->reader == NULL
+      || cs_address_parse (cs_str (router->settings.platform),
+                           &client->address)
+             != 0)
+    {
+      cs_store_client_destroy (client);
+      return NULL;
+    }
+  return client;
+}
+
+void
+cs_store_client_destroy (cs_store_client_t *client)
+{
+  if (client == NULL)
+    return;
+  cs_timer_clear (&client->timer);
+  drop_channel (client);
+  cs_http_reader_destroy (client->reader);
+  cs_buf_free (&client->body);
+  free (client);
+}
+
+static void
+open_channel (cs_store_client_t *client)
+{
+  const cs_router_settings_t *settings = &client->router->settings;
+  client->channel = cs_channel_connect (
+      client->router->loop, &client->address,
+      settings->call_timeout_ms * CS_US_PER_MS,
+      settings->unacknowledged_ms * CS_US_PER_MS, &channel_handlers, client);
+  if (client->channel != NULL)
+    cs_channel_probe_peer (client->channel, PROBE_IDLE_S, PROBE_COUNT);
+}
+
+void
+cs_store_client_get (cs_store_client_t *client, cs_str_t path,
+                     cs_time_us_t timeout_us)
+{
+  cs_buf_t request = { 0 };
+  client->busy = true;
+  client->router->counters.store_calls++;
+  cs_timer_set (&client->timer, timeout_us);
+  if (client->channel == NULL)
+    open_channel (client);
+  cs_http_reader_next (client->reader);
+  /* Without a connection the timer ends the call.  */
+  if (client->channel != NULL
+      && cs_buf_printf (&request, "GET %.*s HTTP/1.1\r\nHost: %s\r\n\r\n",
+                        CS_STR_ARG (path), client->router->settings.platform)
+             == 0)
+    cs_channel_send (client->channel, cs_buf_str (&request));
+  cs_buf_free (&request);
+}
--- /dev/null
+++ b/router/store/follower.c
@@ -0,0 +1,217 @@
+#include "router/follower.h"
+
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "router/store_client.h"
+
+/* Pause after a failed call; doubled up to the most, and spread at random so
+   that routers do not return together.  */
+#define PAUSE_FIRST_MS 100
+#define PAUSE_MOST_MS 800
+/* A watch may be answered this much after its wait.  */
+#define WATCH_SLACK_MS 1000
+
+#define STATUS_GONE 410
+
+struct cs_follower
+{
+  cs_router_t *router;
+  cs_store_kind_t kind;
+  cs_follower_handlers_t handlers;
+  cs_store_client_t *client;
+  cs_timer_t timer; /* to the next call */
+  bool listing;
+  bool list_begun;
+  cs_name_t after; /* last name of the page before */
+  uint64_t revision;
+  uint32_t failures;    /* in a row */
+  bool lost;            /* since the last good answer */
+  cs_time_us_t back_at; /* end of the last outage; 0: none yet */
+};
+
+static void
+call (void *context, cs_time_us_t now)
+{
+  cs_follower_t *follower = context;
+  const cs_router_settings_t *settings = &follower->router->settings;
+  cs_buf_t path = { 0 };
+  uint32_t timeout_ms = settings->call_timeout_ms;
+  int rc;
+  if (follower->listing)
+    rc = cs_store_list_path (follower->kind, cs_name_str (&follower->after),
+                             &path);
+  else
+    {
+      rc = cs_store_watch_path (follower->kind, follower->revision,
+                                settings->watch_ms, &path);
+      timeout_ms = settings->watch_ms + WATCH_SLACK_MS;
+    }
+  if (rc == 0)
+    cs_store_client_get (follower->client, cs_buf_str (&path),
+                         timeout_ms * CS_US_PER_MS);
+  else
+    cs_timer_set (&follower->timer, PAUSE_MOST_MS * CS_US_PER_MS);
+  cs_buf_free (&path);
+}
+
+static void
+restart_list (cs_follower_t *follower)
+{
+  follower->listing = true;
+  follower->list_begun = false;
+  follower->after.len = 0;
+}
+
+static void
+fail (cs_follower_t *follower, int status)
+{
+  uint32_t pause_ms = PAUSE_FIRST_MS
+                      << (follower->failures < 3 ? follower->failures : 3);
+  double spread = 0.5 + cs_random_unit (&follower->router->random);
+  if (pause_ms > PAUSE_MOST_MS)
+    pause_ms = PAUSE_MOST_MS;
+  follower->failures++;
+  if (!follower->lost)
+    cs_log (CS_EV_PLATFORM_LOST, "kind=%s status=%d",
+            cs_store_kind_name (follower->kind), status);
+  follower->lost = true;
+  if (follower->listing)
+    restart_list (follower);
+  cs_timer_set (&follower->timer,
+                (cs_time_us_t)(pause_ms * spread * CS_US_PER_MS));
+}
+
+static void
+note_answer (cs_follower_t *follower, cs_time_us_t now)
+{
+  follower->failures = 0;
+  if (!follower->lost)
+    return;
+  follower->lost = false;
+  follower->back_at = now;
+  cs_log (CS_EV_PLATFORM_BACK, "kind=%s revision=%llu",
+          cs_store_kind_name (follower->kind),
+          (unsigned long long)follower->revision);
+}
+
+static bool
+is_lapsing (const cs_follower_t *follower, cs_time_us_t now)
+{
+  cs_time_us_t lapse = follower->router->settings.lapse_ms * CS_US_PER_MS;
+  return follower->back_at != 0 && now - follower->back_at < lapse;
+}
+
+static void
+take_items (cs_follower_t *follower, const cs_store_page_t *page,
+            cs_time_us_t now)
+{
+  cs_store_object_t object = { { NULL, 0 }, 0, NULL, false };
+  size_t at;
+  const json_t *item;
+  bool lapsing = is_lapsing (follower, now);
+  json_array_foreach (page->items, at, item)
+  {
+    if (cs_store_read_object (item, !follower->listing, &object) != 0)
+      continue;
+    follower->handlers.on_object (follower->router, &object, lapsing, now);
+  }
+  if (follower->listing && object.name.len > 0)
+    cs_name_set (&follower->after, object.name);
+}
+
+static void
+take_list (cs_follower_t *follower, const cs_store_page_t *page,
+           cs_time_us_t now)
+{
+  if (!follower->list_begun)
+    {
+      follower->list_begun = true;
+      /* Changes since the first page come again as changes.  */
+      follower->revision = page->revision;
+      follower->handlers.on_list_begin (follower->router);
+    }
+  take_items (follower, page, now);
+  if (page->truncated)
+    {
+      call (follower, now);
+      return;
+    }
+  follower->listing = false;
+  follower->handlers.on_list_end (follower->router, is_lapsing (follower, now),
+                                  now);
+  call (follower, now);
+}
+
+static void
+take_watch (cs_follower_t *follower, const cs_store_page_t *page,
+            cs_time_us_t now)
+{
+  take_items (follower, page, now);
+  follower->revision = page->revision;
+  if (json_array_size (page->items) == 0)
+    call (follower, now);
+  else
+    cs_timer_set (&follower->timer,
+                  follower->router->settings.coalesce_ms * CS_US_PER_MS);
+}
+
+static void
+on_answer (void *context, int status, const json_t *body)
+{
+  cs_follower_t *follower = context;
+  cs_time_us_t now = cs_loop_now (follower->router->loop);
+  cs_store_page_t page;
+  if (status == STATUS_GONE && !follower->listing)
+    {
+      note_answer (follower, now);
+      restart_list (follower);
+      call (follower, now);
+      return;
+    }
+  int rc = status != 200       ? CS_ERR_PLATFORM_DOWN
+           : follower->listing ? cs_store_read_list (body, &page)
+                               : cs_store_read_watch (body, &page);
+  if (rc != 0)
+    {
+      fail (follower, status);
+      return;
+    }
+  note_answer (follower, now);
+  if (follower->listing)
+    take_list (follower, &page, now);
+  else
+    take_watch (follower, &page, now);
+}
+
+cs_follower_t *
+cs_follower_create (cs_router_t *router, cs_store_kind_t kind,
+                    const cs_follower_handlers_t *handlers)
+{
+  cs_follower_t *follower = calloc (1, sizeof *follower);
+  if (follower == NULL)
+    return NULL;
+  follower->router = router;
+  follower->kind = kind;
+  follower->handlers = *handlers;
+  cs_timer_init (&follower->timer, router->loop, call, follower);
+  restart_list (follower);
+  follower->client = cs_store_client_create (router, on_answer, follower);
+  if (follower->client == NULL)
+    {
+      free (follower);
+      return NULL;
+    }
+  call (follower, cs_loop_now (router->loop));
+  return follower;
+}
+
+void
+cs_follower_destroy (cs_follower_t *follower)
+{
+  if (follower == NULL)
+    return;
+  cs_timer_clear (&follower->timer);
+  cs_store_client_destroy (follower->client);
+  free (follower);
+}
--- /dev/null
+++ b/router/store/targets.c
@@ -0,0 +1,57 @@
+/* Takes in the list of targets.  */
+
+#include "common/log.h"
+#include "router/follower.h"
+
+static void
+on_list_begin (cs_router_t *router)
+{
+  cs_fleet_list_begin (router->fleet);
+}
+
+static void
+on_list_end (cs_router_t *router, bool lapsing, cs_time_us_t now)
+{
+  cs_fleet_list_end (router->fleet, lapsing, now);
+  router->fleet_known = true;
+}
+
+static void
+on_object (cs_router_t *router, const cs_store_object_t *object, bool lapsing,
+           cs_time_us_t now)
+{
+  cs_target_entry_t entry;
+  bool added;
+  if (object->deleted)
+    {
+      bool known = cs_fleet_remove (router->fleet, object->name, lapsing, now);
+      if (known && lapsing)
+        cs_log (CS_EV_TARGET_MISSING, "target=%.*s revision=%llu",
+                CS_STR_ARG (object->name),
+                (unsigned long long)object->revision);
+      return;
+    }
+  /* Other writers' entries name no target; the log would repeat them at each
+     list.  */
+  if (cs_store_read_target (object, &entry) != 0)
+    return;
+  if (cs_fleet_put (router->fleet, &entry, &added) != 0)
+    cs_log (CS_EV_TARGET_GONE, "target=%.*s reason=\"no memory\"",
+            CS_STR_ARG (entry.id));
+  else if (added)
+    cs_log (CS_EV_TARGET_LISTED,
+            "target=%.*s service=%.*s data_centre=%.*s slots=%u started=%llu "
+            "revision=%llu",
+            CS_STR_ARG (entry.id), CS_STR_ARG (entry.service),
+            CS_STR_ARG (entry.data_centre), entry.slots,
+            (unsigned long long)entry.started_ms,
+            (unsigned long long)object->revision);
+  else if (entry.draining)
+    cs_log (CS_EV_TARGET_LEAVING, "target=%.*s revision=%llu",
+            CS_STR_ARG (entry.id), (unsigned long long)object->revision);
+}
+
+const cs_follower_handlers_t cs_follow_targets
+    = { .on_list_begin = on_list_begin,
+        .on_list_end = on_list_end,
+        .on_object = on_object };
--- a/tests/scenarios/main.c
+++ b/tests/scenarios/main.c
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 
 #include "common/hash.h"
+#include "common/sha256.h"
 
 /* Sorted by name.  */
 static const verb_t verbs[] = {
--- a/tests/unit/input_test.cc
+++ b/tests/unit/input_test.cc
@@ -10,6 +10,7 @@
 
 extern "C"
 {
+#include "api/release_store.h"
 #include "common/event.h"
 #include "common/hash.h"
 #include "cranberrystile/claim.h"
@@ -19,7 +20,6 @@
 #include "daemon/prompt.h"
 #include "daemon/settings.h"
 #include "daemon/target_call.h"
-#include "platform/release_store.h"
 }
 
 static const int ROUNDS = 10000;
