Give each watch 1.5 s and a time-out of its own

Ruled out: a slow start of restarted hosts; the log shows the watch waiting.

Change: watches wait 1.5 s and are given up 0.5 s later.

--- a/router/settings.c
+++ b/router/settings.c
@@ -20,7 +20,7 @@
   { "platform", "lapse_ms", CS_SETTING_NUMBER, AT (lapse_ms), 0, 60000,
     "2200" },
   { "platform", "watch_ms", CS_SETTING_NUMBER, AT (watch_ms), 100, 30000,
-    "10000" },
+    "1500" },
   { "retry", "ratio", CS_SETTING_FRACTION, AT (retry_ratio), 0, 1, "0.1" },
   { "retry", "window_s", CS_SETTING_NUMBER, AT (retry_window_s), 1, 3600,
     "10" },
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -10,7 +10,7 @@
 #define PAUSE_FIRST_MS 100
 #define PAUSE_MOST_MS 800
 /* A watch may be answered this much after its wait.  */
-#define WATCH_SLACK_MS 1000
+#define WATCH_SLACK_MS 500
 
 #define STATUS_GONE 410
 
