Keep a removed target no longer than lapsed entries may come back

Ruled out: slow watches; the log shows the removal seen after 0.25 s.

Change: the fleet is told until when lapsed entries may be back, counted from the end of the outage, and drops what is missing then. Test: Fleet, ARemovalLateInTheLapseIsNotKeptLonger.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -123,7 +123,7 @@
         return CS_OK;
       if (is_same_incarnation (target, entry))
         {
-          target->missing_since = 0;
+          target->kept_until = 0;
           target->slots = entry->slots;
           /* One way: an incarnation that leaves does not come back.  */
           target->leaving = target->leaving || entry->draining;
@@ -136,23 +136,24 @@
 }
 
 static void
-remove_at (cs_fleet_t *fleet, size_t at, bool lapsing, cs_time_us_t now)
+remove_at (cs_fleet_t *fleet, size_t at, cs_time_us_t kept_until,
+           cs_time_us_t now)
 {
   cs_target_t *target = fleet->targets[at];
-  if (!lapsing)
+  if (kept_until <= now)
     drop_at (fleet, at);
-  else if (target->missing_since == 0)
-    target->missing_since = now;
+  else if (target->kept_until == 0)
+    target->kept_until = kept_until;
 }
 
 bool
-cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, bool lapsing,
+cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, cs_time_us_t kept_until,
                  cs_time_us_t now)
 {
   size_t at = find (fleet, id);
   if (at == fleet->count)
     return false;
-  remove_at (fleet, at, lapsing, now);
+  remove_at (fleet, at, kept_until, now);
   return true;
 }
 
@@ -164,21 +165,21 @@
 }
 
 void
-cs_fleet_list_end (cs_fleet_t *fleet, bool lapsing, cs_time_us_t now)
+cs_fleet_list_end (cs_fleet_t *fleet, cs_time_us_t kept_until,
+                   cs_time_us_t now)
 {
   for (size_t i = fleet->count; i-- > 0;)
     if (!fleet->listed[i])
-      remove_at (fleet, i, lapsing, now);
+      remove_at (fleet, i, kept_until, now);
 }
 
 void
-cs_fleet_drop_missing (cs_fleet_t *fleet, cs_time_us_t after_us,
-                       cs_time_us_t now)
+cs_fleet_drop_missing (cs_fleet_t *fleet, cs_time_us_t now)
 {
   for (size_t i = fleet->count; i-- > 0;)
     {
-      cs_time_us_t since = fleet->targets[i]->missing_since;
-      if (since != 0 && now - since >= after_us)
+      cs_time_us_t until = fleet->targets[i]->kept_until;
+      if (until != 0 && until <= now)
         drop_at (fleet, i);
     }
 }
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -47,8 +47,9 @@
   struct sockaddr_in address;
   uint64_t started_ms;
   uint32_t slots;
-  bool leaving;               /* for good: it gets no new call */
-  cs_time_us_t missing_since; /* not listed since a lapse; 0: listed */
+  bool leaving;            /* for good: it gets no new call */
+  cs_time_us_t kept_until; /* not listed, but may have lapsed while the
+                              platform was away; 0: listed */
   cs_target_load_t load;
   uint32_t in_flight; /* calls of this router */
   cs_eject_t eject;
@@ -70,20 +71,21 @@
 int cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry,
                   bool *added);
 
-/* The entry ID has been removed.  While LAPSING (the platform was away, so
-   that live targets may have lapsed) it is only noted as missing; else the
-   target gets no new calls.  Returns whether it was known.  */
-bool cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, bool lapsing,
+/* The entry ID has been removed.  Until KEPT_UNTIL entries of live targets may
+   come back that lapsed while the platform was away, so the target stays in
+   use until then; when that is past it gets no new calls from now on.  Returns
+   whether it was known.  */
+bool cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, cs_time_us_t kept_until,
                       cs_time_us_t now);
 
 /* Before a whole list is taken in, and after: what the list did not name is
    removed as above.  */
 void cs_fleet_list_begin (cs_fleet_t *fleet);
-void cs_fleet_list_end (cs_fleet_t *fleet, bool lapsing, cs_time_us_t now);
+void cs_fleet_list_end (cs_fleet_t *fleet, cs_time_us_t kept_until,
+                        cs_time_us_t now);
 
-/* Drops targets that have been missing for longer than AFTER_US.  */
-void cs_fleet_drop_missing (cs_fleet_t *fleet, cs_time_us_t after_us,
-                            cs_time_us_t now);
+/* Drops the targets that did not come back in their time.  */
+void cs_fleet_drop_missing (cs_fleet_t *fleet, cs_time_us_t now);
 
 /* All targets, in no order.  */
 cs_target_t *const *cs_fleet_targets (const cs_fleet_t *fleet, size_t *count);
--- a/include/router/follower.h
+++ b/include/router/follower.h
@@ -13,11 +13,12 @@
 {
   /* A whole list begins, and ends; its objects come in between.  */
   void (*on_list_begin) (cs_router_t *router);
-  void (*on_list_end) (cs_router_t *router, bool lapsing, cs_time_us_t now);
-  /* An object of the list, or a change.  LAPSING: the store was away so
-     recently that a deletion may be one that comes back.  */
+  void (*on_list_end) (cs_router_t *router, cs_time_us_t kept_until,
+                       cs_time_us_t now);
+  /* An object of the list, or a change.  KEPT_UNTIL: when entries that lapsed
+     during the last outage are back.  */
   void (*on_object) (cs_router_t *router, const cs_store_object_t *object,
-                     bool lapsing, cs_time_us_t now);
+                     cs_time_us_t kept_until, cs_time_us_t now);
 } cs_follower_handlers_t;
 
 cs_follower_t *cs_follower_create (cs_router_t *router, cs_store_kind_t kind,
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -141,8 +141,7 @@
 sweep_targets (cs_router_t *router, cs_time_us_t now)
 {
   size_t count;
-  cs_fleet_drop_missing (router->fleet,
-                         router->settings.lapse_ms * CS_US_PER_MS, now);
+  cs_fleet_drop_missing (router->fleet, now);
   cs_target_t *const *targets = cs_fleet_targets (router->fleet, &count);
   for (size_t i = 0; i < count; i++)
     cs_connections_sweep (targets[i], false, now);
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -95,11 +95,15 @@
           (unsigned long long)follower->revision);
 }
 
-static bool
-is_lapsing (const cs_follower_t *follower, cs_time_us_t now)
+/* When what lapsed during the last outage has come back; 0 before the first.
+ */
+static cs_time_us_t
+kept_until (const cs_follower_t *follower)
 {
-  cs_time_us_t lapse = follower->router->settings.lapse_ms * CS_US_PER_MS;
-  return follower->back_at != 0 && now - follower->back_at < lapse;
+  if (follower->back_at == 0)
+    return 0;
+  return follower->back_at
+         + follower->router->settings.lapse_ms * CS_US_PER_MS;
 }
 
 static void
@@ -109,12 +113,12 @@
   cs_store_object_t object = { { NULL, 0 }, 0, NULL, false };
   size_t at;
   const json_t *item;
-  bool lapsing = is_lapsing (follower, now);
+  cs_time_us_t until = kept_until (follower);
   json_array_foreach (page->items, at, item)
   {
     if (cs_store_read_object (item, !follower->listing, &object) != 0)
       continue;
-    follower->handlers.on_object (follower->router, &object, lapsing, now);
+    follower->handlers.on_object (follower->router, &object, until, now);
   }
   if (follower->listing && object.name.len > 0)
     cs_name_set (&follower->after, object.name);
@@ -138,7 +142,7 @@
       return;
     }
   follower->listing = false;
-  follower->handlers.on_list_end (follower->router, is_lapsing (follower, now),
+  follower->handlers.on_list_end (follower->router, kept_until (follower),
                                   now);
   call (follower, now);
 }
--- a/router/store/routing.c
+++ b/router/store/routing.c
@@ -10,13 +10,13 @@
 }
 
 static void
-ignore_end (cs_router_t *router, bool lapsing, cs_time_us_t now)
+ignore_end (cs_router_t *router, cs_time_us_t kept_until, cs_time_us_t now)
 {
 }
 
 static void
-on_object (cs_router_t *router, const cs_store_object_t *object, bool lapsing,
-           cs_time_us_t now)
+on_object (cs_router_t *router, const cs_store_object_t *object,
+           cs_time_us_t kept_until, cs_time_us_t now)
 {
   cs_routing_t *routing = NULL;
   cs_buf_t reason = { 0 };
--- a/router/store/targets.c
+++ b/router/store/targets.c
@@ -10,22 +10,23 @@
 }
 
 static void
-on_list_end (cs_router_t *router, bool lapsing, cs_time_us_t now)
+on_list_end (cs_router_t *router, cs_time_us_t kept_until, cs_time_us_t now)
 {
-  cs_fleet_list_end (router->fleet, lapsing, now);
+  cs_fleet_list_end (router->fleet, kept_until, now);
   router->fleet_known = true;
 }
 
 static void
-on_object (cs_router_t *router, const cs_store_object_t *object, bool lapsing,
-           cs_time_us_t now)
+on_object (cs_router_t *router, const cs_store_object_t *object,
+           cs_time_us_t kept_until, cs_time_us_t now)
 {
   cs_target_entry_t entry;
   bool added;
   if (object->deleted)
     {
-      bool known = cs_fleet_remove (router->fleet, object->name, lapsing, now);
-      if (known && lapsing)
+      bool known
+          = cs_fleet_remove (router->fleet, object->name, kept_until, now);
+      if (known && kept_until > now)
         cs_log (CS_EV_TARGET_MISSING, "target=%.*s revision=%llu",
                 CS_STR_ARG (object->name),
                 (unsigned long long)object->revision);
--- /dev/null
+++ b/tests/unit/fleet_test.cc
@@ -0,0 +1,260 @@
+// The table of targets, and what decides by it.
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/error.h"
+#include "cranberrystile/chooser.h"
+#include "cranberrystile/fleet.h"
+#include "cranberrystile/retry_window.h"
+}
+
+namespace
+{
+
+const cs_time_us_t SECOND = CS_US_PER_S;
+
+void
+count_gone (void *context, cs_target_t *target)
+{
+  ++*static_cast<int *> (context);
+}
+
+class Fleet : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    fleet = cs_fleet_create (count_gone, &gone);
+  }
+
+  void
+  TearDown () override
+  {
+    cs_fleet_destroy (fleet);
+  }
+
+  bool
+  put (const char *id, uint64_t started_ms = 1, bool draining = false,
+       const char *data_centre = "a")
+  {
+    cs_target_entry_t entry = {};
+    bool added = false;
+    entry.id = cs_str (id);
+    entry.service = cs_str ("engines");
+    entry.data_centre = cs_str (data_centre);
+    entry.address.sin_port = 80;
+    entry.started_ms = started_ms;
+    entry.slots = 8;
+    entry.draining = draining;
+    EXPECT_EQ (cs_fleet_put (fleet, &entry, &added), CS_OK);
+    return added;
+  }
+
+  cs_target_t *
+  find (const char *id)
+  {
+    size_t count;
+    cs_target_t *const *targets = cs_fleet_targets (fleet, &count);
+    for (size_t i = 0; i < count; i++)
+      if (std::string (targets[i]->id.text) == id)
+        return targets[i];
+    return nullptr;
+  }
+
+  int gone = 0;
+  cs_fleet_t *fleet = nullptr;
+};
+
+TEST_F (Fleet, LeavingIsForGood)
+{
+  put ("t");
+  put ("t", 1, true);
+  put ("t", 1, false);
+  EXPECT_TRUE (find ("t")->leaving);
+}
+
+TEST_F (Fleet, ALaterStartIsAnotherIncarnation)
+{
+  put ("t", 5, true);
+  EXPECT_FALSE (put ("t", 4)) << "an older start is stale news";
+  EXPECT_TRUE (find ("t")->leaving);
+  EXPECT_TRUE (put ("t", 6));
+  EXPECT_FALSE (find ("t")->leaving);
+  EXPECT_EQ (gone, 1);
+}
+
+TEST_F (Fleet, RemovedTargetsAreGoneAtOnce)
+{
+  put ("t");
+  EXPECT_TRUE (cs_fleet_remove (fleet, cs_str ("t"), 0, SECOND));
+  EXPECT_FALSE (cs_fleet_remove (fleet, cs_str ("t"), 0, SECOND));
+  EXPECT_EQ (find ("t"), nullptr);
+}
+
+TEST_F (Fleet, LapsedTargetsStayUntilTheyMayBeBack)
+{
+  put ("t");
+  put ("u");
+  cs_fleet_remove (fleet, cs_str ("t"), 12 * SECOND, 10 * SECOND);
+  cs_fleet_remove (fleet, cs_str ("u"), 12 * SECOND, 10 * SECOND);
+  cs_fleet_drop_missing (fleet, 11 * SECOND);
+  ASSERT_NE (find ("t"), nullptr);
+  put ("u");
+  cs_fleet_drop_missing (fleet, 12 * SECOND);
+  EXPECT_EQ (find ("t"), nullptr);
+  EXPECT_NE (find ("u"), nullptr);
+}
+
+// A target that leaves just after an outage was kept for the whole lapse time
+// anew, and got calls for more than two seconds after it had left.
+TEST_F (Fleet, ARemovalLateInTheLapseIsNotKeptLonger)
+{
+  put ("t");
+  cs_fleet_remove (fleet, cs_str ("t"), 12 * SECOND, 12 * SECOND - 1);
+  cs_fleet_drop_missing (fleet, 12 * SECOND);
+  EXPECT_EQ (find ("t"), nullptr);
+}
+
+TEST_F (Fleet, AListReplacesWhatItDoesNotName)
+{
+  put ("t");
+  put ("u");
+  cs_fleet_list_begin (fleet);
+  put ("u");
+  cs_fleet_list_end (fleet, 0, SECOND);
+  EXPECT_EQ (find ("t"), nullptr);
+  EXPECT_NE (find ("u"), nullptr);
+}
+
+TEST_F (Fleet, AReferencedTargetOutlivesItsEntry)
+{
+  put ("t");
+  cs_target_t *target = cs_target_reference (find ("t"));
+  cs_fleet_remove (fleet, cs_str ("t"), 0, SECOND);
+  EXPECT_TRUE (target->leaving);
+  cs_target_release (target);
+}
+
+TEST_F (Fleet, TheEstimateMovesOnWithOwnCalls)
+{
+  put ("t");
+  cs_target_t *target = find ("t");
+  target->in_flight = 3;
+  EXPECT_EQ (cs_target_estimate (target), 3U);
+  target->load.known = true;
+  target->load.running = 5;
+  target->load.waiting = 2;
+  target->load.own = 3;
+  EXPECT_EQ (cs_target_estimate (target), 7U);
+  target->in_flight = 1;
+  EXPECT_EQ (cs_target_estimate (target), 5U);
+  target->load.running = 0;
+  target->load.waiting = 0;
+  EXPECT_EQ (cs_target_estimate (target), 1U);
+}
+
+class Chooser : public Fleet
+{
+protected:
+  void
+  SetUp () override
+  {
+    Fleet::SetUp ();
+    cs_choice_policy_t policy = cs_choice_policy_default ();
+    chooser = cs_chooser_create (&policy, 7);
+    ask.service = cs_str ("engines");
+    ask.data_centre = cs_str ("a");
+  }
+
+  void
+  TearDown () override
+  {
+    cs_chooser_destroy (chooser);
+    Fleet::TearDown ();
+  }
+
+  cs_target_t *
+  choose ()
+  {
+    cs_choice_t choice;
+    if (cs_chooser_choose (chooser, fleet, &ask, SECOND, &choice) != CS_OK)
+      return nullptr;
+    why = choice.why;
+    return choice.target;
+  }
+
+  cs_chooser_t *chooser = nullptr;
+  cs_choice_ask_t ask = {};
+  cs_choice_why_t why = CS_CHOICE_LEAST;
+};
+
+TEST_F (Chooser, NoTargetIsAnError)
+{
+  cs_choice_t choice;
+  EXPECT_EQ (cs_chooser_choose (chooser, fleet, &ask, SECOND, &choice),
+             CS_ERR_NO_TARGET);
+  put ("t", 1, true);
+  EXPECT_EQ (choose (), nullptr) << "a leaving target gets no call";
+}
+
+TEST_F (Chooser, TheSameContextGoesHome)
+{
+  cs_prompt_context_t context = {};
+  for (int i = 0; i < 8; i++)
+    put (("t" + std::to_string (i)).c_str ());
+  context.count = 1;
+  context.chain[0] = 42;
+  ask.context = &context;
+  cs_target_t *home = choose ();
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (choose (), home);
+  EXPECT_EQ (why, CS_CHOICE_HOME);
+  home->in_flight = 50;
+  EXPECT_NE (choose (), home) << "a home over its threshold";
+}
+
+TEST_F (Chooser, TheOwnDataCentreWinsTies)
+{
+  put ("far", 1, false, "b");
+  put ("near", 1, false, "a");
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (choose (), find ("near"));
+  find ("near")->in_flight = 5;
+  EXPECT_EQ (choose (), find ("far"));
+}
+
+TEST_F (Chooser, TriedAndEjectedTargetsAreAvoided)
+{
+  put ("t");
+  put ("u");
+  ask.avoid[0] = find ("t");
+  ask.avoid_count = 1;
+  EXPECT_EQ (choose (), find ("u"));
+  find ("u")->eject.ejected_until = 9 * SECOND;
+  EXPECT_EQ (choose (), find ("u")) << "better an ejected one than none";
+  EXPECT_EQ (why, CS_CHOICE_LAST);
+}
+
+TEST (RetryWindow, RepeatsStayUnderTheRatioOfFirstTries)
+{
+  cs_retry_window_t window;
+  cs_retry_window_init (&window, 0.2, 10 * SECOND);
+  EXPECT_FALSE (cs_retry_window_take (&window, SECOND));
+  for (int i = 0; i < 10; i++)
+    cs_retry_window_first_try (&window, SECOND);
+  EXPECT_TRUE (cs_retry_window_take (&window, SECOND));
+  EXPECT_TRUE (cs_retry_window_take (&window, 2 * SECOND));
+  EXPECT_FALSE (cs_retry_window_take (&window, 3 * SECOND));
+  // The window has slid past the first tries.
+  EXPECT_FALSE (cs_retry_window_take (&window, 12 * SECOND));
+  for (int i = 0; i < 5; i++)
+    cs_retry_window_first_try (&window, 40 * SECOND);
+  EXPECT_TRUE (cs_retry_window_take (&window, 40 * SECOND));
+}
+
+}
