Count a removal after an outage at once, and bound how long a lapse is assumed

Ruled out: a missed change; the log has the removal 0.1 s after it happened.

Change: cs_outage_t decides. What is found missing within 0.5 s of the first answer may have lapsed and is kept until lapse_ms after that answer, or settle_ms after the last sign of the outage, whichever is earlier; later removals count at once. Tests: Outage, four cases.

--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -24,8 +24,10 @@
   uint32_t coalesce_ms; /* pause between two watches, so that a burst of
                            changes is one call */
   uint32_t call_timeout_ms;
-  uint32_t lapse_ms; /* targets that lapsed during an outage may be back this
-                        long after it */
+  uint32_t lapse_ms;  /* targets that lapsed during an outage are back this
+                         long after it */
+  uint32_t settle_ms; /* a target that left is out of use this long after an
+                         outage */
   /* [retry] */
   double retry_ratio; /* repeats per first try, all routers together */
   uint32_t retry_window_s;
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -3,12 +3,13 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "cranberrystile/outage.h"
 #include "router/store_client.h"
 
 /* Pause after a failed call; doubled up to the most, and spread at random so
    that routers do not return together.  */
 #define PAUSE_FIRST_MS 100
-#define PAUSE_MOST_MS 800
+#define PAUSE_MOST_MS 500
 /* A watch may be answered this much after its wait.  */
 #define WATCH_SLACK_MS 500
 
@@ -26,8 +27,8 @@
   cs_name_t after; /* last name of the page before */
   uint64_t revision;
   uint32_t failures;    /* in a row */
-  bool lost;            /* since the last good answer */
-  cs_time_us_t back_at; /* end of the last outage; 0: none yet */
+  cs_time_us_t called_at;
+  cs_outage_t outage;
 };
 
 static void
@@ -38,6 +39,7 @@
   cs_buf_t path = { 0 };
   uint32_t timeout_ms = settings->call_timeout_ms;
   int rc;
+  follower->called_at = now;
   if (follower->listing)
     rc = cs_store_list_path (follower->kind, cs_name_str (&follower->after),
                              &path);
@@ -64,7 +66,7 @@
 }
 
 static void
-fail (cs_follower_t *follower, int status)
+fail (cs_follower_t *follower, int status, cs_time_us_t now)
 {
   uint32_t pause_ms = PAUSE_FIRST_MS
                       << (follower->failures < 3 ? follower->failures : 3);
@@ -72,10 +74,10 @@
   if (pause_ms > PAUSE_MOST_MS)
     pause_ms = PAUSE_MOST_MS;
   follower->failures++;
-  if (!follower->lost)
+  if (cs_outage_failed (&follower->outage,
+                        status == 0 ? follower->called_at : now))
     cs_log (CS_EV_PLATFORM_LOST, "kind=%s status=%d",
             cs_store_kind_name (follower->kind), status);
-  follower->lost = true;
   if (follower->listing)
     restart_list (follower);
   cs_timer_set (&follower->timer,
@@ -86,24 +88,20 @@
 note_answer (cs_follower_t *follower, cs_time_us_t now)
 {
   follower->failures = 0;
-  if (!follower->lost)
-    return;
-  follower->lost = false;
-  follower->back_at = now;
-  cs_log (CS_EV_PLATFORM_BACK, "kind=%s revision=%llu",
+  if (cs_outage_answered (&follower->outage, now))
+    cs_log (CS_EV_PLATFORM_BACK, "kind=%s revision=%llu",
           cs_store_kind_name (follower->kind),
           (unsigned long long)follower->revision);
 }
 
-/* When what lapsed during the last outage has come back; 0 before the first.
- */
 static cs_time_us_t
-kept_until (const cs_follower_t *follower)
+kept_until (const cs_follower_t *follower, cs_time_us_t now)
 {
-  if (follower->back_at == 0)
-    return 0;
-  return follower->back_at
-         + follower->router->settings.lapse_ms * CS_US_PER_MS;
+  const cs_router_settings_t *settings = &follower->router->settings;
+  cs_outage_policy_t policy
+      = { .lapse_us = settings->lapse_ms * CS_US_PER_MS,
+          .settle_us = settings->settle_ms * CS_US_PER_MS };
+  return cs_outage_kept_until (&follower->outage, &policy, now);
 }
 
 static void
@@ -113,7 +111,7 @@
   cs_store_object_t object = { { NULL, 0 }, 0, NULL, false };
   size_t at;
   const json_t *item;
-  cs_time_us_t until = kept_until (follower);
+  cs_time_us_t until = kept_until (follower, now);
   json_array_foreach (page->items, at, item)
   {
     if (cs_store_read_object (item, !follower->listing, &object) != 0)
@@ -142,7 +140,8 @@
       return;
     }
   follower->listing = false;
-  follower->handlers.on_list_end (follower->router, kept_until (follower),
+  follower->handlers.on_list_end (follower->router,
+                                  kept_until (follower, now),
                                   now);
   call (follower, now);
 }
@@ -178,7 +177,7 @@
                                : cs_store_read_watch (body, &page);
   if (rc != 0)
     {
-      fail (follower, status);
+      fail (follower, status, now);
       return;
     }
   note_answer (follower, now);
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -9,6 +9,7 @@
 #include "common/error.h"
 #include "cranberrystile/chooser.h"
 #include "cranberrystile/fleet.h"
+#include "cranberrystile/outage.h"
 #include "cranberrystile/retry_window.h"
 }
 
@@ -158,6 +159,45 @@
   EXPECT_EQ (cs_target_estimate (target), 1U);
 }
 
+const cs_outage_policy_t OUTAGE = { 2200 * CS_US_PER_MS, 2700 * CS_US_PER_MS };
+
+TEST (Outage, WithoutOneARemovalCountsAtOnce)
+{
+  cs_outage_t outage = {};
+  EXPECT_FALSE (cs_outage_answered (&outage, SECOND));
+  EXPECT_EQ (cs_outage_kept_until (&outage, &OUTAGE, 2 * SECOND), 0U);
+}
+
+TEST (Outage, WhatVanishedMeanwhileIsKept)
+{
+  cs_outage_t outage = {};
+  EXPECT_TRUE (cs_outage_failed (&outage, 10 * SECOND));
+  EXPECT_FALSE (cs_outage_failed (&outage, 20 * SECOND));
+  EXPECT_TRUE (cs_outage_answered (&outage, 20 * SECOND + 100));
+  EXPECT_EQ (cs_outage_kept_until (&outage, &OUTAGE, 20 * SECOND + 100),
+             20 * SECOND + 100 + OUTAGE.lapse_us);
+}
+
+// A target that left during an outage of one router's calls got requests 2.5 s
+// after its removal: the time was counted from the first answer, long after
+// the outage had ended.
+TEST (Outage, ALateFirstAnswerDoesNotKeepALeftTargetLonger)
+{
+  cs_outage_t outage = {};
+  cs_outage_failed (&outage, 20 * SECOND);
+  cs_outage_answered (&outage, 22 * SECOND);
+  EXPECT_EQ (cs_outage_kept_until (&outage, &OUTAGE, 22 * SECOND),
+             20 * SECOND + OUTAGE.settle_us);
+}
+
+TEST (Outage, ARemovalAfterItCountsAtOnce)
+{
+  cs_outage_t outage = {};
+  cs_outage_failed (&outage, 20 * SECOND);
+  cs_outage_answered (&outage, 20 * SECOND);
+  EXPECT_EQ (cs_outage_kept_until (&outage, &OUTAGE, 21 * SECOND), 0U);
+}
+
 class Chooser : public Fleet
 {
 protected:
