Leave targets at once that take no connection or fall silent

Ruled out: overload; the engines were a tenth busy.

Change: connections are given up after 150 ms, a target without one is ejected at once, a stream that stops for half a second (or 1.5 times its pause) or a request on a wholly silent target is taken for lost and, where it may repeat, sent elsewhere within the budget. cs_silence_limit decides; tests Silence, Eject.

--- a/cranberrystile/retry/eject.c
+++ b/cranberrystile/retry/eject.c
@@ -45,6 +45,15 @@
     return false;
   if (ejected + 1 > (uint32_t)(policy->share_most * total))
     return false;
+  return cs_eject_now (eject, policy, now);
+}
+
+bool
+cs_eject_now (cs_eject_t *eject, const cs_eject_policy_t *policy,
+              cs_time_us_t now)
+{
+  if (cs_eject_is_ejected (eject, now))
+    return false;
   eject->ejected_until = now + ejection_time (eject, policy);
   eject->ejections++;
   eject->failures = 0;
--- a/include/cranberrystile/eject.h
+++ b/include/cranberrystile/eject.h
@@ -36,6 +36,10 @@
    targets of the pool are ejected already.  */
 bool cs_eject_failure (cs_eject_t *eject, const cs_eject_policy_t *policy,
                        uint32_t ejected, uint32_t total, cs_time_us_t now);
+/* The target was silent, or took no connection: ejects it at once.  Returns
+   true unless it is ejected already.  */
+bool cs_eject_now (cs_eject_t *eject, const cs_eject_policy_t *policy,
+                   cs_time_us_t now);
 bool cs_eject_is_ejected (const cs_eject_t *eject, cs_time_us_t now);
 
 #endif
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -53,6 +53,7 @@
   cs_target_load_t load;
   uint32_t in_flight; /* calls of this router */
   cs_eject_t eject;
+  cs_time_us_t heard_at; /* last answer byte; 0: none yet */
   uint32_t references;
   void *user; /* of the program: its connections to the target */
 } cs_target_t;
--- a/router/forward/answer.c
+++ b/router/forward/answer.c
@@ -82,6 +82,7 @@
   cs_forward_t *forward = context;
   cs_time_us_t now = cs_loop_now (forward->router->loop);
   note_load (forward->target, answer, now);
+  forward->target->heard_at = now;
   forward->mode = choose_mode (head, answer);
   if (is_unusable (answer) || is_unfit_to_go_on (forward))
     {
@@ -157,6 +158,8 @@
     case CS_FORWARD_REFUSED:
       return;
     case CS_FORWARD_EVENTS:
+      forward->event_at = cs_loop_now (forward->router->loop);
+      forward->target->heard_at = forward->event_at;
       cs_event_stream_add (&forward->events, part, &forward->answer_body);
       pass_collected (forward);
       return;
@@ -247,6 +250,7 @@
   cs_time_us_t now = cs_loop_now (forward->router->loop);
   forward->connection = NULL;
   forward->target->in_flight--;
+  cs_timer_clear (&forward->watchdog);
   if (error == CS_OK)
     on_complete (forward, now);
   else
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -45,6 +45,7 @@
 destroy (cs_forward_t *forward)
 {
   cs_timer_clear (&forward->timer);
+  cs_timer_clear (&forward->watchdog);
   if (forward->connection != NULL)
     {
       forward->target->in_flight--;
@@ -210,6 +211,8 @@
   forward->arrived = now;
   forward->routing = cs_routing_reference (router->routing);
   cs_timer_init (&forward->timer, router->loop, on_give_up, forward);
+  cs_timer_init (&forward->watchdog, router->loop, cs_forward_check_silence,
+                 forward);
   router->in_flight++;
   router->counters.requests++;
   return forward;
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -33,6 +33,7 @@
   cs_time_us_t give_up;
   cs_time_us_t first_byte; /* of the answer from a target; 0 until then */
   cs_timer_t timer;        /* fires at GIVE_UP */
+  cs_timer_t watchdog;     /* fires when the target may have fallen silent */
 
   /* The tries.  */
   cs_connection_t *connection; /* carries the try under way, or NULL */
@@ -42,6 +43,8 @@
   uint32_t sends;       /* tries of which a byte may have arrived */
   uint32_t connects;    /* tries that found no connection */
   bool outcome_unknown; /* a try may have run */
+  cs_time_us_t sent_at; /* of the try under way */
+  cs_time_us_t event_at; /* last part of a stream's answer; 0: none yet */
   cs_choice_t choice;
 
   /* The answer.  */
@@ -58,6 +61,9 @@
   bool paused; /* the target's connection waits for the caller */
 };
 
+/* The target of the try under way may have fallen silent.  */
+void cs_forward_check_silence (void *context, cs_time_us_t now);
+
 /* Sends the request to the next target, or ends it.  */
 void cs_forward_try (cs_forward_t *forward, cs_time_us_t now);
 
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -1,12 +1,12 @@
 /* The tries of a request: where it is sent, and what follows a failure.  */
 
 #include "common/log.h"
-#include "cranberrystile/retry.h"
+#include "cranberrystile/silence.h"
 #include "router/forward/internal.h"
 
 /* Tries that found no connection; those cost the targets nothing, but each one
    costs the caller time.  */
-#define CONNECTS_MOST 3
+#define CONNECTS_MOST 4
 
 static bool
 is_repeatable (const cs_forward_t *forward)
@@ -83,6 +83,15 @@
   return rc;
 }
 
+static cs_time_us_t
+silence_limit (const cs_forward_t *forward)
+{
+  cs_silence_t silence = { .sent_at = forward->sent_at,
+                           .event_at = forward->event_at,
+                           .heard_at = forward->target->heard_at };
+  return cs_silence_limit (forward->route, &silence);
+}
+
 void
 cs_forward_try (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -111,56 +120,115 @@
       return;
     }
   forward->target->in_flight++;
+  forward->sent_at = now;
+  forward->event_at = 0;
+  cs_timer_set (&forward->watchdog, silence_limit (forward) - now);
   router->counters.attempts++;
 }
 
-static void
-note_outcome (cs_forward_t *forward, int error, cs_time_us_t now)
+/* Whether the request itself allows another try after one that ended with
+   ERROR; the budget is asked apart.  */
+static bool
+allows_another_try (const cs_forward_t *forward, int error, bool was_sent,
+                    uint32_t sends, cs_time_us_t now)
+{
+  if (forward->tried_count == CS_CHOICE_AVOID_MOST
+      || milliseconds_left (forward, now) == 0)
+    return false;
+  /* Only a stream with numbered events can be taken up in its middle.  */
+  if (forward->begun
+      && (!forward->is_events || forward->events.last_id.len == 0))
+    return false;
+  if (!was_sent)
+    return forward->connects < CONNECTS_MOST;
+  if (sends >= forward->route->attempts_most)
+    return false;
+  return error == CS_ERR_REFUSED || is_repeatable (forward);
+}
+
+/* Counts the targets of the service that FORWARD's target belongs to.  */
+static uint32_t
+count_targets (const cs_forward_t *forward, cs_time_us_t now,
+               uint32_t *ejected)
 {
-  static cs_eject_policy_t policy;
   size_t total;
-  uint32_t ejected = 0;
   uint32_t live = 0;
   cs_target_t *const *targets
       = cs_fleet_targets (forward->router->fleet, &total);
-  if (error == CS_ERR_REFUSED)
-    return;
-  if (policy.failures_to_eject == 0)
-    policy = cs_eject_policy_default ();
+  *ejected = 0;
   for (size_t i = 0; i < total; i++)
     {
       if (!cs_name_equal (&targets[i]->service, &forward->target->service))
         continue;
       live++;
       if (cs_eject_is_ejected (&targets[i]->eject, now))
-        ejected++;
+        (*ejected)++;
     }
-  if (cs_eject_failure (&forward->target->eject, &policy, ejected, live, now))
+  return live;
+}
+
+/* Lets the failure of a try count against its target.  A target that takes no
+   connection or is silent is ejected at once: nothing is to be had there.
+   Other failures count only in a row, and only for a share of the targets.  */
+static void
+note_failure (cs_forward_t *forward, int error, cs_time_us_t now)
+{
+  cs_eject_policy_t policy = cs_eject_policy_default ();
+  cs_target_t *target = forward->target;
+  uint32_t ejected;
+  uint32_t live = count_targets (forward, now, &ejected);
+  bool is_new = false;
+  if (error == CS_ERR_CONNECT || error == CS_ERR_SILENT)
+    is_new = cs_eject_now (&target->eject, &policy, now);
+  else if (error != CS_ERR_REFUSED)
+    is_new = cs_eject_failure (&target->eject, &policy, ejected, live, now);
+  if (is_new)
     cs_log (CS_EV_TARGET_EJECTED, "target=%s error=%s ejected=%u of=%u",
-            forward->target->id.text, cs_error_name (error), ejected + 1,
-            live);
+            target->id.text, cs_error_name (error), ejected + 1, live);
+  if (error == CS_ERR_SILENT)
+    cs_connections_sweep (target, true, now);
+}
+
+void
+cs_forward_check_silence (void *context, cs_time_us_t now)
+{
+  cs_forward_t *forward = context;
+  cs_time_us_t limit = silence_limit (forward);
+  if (forward->connection == NULL)
+    return;
+  if (now < limit)
+    {
+      cs_timer_set (&forward->watchdog, limit - now);
+      return;
+    }
+  cs_log (CS_EV_TARGET_SILENT, "id=%.*s target=%s silent_ms=%llu events=%llu",
+          CS_STR_ARG (forward->request.id), forward->target->id.text,
+          (unsigned long long)((now - forward->target->heard_at)
+                               / CS_US_PER_MS),
+          (unsigned long long)forward->events.count);
+  if (!allows_another_try (forward, CS_ERR_SILENT, true, forward->sends + 1,
+                           now))
+    {
+      /* Nothing better than to wait on; others avoid the target.  */
+      note_failure (forward, CS_ERR_SILENT, now);
+      return;
+    }
+  cs_connection_t *connection = forward->connection;
+  forward->connection = NULL;
+  forward->target->in_flight--;
+  cs_connection_abort (connection);
+  cs_forward_try_failed (forward, CS_ERR_SILENT, true, now);
 }
 
-/* Whether another target may get the request after a try that ended with
-   ERROR.  */
 static bool
 may_try_again (cs_forward_t *forward, int error, bool was_sent,
                cs_time_us_t now)
 {
   cs_router_t *router = forward->router;
-  if (forward->tried_count == CS_CHOICE_AVOID_MOST
-      || milliseconds_left (forward, now) == 0)
-    return false;
-  /* Only a stream with numbered events can be taken up in its middle.  */
-  if (forward->begun
-      && (!forward->is_events || forward->events.last_id.len == 0))
+  if (!allows_another_try (forward, error, was_sent, forward->sends, now))
     return false;
   if (!was_sent)
-    return forward->connects < CONNECTS_MOST;
-  if (forward->sends >= forward->route->attempts_most)
-    return false;
-  if (error != CS_ERR_REFUSED && !is_repeatable (forward))
-    return false;
+    return true;
   if (cs_retry_window_take (&forward->service->repeats, now))
     {
       router->counters.repeats++;
@@ -185,7 +253,7 @@
       if (error != CS_ERR_REFUSED)
         forward->outcome_unknown = true;
     }
-  note_outcome (forward, error, now);
+  note_failure (forward, error, now);
   bool again = may_try_again (forward, error, was_sent, now);
   cs_log (CS_EV_ATTEMPT_FAILED,
           "id=%.*s target=%s error=%s sent=%d events=%llu next=%s",
--- a/router/settings.c
+++ b/router/settings.c
@@ -30,7 +30,7 @@
   { "stop", "lame_duck_ms", CS_SETTING_NUMBER, AT (lame_duck_ms), 0, 600000,
     "3000" },
   { "target", "connect_timeout_ms", CS_SETTING_NUMBER, AT (connect_timeout_ms),
-    1, 60000, "400" },
+    1, 60000, "150" },
   { "target", "fresh_ms", CS_SETTING_NUMBER, AT (fresh_ms), 0, 60000, "1000" },
   { "target", "idle_ms", CS_SETTING_NUMBER, AT (idle_ms), 0, 600000, "4000" },
   { "target", "unacknowledged_ms", CS_SETTING_NUMBER, AT (unacknowledged_ms),
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -11,6 +11,7 @@
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/outage.h"
 #include "cranberrystile/retry_window.h"
+#include "cranberrystile/silence.h"
 }
 
 namespace
@@ -297,4 +298,52 @@
   EXPECT_TRUE (cs_retry_window_take (&window, 40 * SECOND));
 }
 
+// A data centre that is cut off: streams on its targets hung until their
+// callers left, and each new request waited for connections in vain.
+TEST (Silence, AStreamThatStopsIsLostAfterItsGap)
+{
+  cs_route_t route = {};
+  route.kind = CS_ROUTE_STREAMING;
+  route.objective_ms = 600;
+  route.gap_ms = 400;
+  cs_silence_t silence = { SECOND, 2 * SECOND, 3 * SECOND };
+  EXPECT_EQ (cs_silence_limit (&route, &silence),
+             2 * SECOND + 600 * CS_US_PER_MS);
+  route.gap_ms = 100;
+  EXPECT_EQ (cs_silence_limit (&route, &silence),
+             2 * SECOND + 500 * CS_US_PER_MS);
+}
+
+TEST (Silence, AWaitingRequestIsLostOnlyWhenItsTargetIsSilent)
+{
+  cs_route_t route = {};
+  route.kind = CS_ROUTE_STREAMING;
+  route.objective_ms = 900;
+  cs_silence_t silence = { SECOND, 0, 0 };
+  EXPECT_EQ (cs_silence_limit (&route, &silence), SECOND + 1200 * CS_US_PER_MS);
+  silence.heard_at = 5 * SECOND;
+  EXPECT_EQ (cs_silence_limit (&route, &silence),
+             5 * SECOND + 1200 * CS_US_PER_MS);
+}
+
+TEST (Silence, APlainCallLeavesHalfItsTimeForAnotherTarget)
+{
+  cs_route_t route = {};
+  route.kind = CS_ROUTE_SAFE;
+  route.timeout_ms = 800;
+  cs_silence_t silence = { SECOND, 0, 0 };
+  EXPECT_EQ (cs_silence_limit (&route, &silence), SECOND + 400 * CS_US_PER_MS);
+}
+
+TEST (Eject, ASilentTargetIsEjectedAtOnceAndForLongerEachTime)
+{
+  cs_eject_policy_t policy = cs_eject_policy_default ();
+  cs_eject_t eject = {};
+  EXPECT_TRUE (cs_eject_now (&eject, &policy, SECOND));
+  EXPECT_FALSE (cs_eject_now (&eject, &policy, SECOND));
+  EXPECT_TRUE (cs_eject_is_ejected (&eject, 2 * SECOND - 1));
+  EXPECT_TRUE (cs_eject_now (&eject, &policy, 2 * SECOND));
+  EXPECT_TRUE (cs_eject_is_ejected (&eject, 4 * SECOND - 1));
+}
+
 }
