--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 SANITIZED = build-sanitized
 
 PACKAGES = clang-format clang-tidy gcc g++ libargtable2-dev libcivetweb-dev \
-  libcurl4-openssl-dev libgtest-dev libinih-dev libjansson-dev \
+  libcurl4-openssl-dev libevent-dev libgtest-dev libhttp-parser-dev \
+  libinih-dev libjansson-dev \
   libprotobuf-c-dev libssl-dev liburcu-dev libxxhash-dev meson ninja-build \
   pkg-config scdoc uthash-dev
 
--- a/cranberrystile/retry/silence.c
+++ b/cranberrystile/retry/silence.c
@@ -1,7 +1,7 @@
 #include "cranberrystile/silence.h"
 
-/* A stream's events are tens of milliseconds apart; long prompts beside it make
-   that a few hundred.  */
+/* A stream's events are tens of milliseconds apart; long prompts beside it
+   make that a few hundred.  */
 #define GAP_LEAST_US (500 * CS_US_PER_MS)
 /* A cold target reads the longest prompts in about half a second before its
    first event.  */
--- a/include/cranberrystile/silence.h
+++ b/include/cranberrystile/silence.h
@@ -1,4 +1,4 @@
-/* How long a target may be silent before a request on it is taken for lost.  */
+/* How long a target may be silent before a request on it is taken for lost. */
 
 #ifndef CS_SILENCE_H
 #define CS_SILENCE_H
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -40,10 +40,10 @@
   cs_target_t *target;         /* of the last try */
   cs_target_t *tried[CS_CHOICE_AVOID_MOST];
   uint32_t tried_count;
-  uint32_t sends;       /* tries of which a byte may have arrived */
-  uint32_t connects;    /* tries that found no connection */
-  bool outcome_unknown; /* a try may have run */
-  cs_time_us_t sent_at; /* of the try under way */
+  uint32_t sends;        /* tries of which a byte may have arrived */
+  uint32_t connects;     /* tries that found no connection */
+  bool outcome_unknown;  /* a try may have run */
+  cs_time_us_t sent_at;  /* of the try under way */
   cs_time_us_t event_at; /* last part of a stream's answer; 0: none yet */
   cs_choice_t choice;
 
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -201,11 +201,11 @@
       cs_timer_set (&forward->watchdog, limit - now);
       return;
     }
-  cs_log (CS_EV_TARGET_SILENT, "id=%.*s target=%s silent_ms=%llu events=%llu",
-          CS_STR_ARG (forward->request.id), forward->target->id.text,
-          (unsigned long long)((now - forward->target->heard_at)
-                               / CS_US_PER_MS),
-          (unsigned long long)forward->events.count);
+  cs_log (
+      CS_EV_TARGET_SILENT, "id=%.*s target=%s silent_ms=%llu events=%llu",
+      CS_STR_ARG (forward->request.id), forward->target->id.text,
+      (unsigned long long)((now - forward->target->heard_at) / CS_US_PER_MS),
+      (unsigned long long)forward->events.count);
   if (!allows_another_try (forward, CS_ERR_SILENT, true, forward->sends + 1,
                            now))
     {
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -26,7 +26,7 @@
   bool list_begun;
   cs_name_t after; /* last name of the page before */
   uint64_t revision;
-  uint32_t failures;    /* in a row */
+  uint32_t failures; /* in a row */
   cs_time_us_t called_at;
   cs_outage_t outage;
 };
@@ -90,8 +90,8 @@
   follower->failures = 0;
   if (cs_outage_answered (&follower->outage, now))
     cs_log (CS_EV_PLATFORM_BACK, "kind=%s revision=%llu",
-          cs_store_kind_name (follower->kind),
-          (unsigned long long)follower->revision);
+            cs_store_kind_name (follower->kind),
+            (unsigned long long)follower->revision);
 }
 
 static cs_time_us_t
@@ -140,8 +140,7 @@
       return;
     }
   follower->listing = false;
-  follower->handlers.on_list_end (follower->router,
-                                  kept_until (follower, now),
+  follower->handlers.on_list_end (follower->router, kept_until (follower, now),
                                   now);
   call (follower, now);
 }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -320,7 +320,8 @@
   route.kind = CS_ROUTE_STREAMING;
   route.objective_ms = 900;
   cs_silence_t silence = { SECOND, 0, 0 };
-  EXPECT_EQ (cs_silence_limit (&route, &silence), SECOND + 1200 * CS_US_PER_MS);
+  EXPECT_EQ (cs_silence_limit (&route, &silence),
+             SECOND + 1200 * CS_US_PER_MS);
   silence.heard_at = 5 * SECOND;
   EXPECT_EQ (cs_silence_limit (&route, &silence),
              5 * SECOND + 1200 * CS_US_PER_MS);
