Share the platform's news and the calls in flight among routers

Ruled out: longer watches (a silent platform hides changes), stale reads (seconds old), a placement that only spreads more.

Change: router/peer. Routers announce themselves in the store and rank each other by a hash of their names; the first two reachable ones of a data centre are hubs. Hubs follow the platform and pass on whole configurations, and changes of the target list by revision; members rest while a hub's first-hand confirmation, dated by an echoed beat, is fresh. Beats carry calls in flight: members to hubs, hubs the sum of the others back, first hubs to each other the sum of their data centre. All routers now see the same loads, so spills and plain calls take the less loaded of two drawn at random.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,6 @@
 	  | xargs -n 1 -P 6 clang-tidy --quiet -p $(BUILD) 2> /dev/null
 	@echo "lint: clean"
 
-# Only after a change of protocol/peer.proto; needs protobuf-c-compiler.
+# Only after a change of a .proto file; needs protobuf-c-compiler.
 protocol:
-	cd protocol && protoc-c --c_out=. peer.proto
+	cd protocol && protoc-c --c_out=. peer.proto router.proto
--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -5,8 +5,18 @@
 #include "common/error.h"
 #include "common/hash.h"
 
+typedef struct
+{
+  cs_name_t id;
+  uint64_t revision;
+} removal_t;
+
 struct cs_fleet
 {
+  uint64_t revision;
+  uint64_t forgotten;  /* newest removal that is no longer remembered */
+  removal_t *removals; /* a ring, made with the first removal */
+  size_t removal_next;
   cs_target_t **targets;
   bool *listed; /* parallel: named by the list that is being taken in */
   size_t count;
@@ -26,10 +36,31 @@
   return fleet;
 }
 
+/* Without memory the removal counts as forgotten, and others get the whole
+   list.  */
+static void
+remember_removal (cs_fleet_t *fleet, const cs_target_t *target)
+{
+  if (fleet->removals == NULL)
+    fleet->removals = calloc (CS_FLEET_REMOVALS, sizeof *fleet->removals);
+  if (fleet->removals == NULL)
+    {
+      fleet->forgotten = fleet->revision;
+      return;
+    }
+  removal_t *removal = &fleet->removals[fleet->removal_next];
+  if (removal->revision > fleet->forgotten)
+    fleet->forgotten = removal->revision;
+  removal->id = target->id;
+  removal->revision = fleet->revision;
+  fleet->removal_next = (fleet->removal_next + 1) % CS_FLEET_REMOVALS;
+}
+
 static void
 drop_at (cs_fleet_t *fleet, size_t at)
 {
   cs_target_t *target = fleet->targets[at];
+  remember_removal (fleet, target);
   fleet->count--;
   fleet->targets[at] = fleet->targets[fleet->count];
   fleet->listed[at] = fleet->listed[fleet->count];
@@ -47,6 +78,7 @@
     drop_at (fleet, fleet->count - 1);
   free (fleet->targets);
   free (fleet->listed);
+  free (fleet->removals);
   free (fleet);
 }
 
@@ -94,6 +126,7 @@
   target->address = entry->address;
   target->slots = entry->slots;
   target->leaving = entry->draining;
+  target->changed = entry->revision;
   target->references = 1;
   fleet->targets[fleet->count] = target;
   fleet->listed[fleet->count] = true;
@@ -123,6 +156,8 @@
         return CS_OK;
       if (is_same_incarnation (target, entry))
         {
+          if (target->kept_until != 0 || target->leaving != entry->draining)
+            target->changed = entry->revision;
           target->kept_until = 0;
           target->slots = entry->slots;
           /* One way: an incarnation that leaves does not come back.  */
@@ -143,7 +178,40 @@
   if (kept_until <= now)
     drop_at (fleet, at);
   else if (target->kept_until == 0)
-    target->kept_until = kept_until;
+    {
+      target->kept_until = kept_until;
+      target->changed = fleet->revision;
+    }
+}
+
+void
+cs_fleet_set_revision (cs_fleet_t *fleet, uint64_t revision)
+{
+  if (revision > fleet->revision)
+    fleet->revision = revision;
+}
+
+uint64_t
+cs_fleet_revision (const cs_fleet_t *fleet)
+{
+  return fleet->revision;
+}
+
+bool
+cs_fleet_removed_since (const cs_fleet_t *fleet, uint64_t since,
+                        const cs_name_t *out[CS_FLEET_REMOVALS], size_t *count)
+{
+  *count = 0;
+  if (fleet->removals == NULL)
+    return since >= fleet->forgotten;
+  for (size_t i = 1; i <= CS_FLEET_REMOVALS; i++)
+    {
+      size_t at
+          = (fleet->removal_next + CS_FLEET_REMOVALS - i) % CS_FLEET_REMOVALS;
+      if (fleet->removals[at].revision > since)
+        out[(*count)++] = &fleet->removals[at].id;
+    }
+  return since >= fleet->forgotten;
 }
 
 bool
@@ -205,14 +273,21 @@
     free (target);
 }
 
+/* Calls of other routers, from the newer of the two sources.  */
+static uint32_t
+calls_of_others (const cs_target_t *target)
+{
+  if (target->peer_calls_at != 0
+      && (!target->load.known || target->peer_calls_at >= target->load.at))
+    return target->peer_calls;
+  if (!target->load.known)
+    return 0;
+  uint32_t told = target->load.running + target->load.waiting;
+  return told > target->load.own ? told - target->load.own : 0;
+}
+
 uint32_t
 cs_target_estimate (const cs_target_t *target)
 {
-  if (!target->load.known)
-    return target->in_flight;
-  int64_t others = (int64_t)target->load.running + target->load.waiting
-                   - target->load.own;
-  if (others < 0)
-    others = 0;
-  return (uint32_t)others + target->in_flight;
+  return calls_of_others (target) + target->in_flight;
 }
--- /dev/null
+++ b/cranberrystile/membership/hub_plan.c
@@ -0,0 +1,43 @@
+#include "cranberrystile/hub_plan.h"
+
+static bool
+ranks_before (const cs_hub_member_t *a, const cs_hub_member_t *b)
+{
+  return a->id < b->id;
+}
+
+/* Reachable members of MEMBER's data centre that rank before it, SELF among
+   them.  */
+static size_t
+rank_of (const cs_hub_member_t *member, const cs_hub_member_t *self,
+         const cs_hub_member_t *members, size_t count)
+{
+  size_t rank = 0;
+  if (self->data_centre == member->data_centre && ranks_before (self, member))
+    rank++;
+  for (size_t i = 0; i < count; i++)
+    if (!members[i].is_out && members[i].data_centre == member->data_centre
+        && ranks_before (&members[i], member))
+      rank++;
+  return rank;
+}
+
+void
+cs_hub_plan (const cs_hub_member_t *self, const cs_hub_member_t *members,
+             size_t count, cs_hub_role_t *role, bool *dial)
+{
+  role->rank = rank_of (self, self, members, count);
+  role->is_hub = role->rank < CS_HUBS;
+  role->is_first = role->rank == 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      dial[i] = false;
+      if (!ranks_before (&members[i], self))
+        continue;
+      size_t rank = rank_of (&members[i], self, members, count);
+      if (members[i].data_centre == self->data_centre)
+        dial[i] = rank < CS_HUBS;
+      else
+        dial[i] = role->is_first && rank == 0;
+    }
+}
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -112,28 +112,34 @@
   return sum / (double)count;
 }
 
-/* The least loaded candidate, those of other data centres counted as
-   LOCAL_EXTRA calls busier; equals are drawn at random so that routers do not
-   herd.  */
+/* Estimated calls at TARGET; one in another data centre counts as LOCAL_EXTRA
+   calls busier.  */
+static double
+cost (const cs_chooser_t *chooser, const cs_choice_ask_t *ask,
+      const cs_target_t *target)
+{
+  double load = cs_target_estimate (target);
+  if (!cs_str_equal (cs_name_str (&target->data_centre), ask->data_centre))
+    load += chooser->policy.local_extra;
+  return load;
+}
+
+/* The less loaded of two candidates drawn at random.  All routers see the same
+   loads, a moment old, so if each took the least loaded one they would fill it
+   together (Mitzenmacher, "How useful is old information?", 2000).  */
 static cs_target_t *
-least_loaded (cs_chooser_t *chooser, const cs_choice_ask_t *ask, size_t count)
+less_loaded_of_two (cs_chooser_t *chooser, const cs_choice_ask_t *ask,
+                    size_t count)
 {
-  cs_target_t *best = NULL;
-  double best_load = 0;
-  for (size_t i = 0; i < count; i++)
-    {
-      cs_target_t *target = chooser->candidates[i];
-      double load
-          = cs_target_estimate (target) + cs_random_unit (&chooser->random);
-      if (!cs_str_equal (cs_name_str (&target->data_centre), ask->data_centre))
-        load += chooser->policy.local_extra;
-      if (best == NULL || load < best_load)
-        {
-          best = target;
-          best_load = load;
-        }
-    }
-  return best;
+  size_t first = cs_random_u64 (&chooser->random) % count;
+  if (count == 1)
+    return chooser->candidates[0];
+  size_t second = cs_random_u64 (&chooser->random) % (count - 1);
+  if (second >= first)
+    second++;
+  cs_target_t *a = chooser->candidates[first];
+  cs_target_t *b = chooser->candidates[second];
+  return cost (chooser, ask, b) < cost (chooser, ask, a) ? b : a;
 }
 
 /* The first home under the threshold, or NULL.  */
@@ -181,7 +187,7 @@
       out->why = out->target != NULL ? CS_CHOICE_HOME : CS_CHOICE_SPILL;
     }
   if (out->target == NULL)
-    out->target = least_loaded (chooser, ask, count);
+    out->target = less_loaded_of_two (chooser, ask, count);
   out->load = cs_target_estimate (out->target);
   return CS_OK;
 }
--- a/cranberrystile/retry/silence.c
+++ b/cranberrystile/retry/silence.c
@@ -7,6 +7,10 @@
    first event.  */
 #define FIRST_EVENT_LEAST_US (800 * CS_US_PER_MS)
 
+/* Plain calls take a few hundred milliseconds at most on a healthy target; a
+   route with a short timeout says nothing about its targets.  */
+#define ANSWER_LEAST_US (350 * CS_US_PER_MS)
+
 static cs_time_us_t
 larger (cs_time_us_t a, cs_time_us_t b)
 {
@@ -24,5 +28,6 @@
   if (route->kind == CS_ROUTE_STREAMING)
     return heard + larger (objective * 4 / 3, FIRST_EVENT_LEAST_US);
   /* The other half of the time is for another target.  */
-  return heard + route->timeout_ms * CS_US_PER_MS / 2;
+  return heard
+         + larger (route->timeout_ms * CS_US_PER_MS / 2, ANSWER_LEAST_US);
 }
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -15,7 +15,7 @@
 {
   CS_CHOICE_HOME,  /* where the context is kept */
   CS_CHOICE_SPILL, /* the homes are over their threshold */
-  CS_CHOICE_LEAST, /* no context: least loaded */
+  CS_CHOICE_LEAST, /* no context: the less loaded of two */
   CS_CHOICE_LAST   /* only ejected or tried targets are left */
 } cs_choice_why_t;
 
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -25,6 +25,7 @@
   uint32_t slots;
   uint32_t cold_ms; /* still slow for this long after its start */
   bool draining;
+  uint64_t revision; /* of the platform's store that holds this entry */
 } cs_target_entry_t;
 
 /* Load as the target last told it with an answer.  */
@@ -51,7 +52,10 @@
   cs_time_us_t kept_until; /* not listed, but may have lapsed while the
                               platform was away; 0: listed */
   cs_target_load_t load;
-  uint32_t in_flight; /* calls of this router */
+  uint32_t in_flight;         /* calls of this router */
+  uint32_t peer_calls;        /* calls of other routers, as they told */
+  cs_time_us_t peer_calls_at; /* when they were told; 0: not yet */
+  uint64_t changed;           /* revision of its last change */
   cs_eject_t eject;
   cs_time_us_t heard_at; /* last answer byte; 0: none yet */
   uint32_t references;
@@ -79,6 +83,21 @@
 bool cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, cs_time_us_t kept_until,
                       cs_time_us_t now);
 
+/* The list is known as it was at REVISION of the platform's store.  It never
+   goes back.  */
+void cs_fleet_set_revision (cs_fleet_t *fleet, uint64_t revision);
+uint64_t cs_fleet_revision (const cs_fleet_t *fleet);
+
+/* Removals that are remembered for those who know an older list.  */
+#define CS_FLEET_REMOVALS 128
+
+/* The ids removed after revision SINCE, newest first; *COUNT of them.  Returns
+   false when some are no longer remembered, so that only the whole list
+   helps.  */
+bool cs_fleet_removed_since (const cs_fleet_t *fleet, uint64_t since,
+                             const cs_name_t *out[CS_FLEET_REMOVALS],
+                             size_t *count);
+
 /* Before a whole list is taken in, and after: what the list did not name is
    removed as above.  */
 void cs_fleet_list_begin (cs_fleet_t *fleet);
@@ -95,8 +114,8 @@
 cs_target_t *cs_target_reference (cs_target_t *target);
 void cs_target_release (cs_target_t *target);
 
-/* Calls expected to be at the target now: what it last told, moved on by this
-   router's own calls since.  */
+/* Calls expected to be at the target now: this router's own, and those of
+   others as last told, by the target with an answer or by other routers.  */
 uint32_t cs_target_estimate (const cs_target_t *target);
 
 #endif
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -15,7 +15,8 @@
 typedef enum
 {
   CS_STORE_ROUTING, /* one object holds the whole configuration */
-  CS_STORE_TARGETS  /* one object a target */
+  CS_STORE_TARGETS, /* one object a target */
+  CS_STORE_ROUTERS  /* one object a router, written by itself */
 } cs_store_kind_t;
 
 const char *cs_store_kind_name (cs_store_kind_t kind);
@@ -24,6 +25,15 @@
    start).  */
 int cs_store_list_path (cs_store_kind_t kind, cs_str_t after, cs_buf_t *out);
 
+/* Appends the path that lists KIND as it was some seconds ago, which costs the
+   store little.  */
+int cs_store_stale_list_path (cs_store_kind_t kind, cs_str_t after,
+                              cs_buf_t *out);
+
+/* Appends the path of one object, or of all objects when NAME is empty: where
+   one is created.  */
+int cs_store_object_path (cs_store_kind_t kind, cs_str_t name, cs_buf_t *out);
+
 /* Appends the path that waits up to WAIT_MS for changes of KIND after
    REVISION.  */
 int cs_store_watch_path (cs_store_kind_t kind, uint64_t revision,
@@ -61,6 +71,21 @@
 int cs_store_read_routing (const json_t *spec, cs_routing_t **out,
                            cs_buf_t *reason);
 
+/* A router as it announces itself; the strings are borrowed.  */
+typedef struct
+{
+  cs_str_t name;
+  cs_str_t data_centre;
+  cs_str_t address; /* where it takes connections of peers */
+} cs_router_entry_t;
+
+/* Returns 0 or CS_ERR_BAD_REQUEST.  */
+int cs_store_read_router (const cs_store_object_t *object,
+                          cs_router_entry_t *out);
+
+/* Appends the object that announces ENTRY.  Returns 0 or CS_ERR_NO_MEMORY.  */
+int cs_store_write_router (const cs_router_entry_t *entry, cs_buf_t *out);
+
 /* Returns 0; CS_ERR_BAD_REQUEST for an entry that names no usable target.  */
 int cs_store_read_target (const cs_store_object_t *object,
                           cs_target_entry_t *out);
--- a/include/router/follower.h
+++ b/include/router/follower.h
@@ -21,7 +21,9 @@
                      cs_time_us_t kept_until, cs_time_us_t now);
 } cs_follower_handlers_t;
 
+/* NEWS is kept by the router: how far KIND is known.  */
 cs_follower_t *cs_follower_create (cs_router_t *router, cs_store_kind_t kind,
+                                   cs_news_t *news,
                                    const cs_follower_handlers_t *handlers);
 void cs_follower_destroy (cs_follower_t *follower);
 
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -18,8 +18,13 @@
   char callers[CS_SETTING_TEXT_MAX];
   char readiness[CS_SETTING_TEXT_MAX];
   char metrics[CS_SETTING_TEXT_MAX]; /* empty: none */
+  char peers[CS_SETTING_TEXT_MAX];   /* of other routers; empty: none */
+  /* [peer] */
+  uint32_t beat_ms;     /* between two words to each peer */
+  uint32_t directory_s; /* between two looks for other routers */
   /* [platform] */
   char platform[CS_SETTING_TEXT_MAX];
+  uint32_t apply_ms;    /* a change is in force everywhere within this */
   uint32_t watch_ms;    /* longest wait of one watch */
   uint32_t coalesce_ms; /* pause between two watches, so that a burst of
                            changes is one call */
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -11,6 +11,7 @@
 #include "net/listener.h"
 #include "router/caller.h"
 #include "router/follower.h"
+#include "router/mesh.h"
 #include "router/operator.h"
 #include "router/router.h"
 
@@ -108,6 +109,7 @@
     }
   router->stopping = true;
   process->stop_begun = cs_loop_now (router->loop);
+  cs_mesh_leave (router->mesh);
   cs_log (CS_EV_STOP_BEGUN, "in_flight=%u", router->in_flight);
 }
 
@@ -227,10 +229,20 @@
       if (process->metrics == NULL)
         return false;
     }
-  process->follow_routing
-      = cs_follower_create (router, CS_STORE_ROUTING, &cs_follow_routing);
-  process->follow_targets
-      = cs_follower_create (router, CS_STORE_TARGETS, &cs_follow_targets);
+  if (settings->peers[0] != '\0')
+    {
+      router->mesh = cs_mesh_create (router);
+      if (router->mesh == NULL)
+        {
+          cs_log (CS_EV_START_FAILED, "address=%s reason=\"%s\"",
+                  settings->peers, strerror (errno));
+          return false;
+        }
+    }
+  process->follow_routing = cs_follower_create (
+      router, CS_STORE_ROUTING, &router->routing_news, &cs_follow_routing);
+  process->follow_targets = cs_follower_create (
+      router, CS_STORE_TARGETS, &router->targets_news, &cs_follow_targets);
   if (process->follow_routing == NULL || process->follow_targets == NULL)
     return false;
   cs_timer_init (&process->tick, router->loop, on_tick, process);
@@ -247,6 +259,7 @@
   cs_callers_close_all (router);
   cs_follower_destroy (process->follow_routing);
   cs_follower_destroy (process->follow_targets);
+  cs_mesh_destroy (router->mesh);
   cs_listener_destroy (process->callers);
   cs_listener_destroy (process->readiness);
   cs_listener_destroy (process->metrics);
@@ -254,6 +267,7 @@
   cs_chooser_destroy (router->chooser);
   cs_service_table_free (&router->services);
   cs_routing_release (router->routing);
+  cs_buf_free (&router->routing_document);
   for (size_t i = 0; i < sizeof process->signals / sizeof (struct event *);
        i++)
     if (process->signals[i] != NULL)
--- /dev/null
+++ b/router/peer/link.c
@@ -0,0 +1,225 @@
+#include <stdlib.h>
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "router/peer/internal.h"
+
+/* A peer answers a connection within a few round trips.  */
+#define CONNECT_US (300 * CS_US_PER_MS)
+#define UNACKNOWLEDGED_US (1000 * CS_US_PER_MS)
+/* Frames to a peer that takes nothing are dropped beyond this; its beats show
+   what it lacks.  */
+#define QUEUE_MOST (8U << 20)
+
+void
+cs_link_close (cs_link_t *link)
+{
+  cs_link_t **at = &link->mesh->links;
+  while (*at != NULL && *at != link)
+    at = &(*at)->next;
+  if (*at != NULL)
+    *at = link->next;
+  cs_channel_close (link->channel);
+  cs_buf_free (&link->received);
+  cs_load_table_free (&link->peer_own);
+  cs_load_table_free (&link->peer_others);
+  cs_load_table_free (&link->sent_own);
+  cs_load_table_free (&link->sent_others);
+  free (link);
+}
+
+void
+cs_link_send (cs_link_t *link, const cs_router_frame_t *frame)
+{
+  cs_buf_t bytes = { 0 };
+  if (cs_channel_queued (link->channel) < QUEUE_MOST
+      && cs_router_frame_pack (frame, &bytes) == 0)
+    cs_channel_send (link->channel, cs_buf_str (&bytes));
+  cs_buf_free (&bytes);
+}
+
+static void
+send_hello (cs_link_t *link)
+{
+  cs_router_settings_t *settings = &link->mesh->router->settings;
+  Cs__Router__Hello hello = CS__ROUTER__HELLO__INIT;
+  cs_router_frame_t frame = CS__ROUTER__FRAME__INIT;
+  hello.name = settings->name;
+  hello.data_centre = settings->data_centre;
+  hello.address = settings->peers;
+  frame.body_case = CS__ROUTER__FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  cs_link_send (link, &frame);
+}
+
+static void
+lose (cs_link_t *link, cs_time_us_t now)
+{
+  cs_mesh_t *mesh = link->mesh;
+  uint64_t id = link->id;
+  bool dialled = link->dialled;
+  if (link->greeted)
+    cs_log (CS_EV_PEER_LOST, "peer=%016llx", (unsigned long long)id);
+  cs_link_close (link);
+  if (dialled)
+    cs_mesh_link_lost (mesh, id, now);
+}
+
+static void
+read_hello (cs_link_t *link, const Cs__Router__Hello *hello)
+{
+  cs_mesh_t *mesh = link->mesh;
+  cs_mesh_add_member (mesh, cs_str (hello->name), cs_str (hello->data_centre),
+                      cs_str (hello->address));
+  link->id = cs_hash (cs_str (hello->name), 0);
+  link->data_centre = cs_hash (cs_str (hello->data_centre), 0);
+  link->greeted = true;
+  cs_log (CS_EV_PEER_CONNECTED, "peer=%016llx name=%s data_centre=%s",
+          (unsigned long long)link->id, hello->name, hello->data_centre);
+  cs_mesh_link_greeted (mesh, link->id);
+}
+
+/* Returns CS_ERR_BAD_FRAME for a frame that may not come now.  */
+static int
+read_frame (cs_link_t *link, const cs_router_frame_t *frame, cs_time_us_t now)
+{
+  link->heard_at = now;
+  if (link->greeted != (frame->body_case != CS__ROUTER__FRAME__BODY_HELLO))
+    return CS_ERR_BAD_FRAME;
+  switch (frame->body_case)
+    {
+    case CS__ROUTER__FRAME__BODY_HELLO:
+      read_hello (link, frame->hello);
+      return CS_OK;
+    case CS__ROUTER__FRAME__BODY_BEAT:
+      cs_loads_read_beat (link, frame->beat);
+      cs_news_read_beat (link, frame->beat, now);
+      return CS_OK;
+    case CS__ROUTER__FRAME__BODY_ROUTING:
+      cs_news_read_routing (link, frame->routing);
+      return CS_OK;
+    case CS__ROUTER__FRAME__BODY_TARGETS:
+      cs_news_read_targets (link, frame->targets, now);
+      return CS_OK;
+    default:
+      return CS_ERR_BAD_FRAME;
+    }
+}
+
+/* Reads the whole frames of BYTES and leaves the rest in it.  */
+static int
+read_frames (cs_link_t *link, cs_str_t *bytes, cs_time_us_t now)
+{
+  cs_router_frame_t *frame;
+  size_t taken;
+  int rc;
+  while ((rc = cs_router_frame_take (*bytes, &frame, &taken)) == 0
+         && frame != NULL)
+    {
+      rc = read_frame (link, frame, now);
+      cs__router__frame__free_unpacked (frame, NULL);
+      if (rc != 0)
+        return rc;
+      bytes->data += taken;
+      bytes->len -= taken;
+    }
+  return rc;
+}
+
+static void
+on_data (void *context, cs_str_t data)
+{
+  cs_link_t *link = context;
+  cs_time_us_t now = cs_loop_now (link->mesh->router->loop);
+  cs_buf_t held = link->received;
+  cs_str_t bytes = data;
+  link->received = (cs_buf_t){ 0 };
+  int rc = CS_OK;
+  if (held.len > 0)
+    {
+      rc = cs_buf_append (&held, data);
+      bytes = cs_buf_str (&held);
+    }
+  if (rc == 0)
+    rc = read_frames (link, &bytes, now);
+  if (rc == 0 && bytes.len > 0)
+    rc = cs_buf_append (&link->received, bytes);
+  cs_buf_free (&held);
+  if (rc == 0)
+    return;
+  cs_log (CS_EV_PEER_REJECTED, "peer=%016llx error=%s",
+          (unsigned long long)link->id, cs_error_name (rc));
+  lose (link, now);
+}
+
+static void
+on_end (void *context, int error)
+{
+  cs_link_t *link = context;
+  lose (link, cs_loop_now (link->mesh->router->loop));
+}
+
+static void
+on_open (void *context)
+{
+  send_hello (context);
+}
+
+static const cs_channel_handlers_t handlers
+    = { .on_open = on_open, .on_data = on_data, .on_end = on_end };
+
+static cs_link_t *
+create (cs_mesh_t *mesh)
+{
+  cs_link_t *link = calloc (1, sizeof *link);
+  if (link == NULL)
+    return NULL;
+  link->mesh = mesh;
+  link->heard_at = cs_loop_now (mesh->router->loop);
+  return link;
+}
+
+/* Puts a link with its channel into the mesh; frees one without.  */
+static cs_link_t *
+add (cs_link_t *link)
+{
+  if (link->channel == NULL)
+    {
+      free (link);
+      return NULL;
+    }
+  link->next = link->mesh->links;
+  link->mesh->links = link;
+  return link;
+}
+
+cs_link_t *
+cs_link_dial (cs_mesh_t *mesh, const cs_member_t *member)
+{
+  cs_link_t *link = create (mesh);
+  if (link == NULL)
+    return NULL;
+  link->dialled = true;
+  link->id = member->id;
+  link->data_centre = member->data_centre;
+  link->channel
+      = cs_channel_connect (mesh->router->loop, &member->address, CONNECT_US,
+                            UNACKNOWLEDGED_US, &handlers, link);
+  return add (link);
+}
+
+void
+cs_link_accept (void *context, int fd)
+{
+  cs_mesh_t *mesh = context;
+  cs_link_t *link = create (mesh);
+  if (link == NULL)
+    {
+      evutil_closesocket (fd);
+      return;
+    }
+  link->channel = cs_channel_adopt (mesh->router->loop, fd, &handlers, link);
+  link = add (link);
+  if (link != NULL)
+    send_hello (link);
+}
--- /dev/null
+++ b/router/peer/mesh.c
@@ -0,0 +1,247 @@
+#include "router/mesh.h"
+
+#include <stdlib.h>
+
+#include "common/hash.h"
+#include "router/peer/internal.h"
+
+/* A peer that says nothing for so many beats is lost.  */
+#define SILENT_BEATS 4
+/* A member that could not be reached is tried again after this, doubled with
+   each failure up to the most.  */
+#define OUT_FIRST_US (500 * CS_US_PER_MS)
+#define OUT_DOUBLINGS_MOST 5
+
+/* When peers' news grows old, a router's own call to the platform takes this
+   long at most, also while the platform is slow.  */
+#define REST_MARGIN_US (500 * CS_US_PER_MS)
+
+static cs_member_t *
+find_member (const cs_mesh_t *mesh, uint64_t id)
+{
+  for (size_t i = 0; i < mesh->member_count; i++)
+    if (mesh->members[i].id == id)
+      return &mesh->members[i];
+  return NULL;
+}
+
+static cs_link_t *
+find_link (const cs_mesh_t *mesh, uint64_t id, bool dialled)
+{
+  for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
+    if (link->id == id && link->dialled == dialled)
+      return link;
+  return NULL;
+}
+
+static void *
+grow (void *list, size_t count, size_t size)
+{
+  return reallocarray (list, count, size);
+}
+
+/* Makes room for one more member; returns NULL without memory.  */
+static cs_member_t *
+new_member (cs_mesh_t *mesh)
+{
+  size_t count = mesh->member_count + 1;
+  cs_member_t *members = grow (mesh->members, count, sizeof *members);
+  if (members != NULL)
+    mesh->members = members;
+  cs_hub_member_t *plan = grow (mesh->plan_members, count, sizeof *plan);
+  if (plan != NULL)
+    mesh->plan_members = plan;
+  bool *dial = grow (mesh->plan_dial, count, sizeof *dial);
+  if (dial != NULL)
+    mesh->plan_dial = dial;
+  if (members == NULL || plan == NULL || dial == NULL)
+    return NULL;
+  mesh->member_count = count;
+  members[count - 1] = (cs_member_t){ 0 };
+  return &members[count - 1];
+}
+
+void
+cs_mesh_add_member (cs_mesh_t *mesh, cs_str_t name, cs_str_t data_centre,
+                    cs_str_t address)
+{
+  uint64_t id = cs_hash (name, 0);
+  struct sockaddr_in parsed;
+  if (id == mesh->id || cs_address_parse (address, &parsed) != 0)
+    return;
+  cs_member_t *member = find_member (mesh, id);
+  if (member == NULL)
+    member = new_member (mesh);
+  if (member == NULL)
+    return;
+  cs_name_set (&member->name, name);
+  member->id = id;
+  member->data_centre = cs_hash (data_centre, 0);
+  member->address = parsed;
+}
+
+void
+cs_mesh_link_lost (cs_mesh_t *mesh, uint64_t id, cs_time_us_t now)
+{
+  cs_member_t *member = find_member (mesh, id);
+  if (member == NULL)
+    return;
+  uint32_t doublings = member->failures < OUT_DOUBLINGS_MOST
+                           ? member->failures
+                           : OUT_DOUBLINGS_MOST;
+  member->out_until = now + (OUT_FIRST_US << doublings);
+  member->failures++;
+}
+
+void
+cs_mesh_link_greeted (cs_mesh_t *mesh, uint64_t id)
+{
+  cs_member_t *member = find_member (mesh, id);
+  if (member == NULL)
+    return;
+  member->failures = 0;
+  member->out_until = 0;
+}
+
+/* Decides the role anew, and opens the links that it asks for.  */
+static void
+plan (cs_mesh_t *mesh, cs_time_us_t now)
+{
+  cs_hub_member_t self = { .id = mesh->id, .data_centre = mesh->data_centre };
+  for (size_t i = 0; i < mesh->member_count; i++)
+    {
+      const cs_member_t *member = &mesh->members[i];
+      mesh->plan_members[i].id = member->id;
+      mesh->plan_members[i].data_centre = member->data_centre;
+      mesh->plan_members[i].is_out = now < member->out_until;
+    }
+  cs_hub_plan (&self, mesh->plan_members, mesh->member_count, &mesh->role,
+               mesh->plan_dial);
+  for (size_t i = 0; i < mesh->member_count; i++)
+    {
+      cs_link_t *link = find_link (mesh, mesh->members[i].id, true);
+      bool wanted = mesh->plan_dial[i] && !mesh->plan_members[i].is_out;
+      if (wanted && link == NULL)
+        cs_link_dial (mesh, &mesh->members[i]);
+      else if (!mesh->plan_dial[i] && link != NULL)
+        cs_link_close (link);
+    }
+}
+
+static void
+drop_silent_links (cs_mesh_t *mesh, cs_time_us_t now)
+{
+  cs_time_us_t limit
+      = mesh->router->settings.beat_ms * CS_US_PER_MS * SILENT_BEATS;
+  cs_link_t *next;
+  for (cs_link_t *link = mesh->links; link != NULL; link = next)
+    {
+      uint64_t id = link->id;
+      bool dialled = link->dialled;
+      next = link->next;
+      if (now - link->heard_at <= limit)
+        continue;
+      cs_link_close (link);
+      if (dialled)
+        cs_mesh_link_lost (mesh, id, now);
+    }
+}
+
+static void
+send_beat (cs_link_t *link, cs_time_us_t now)
+{
+  Cs__Router__Beat beat = CS__ROUTER__BEAT__INIT;
+  cs_router_frame_t frame = CS__ROUTER__FRAME__INIT;
+  if (!link->greeted)
+    return;
+  cs_news_write_beat (link, &beat, now);
+  cs_loads_write_beat (link, &beat);
+  frame.body_case = CS__ROUTER__FRAME__BODY_BEAT;
+  frame.beat = &beat;
+  cs_link_send (link, &frame);
+}
+
+static void
+on_beat (void *context, cs_time_us_t now)
+{
+  cs_mesh_t *mesh = context;
+  drop_silent_links (mesh, now);
+  plan (mesh, now);
+  cs_loads_apply (mesh, now);
+  for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
+    send_beat (link, now);
+  cs_timer_set (&mesh->timer, mesh->router->settings.beat_ms * CS_US_PER_MS);
+}
+
+bool
+cs_mesh_may_rest (const cs_mesh_t *mesh, const cs_news_t *news,
+                  cs_time_us_t now)
+{
+  if (mesh == NULL || mesh->role.is_hub || news->confirmed_at == 0)
+    return false;
+  return now - news->confirmed_at + REST_MARGIN_US
+         < mesh->router->settings.apply_ms * CS_US_PER_MS;
+}
+
+void
+cs_mesh_push_news (cs_mesh_t *mesh)
+{
+  if (mesh == NULL || !mesh->role.is_first)
+    return;
+  cs_time_us_t now = cs_loop_now (mesh->router->loop);
+  for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
+    if (link->greeted)
+      cs_news_send (link, now);
+}
+
+void
+cs_mesh_leave (cs_mesh_t *mesh)
+{
+  if (mesh != NULL)
+    cs_directory_leave (mesh->directory);
+}
+
+cs_mesh_t *
+cs_mesh_create (cs_router_t *router)
+{
+  cs_mesh_t *mesh = calloc (1, sizeof *mesh);
+  if (mesh == NULL)
+    return NULL;
+  mesh->router = router;
+  mesh->id = cs_hash (cs_str (router->settings.name), 0);
+  mesh->data_centre = cs_hash (cs_str (router->settings.data_centre), 0);
+  /* Alone until others are found.  */
+  mesh->role = (cs_hub_role_t){ .is_hub = true, .is_first = true };
+  mesh->listener = cs_listener_create (
+      router->loop, cs_str (router->settings.peers), cs_link_accept, mesh);
+  if (mesh->listener == NULL)
+    {
+      free (mesh);
+      return NULL;
+    }
+  cs_timer_init (&mesh->timer, router->loop, on_beat, mesh);
+  cs_timer_set (&mesh->timer, router->settings.beat_ms * CS_US_PER_MS);
+  mesh->directory = cs_directory_create (mesh);
+  if (mesh->directory == NULL)
+    {
+      cs_mesh_destroy (mesh);
+      return NULL;
+    }
+  return mesh;
+}
+
+void
+cs_mesh_destroy (cs_mesh_t *mesh)
+{
+  if (mesh == NULL)
+    return;
+  cs_timer_clear (&mesh->timer);
+  cs_directory_destroy (mesh->directory);
+  while (mesh->links != NULL)
+    cs_link_close (mesh->links);
+  cs_listener_destroy (mesh->listener);
+  free (mesh->members);
+  free (mesh->plan_members);
+  free (mesh->plan_dial);
+  free (mesh);
+}
--- a/router/store/client.c
+++ b/router/store/client.c
@@ -33,6 +33,12 @@
   client->channel = NULL;
 }
 
+static bool
+is_success (int status)
+{
+  return status >= 200 && status < 300;
+}
+
 /* Ends the call.  STATUS 0: without an answer, on a connection that is not
    used again.  */
 static void
@@ -43,11 +49,11 @@
     return;
   client->busy = false;
   cs_timer_clear (&client->timer);
-  if (status == 200)
+  if (is_success (status) && client->body.len > 0)
     root = json_loadb (client->body.data, client->body.len, 0, NULL);
-  if (status == 200 && root == NULL)
+  if (is_success (status) && root == NULL)
     status = 0;
-  if (status != 200)
+  if (!is_success (status))
     {
       client->router->counters.store_failures++;
       drop_channel (client);
@@ -171,8 +177,8 @@
 }
 
 void
-cs_store_client_get (cs_store_client_t *client, cs_str_t path,
-                     cs_time_us_t timeout_us)
+cs_store_client_call (cs_store_client_t *client, const char *method,
+                      cs_str_t path, cs_str_t body, cs_time_us_t timeout_us)
 {
   cs_buf_t request = { 0 };
   client->busy = true;
@@ -181,11 +187,18 @@
   if (client->channel == NULL)
     open_channel (client);
   cs_http_reader_next (client->reader);
-  /* Without a connection the timer ends the call.  */
-  if (client->channel != NULL
-      && cs_buf_printf (&request, "GET %.*s HTTP/1.1\r\nHost: %s\r\n\r\n",
-                        CS_STR_ARG (path), client->router->settings.platform)
-             == 0)
+  int rc
+      = cs_buf_printf (&request, "%s %.*s HTTP/1.1\r\nHost: %s\r\n", method,
+                       CS_STR_ARG (path), client->router->settings.platform);
+  if (rc == 0 && body.len > 0)
+    rc = cs_buf_printf (
+        &request,
+        "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%.*s",
+        body.len, CS_STR_ARG (body));
+  else if (rc == 0)
+    rc = cs_buf_append (&request, cs_str ("\r\n"));
+  /* Without a connection or memory the timer ends the call.  */
+  if (rc == 0 && client->channel != NULL)
     cs_channel_send (client->channel, cs_buf_str (&request));
   cs_buf_free (&request);
 }
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "cranberrystile/outage.h"
+#include "router/mesh.h"
 #include "router/store_client.h"
 
 /* Pause after a failed call; doubled up to the most, and spread at random so
@@ -13,6 +14,9 @@
 /* A watch may be answered this much after its wait.  */
 #define WATCH_SLACK_MS 500
 
+/* Between two looks at whether peers' news is still fresh.  */
+#define REST_LOOK_US (100 * CS_US_PER_MS)
+
 #define STATUS_GONE 410
 
 struct cs_follower
@@ -20,22 +24,37 @@
   cs_router_t *router;
   cs_store_kind_t kind;
   cs_follower_handlers_t handlers;
+  cs_news_t *news; /* of this kind; peers' news goes there too */
   cs_store_client_t *client;
   cs_timer_t timer; /* to the next call */
   bool listing;
   bool list_begun;
-  cs_name_t after; /* last name of the page before */
-  uint64_t revision;
-  uint32_t failures; /* in a row */
+  cs_name_t after;        /* last name of the page before */
+  uint64_t list_revision; /* of the list's first page */
+  uint32_t failures;      /* in a row */
   cs_time_us_t called_at;
   cs_outage_t outage;
 };
 
+/* Whether peers keep this router informed; then it looks again soon whether
+   they still do.  */
+static bool
+rests (cs_follower_t *follower, cs_time_us_t now)
+{
+  if (!cs_mesh_may_rest (follower->router->mesh, follower->news, now))
+    return false;
+  follower->listing = false;
+  cs_timer_set (&follower->timer, REST_LOOK_US);
+  return true;
+}
+
 static void
 call (void *context, cs_time_us_t now)
 {
   cs_follower_t *follower = context;
   const cs_router_settings_t *settings = &follower->router->settings;
+  if (rests (follower, now))
+    return;
   cs_buf_t path = { 0 };
   uint32_t timeout_ms = settings->call_timeout_ms;
   int rc;
@@ -45,13 +64,13 @@
                              &path);
   else
     {
-      rc = cs_store_watch_path (follower->kind, follower->revision,
+      rc = cs_store_watch_path (follower->kind, follower->news->revision,
                                 settings->watch_ms, &path);
       timeout_ms = settings->watch_ms + WATCH_SLACK_MS;
     }
   if (rc == 0)
-    cs_store_client_get (follower->client, cs_buf_str (&path),
-                         timeout_ms * CS_US_PER_MS);
+    cs_store_client_call (follower->client, "GET", cs_buf_str (&path),
+                          (cs_str_t){ "", 0 }, timeout_ms * CS_US_PER_MS);
   else
     cs_timer_set (&follower->timer, PAUSE_MOST_MS * CS_US_PER_MS);
   cs_buf_free (&path);
@@ -91,7 +110,7 @@
   if (cs_outage_answered (&follower->outage, now))
     cs_log (CS_EV_PLATFORM_BACK, "kind=%s revision=%llu",
             cs_store_kind_name (follower->kind),
-            (unsigned long long)follower->revision);
+            (unsigned long long)follower->news->revision);
 }
 
 static cs_time_us_t
@@ -122,6 +141,16 @@
     cs_name_set (&follower->after, object.name);
 }
 
+/* The platform has confirmed what is known as of REVISION.  */
+static void
+know (cs_follower_t *follower, uint64_t revision, cs_time_us_t now)
+{
+  if (revision > follower->news->revision)
+    follower->news->revision = revision;
+  follower->news->told_at = now;
+  follower->news->confirmed_at = now;
+}
+
 static void
 take_list (cs_follower_t *follower, const cs_store_page_t *page,
            cs_time_us_t now)
@@ -130,7 +159,7 @@
     {
       follower->list_begun = true;
       /* Changes since the first page come again as changes.  */
-      follower->revision = page->revision;
+      follower->list_revision = page->revision;
       follower->handlers.on_list_begin (follower->router);
     }
   take_items (follower, page, now);
@@ -140,6 +169,7 @@
       return;
     }
   follower->listing = false;
+  know (follower, follower->list_revision, now);
   follower->handlers.on_list_end (follower->router, kept_until (follower, now),
                                   now);
   call (follower, now);
@@ -150,7 +180,9 @@
             cs_time_us_t now)
 {
   take_items (follower, page, now);
-  follower->revision = page->revision;
+  know (follower, page->revision, now);
+  if (json_array_size (page->items) > 0)
+    cs_mesh_push_news (follower->router->mesh);
   if (json_array_size (page->items) == 0)
     call (follower, now);
   else
@@ -187,7 +219,7 @@
 }
 
 cs_follower_t *
-cs_follower_create (cs_router_t *router, cs_store_kind_t kind,
+cs_follower_create (cs_router_t *router, cs_store_kind_t kind, cs_news_t *news,
                     const cs_follower_handlers_t *handlers)
 {
   cs_follower_t *follower = calloc (1, sizeof *follower);
@@ -195,6 +227,7 @@
     return NULL;
   follower->router = router;
   follower->kind = kind;
+  follower->news = news;
   follower->handlers = *handlers;
   cs_timer_init (&follower->timer, router->loop, call, follower);
   restart_list (follower);
--- a/router/store/targets.c
+++ b/router/store/targets.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "router/follower.h"
+#include "router/intake.h"
 
 static void
 on_list_begin (cs_router_t *router)
@@ -21,7 +22,7 @@
            cs_time_us_t kept_until, cs_time_us_t now)
 {
   cs_target_entry_t entry;
-  bool added;
+  cs_fleet_set_revision (router->fleet, object->revision);
   if (object->deleted)
     {
       bool known
@@ -34,22 +35,8 @@
     }
   /* Other writers' entries name no target; the log would repeat them at each
      list.  */
-  if (cs_store_read_target (object, &entry) != 0)
-    return;
-  if (cs_fleet_put (router->fleet, &entry, &added) != 0)
-    cs_log (CS_EV_TARGET_GONE, "target=%.*s reason=\"no memory\"",
-            CS_STR_ARG (entry.id));
-  else if (added)
-    cs_log (CS_EV_TARGET_LISTED,
-            "target=%.*s service=%.*s data_centre=%.*s slots=%u started=%llu "
-            "revision=%llu",
-            CS_STR_ARG (entry.id), CS_STR_ARG (entry.service),
-            CS_STR_ARG (entry.data_centre), entry.slots,
-            (unsigned long long)entry.started_ms,
-            (unsigned long long)object->revision);
-  else if (entry.draining)
-    cs_log (CS_EV_TARGET_LEAVING, "target=%.*s revision=%llu",
-            CS_STR_ARG (entry.id), (unsigned long long)object->revision);
+  if (cs_store_read_target (object, &entry) == 0)
+    cs_intake_target (router, &entry, "platform");
 }
 
 const cs_follower_handlers_t cs_follow_targets
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -336,6 +336,16 @@
   EXPECT_EQ (cs_silence_limit (&route, &silence), SECOND + 400 * CS_US_PER_MS);
 }
 
+// A route with a timeout of a quarter of a second had healthy targets ejected.
+TEST (Silence, AShortTimeoutSaysNothingAboutTheTarget)
+{
+  cs_route_t route = {};
+  route.kind = CS_ROUTE_SAFE;
+  route.timeout_ms = 250;
+  cs_silence_t silence = { SECOND, 0, 0 };
+  EXPECT_GT (cs_silence_limit (&route, &silence), SECOND + 250 * CS_US_PER_MS);
+}
+
 TEST (Eject, ASilentTargetIsEjectedAtOnceAndForLongerEachTime)
 {
   cs_eject_policy_t policy = cs_eject_policy_default ();
