Share outcomes of calls, and send configurations compressed

Cause: a router of 72 sends an engine a call every few seconds, so three failures in a row never came together, and a target that fails fast looked the least loaded to all. After the big configuration a hub sent 320 KB to each of 18 members over 10 Mbit/s, and answers were late for six seconds.

Ruled out: processor time (0.013 cores at the most).

Change: beats carry ended and failed calls; a target is ejected when three of its recent calls failed, at least 0.3 of them and twice the others' share (cs_outcomes_t, half-life 1 s). Configurations go and are kept compressed.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
   libcurl4-openssl-dev libevent-dev libgtest-dev libhttp-parser-dev \
   libinih-dev libjansson-dev \
   libprotobuf-c-dev libssl-dev liburcu-dev libxxhash-dev meson ninja-build \
-  pkg-config scdoc uthash-dev
+  pkg-config scdoc uthash-dev zlib1g-dev
 
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
   '*.c' '*.h' '*.cc' | grep -v 'pb-c')
--- a/cranberrystile/load/load_table.c
+++ b/cranberrystile/load/load_table.c
@@ -22,17 +22,17 @@
   return from;
 }
 
-uint32_t
+cs_load_t
 cs_load_table_get (const cs_load_table_t *table, uint32_t target)
 {
   size_t at = lower_bound (table, target);
   if (at == table->count || table->entries[at].target != target)
-    return 0;
-  return table->entries[at].calls;
+    return (cs_load_t){ .target = target };
+  return table->entries[at];
 }
 
 /* The entry of TARGET, made when it is new; NULL without memory.  */
-static cs_load_entry_t *
+static cs_load_t *
 entry_for (cs_load_table_t *table, uint32_t target)
 {
   size_t at = lower_bound (table, target);
@@ -41,7 +41,7 @@
   if (table->count == table->capacity)
     {
       size_t capacity = table->capacity == 0 ? 16 : table->capacity * 2;
-      cs_load_entry_t *entries
+      cs_load_t *entries
           = realloc (table->entries, capacity * sizeof *entries);
       if (entries == NULL)
         return NULL;
@@ -50,40 +50,49 @@
     }
   memmove (&table->entries[at + 1], &table->entries[at],
            (table->count - at) * sizeof *table->entries);
-  table->entries[at] = (cs_load_entry_t){ target, 0 };
+  table->entries[at] = (cs_load_t){ .target = target };
   table->count++;
   return &table->entries[at];
 }
 
 int
-cs_load_table_set (cs_load_table_t *table, uint32_t target, uint32_t calls)
+cs_load_table_set (cs_load_table_t *table, const cs_load_t *load)
 {
-  cs_load_entry_t *entry = entry_for (table, target);
+  cs_load_t *entry = entry_for (table, load->target);
   if (entry == NULL)
     return CS_ERR_NO_MEMORY;
-  entry->calls = calls;
+  *entry = *load;
   return CS_OK;
 }
 
-int
-cs_load_table_add (cs_load_table_t *table, uint32_t target, uint32_t calls)
+void
+cs_load_table_free (cs_load_table_t *table)
 {
-  cs_load_entry_t *entry = entry_for (table, target);
-  if (entry == NULL)
-    return CS_ERR_NO_MEMORY;
-  entry->calls += calls;
-  return CS_OK;
+  free (table->entries);
+  memset (table, 0, sizeof *table);
 }
 
 void
-cs_load_table_clear (cs_load_table_t *table)
+cs_load_add (cs_load_t *sum, const cs_load_t *more)
 {
-  table->count = 0;
+  sum->calls += more->calls;
+  sum->ended += more->ended;
+  sum->failed += more->failed;
 }
 
-void
-cs_load_table_free (cs_load_table_t *table)
+/* Calls in flight are told when they change by more than this part, and ended
+   calls, which only weigh failures, by so many.  */
+#define CALLS_PART 8
+#define ENDED_STEP 16
+
+bool
+cs_load_is_news (const cs_load_t *load, const cs_load_t *told)
 {
-  free (table->entries);
-  memset (table, 0, sizeof *table);
+  uint32_t change = load->calls > told->calls ? load->calls - told->calls
+                                              : told->calls - load->calls;
+  if (change > told->calls / CALLS_PART
+      || (load->calls == 0 && told->calls > 0))
+    return true;
+  return load->failed != told->failed
+         || load->ended - told->ended >= ENDED_STEP;
 }
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -12,6 +12,7 @@
 #include "common/clock.h"
 #include "common/str.h"
 #include "cranberrystile/eject.h"
+#include "cranberrystile/outcomes.h"
 
 /* What a target says of itself in the platform's list.  The strings are
    borrowed.  */
@@ -57,6 +58,11 @@
   cs_time_us_t peer_calls_at; /* when they were told; 0: not yet */
   uint64_t changed;           /* revision of its last change */
   cs_eject_t eject;
+  cs_outcomes_t outcomes; /* of all routers */
+  uint32_t ended;         /* calls of this router, in all */
+  uint32_t failed;
+  uint32_t peers_ended; /* calls of others, as they last told */
+  uint32_t peers_failed;
   cs_time_us_t heard_at; /* last answer byte; 0: none yet */
   uint32_t references;
   void *user; /* of the program: its connections to the target */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -33,7 +33,8 @@
   cs_router_settings_t settings;
   cs_loop_t *loop;
   cs_routing_t *routing;     /* NULL until the first is known */
-  cs_buf_t routing_document; /* the same as the platform holds it, JSON */
+  cs_buf_t routing_document; /* the same as the platform holds it:
+                                JSON, compressed */
   cs_news_t routing_news;
   cs_news_t targets_news;
   cs_fleet_t *fleet;
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -386,7 +386,7 @@
   (ProtobufCMessageInit) cs__router__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cs__router__load__field_descriptors[4] =
 {
   {
     "target",
@@ -412,15 +412,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Load, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Load, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__load__field_indices_by_name[] = {
   1,   /* field[1] = calls */
+  2,   /* field[2] = ended */
+  3,   /* field[3] = failed */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange cs__router__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cs__router__load__descriptor =
 {
@@ -430,7 +456,7 @@
   "Cs__Router__Load",
   "cs.router",
   sizeof(Cs__Router__Load),
-  2,
+  4,
   cs__router__load__field_descriptors,
   cs__router__load__field_indices_by_name,
   1,  cs__router__load__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -48,7 +48,8 @@
 
 
 /*
- * Calls in flight at a target.
+ * Calls at a target: those in flight, and how many ended since the teller's
+ * start, well or not.
  */
 struct  Cs__Router__Load
 {
@@ -58,10 +59,12 @@
    */
   uint32_t target;
   uint32_t calls;
+  uint32_t ended;
+  uint32_t failed;
 };
 #define CS__ROUTER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__load__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/router/forward/answer.c
+++ b/router/forward/answer.c
@@ -3,6 +3,7 @@
 #include "http/answer.h"
 #include "router/caller.h"
 #include "router/forward/internal.h"
+#include "router/health.h"
 
 /* An answer up to this size is collected before the caller sees any of it, so
    that one that breaks can still be replaced.  */
@@ -230,14 +231,15 @@
           cs_forward_try_failed (forward, CS_ERR_CUT, true, now);
           return;
         }
-      cs_eject_success (&forward->target->eject);
+      cs_health_ended (forward->router, forward->target, CS_OK, now);
       end_passed (forward, now);
       return;
     case CS_FORWARD_PARTS:
+      cs_health_ended (forward->router, forward->target, CS_OK, now);
       end_passed (forward, now);
       return;
     case CS_FORWARD_WHOLE:
-      cs_eject_success (&forward->target->eject);
+      cs_health_ended (forward->router, forward->target, CS_OK, now);
       cs_forward_pass_whole (forward, now);
       return;
     }
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "cranberrystile/silence.h"
 #include "router/forward/internal.h"
+#include "router/health.h"
 
 /* Tries that found no connection; those cost the targets nothing, but each one
    costs the caller time.  */
@@ -146,49 +147,6 @@
   return error == CS_ERR_REFUSED || is_repeatable (forward);
 }
 
-/* Counts the targets of the service that FORWARD's target belongs to.  */
-static uint32_t
-count_targets (const cs_forward_t *forward, cs_time_us_t now,
-               uint32_t *ejected)
-{
-  size_t total;
-  uint32_t live = 0;
-  cs_target_t *const *targets
-      = cs_fleet_targets (forward->router->fleet, &total);
-  *ejected = 0;
-  for (size_t i = 0; i < total; i++)
-    {
-      if (!cs_name_equal (&targets[i]->service, &forward->target->service))
-        continue;
-      live++;
-      if (cs_eject_is_ejected (&targets[i]->eject, now))
-        (*ejected)++;
-    }
-  return live;
-}
-
-/* Lets the failure of a try count against its target.  A target that takes no
-   connection or is silent is ejected at once: nothing is to be had there.
-   Other failures count only in a row, and only for a share of the targets.  */
-static void
-note_failure (cs_forward_t *forward, int error, cs_time_us_t now)
-{
-  cs_eject_policy_t policy = cs_eject_policy_default ();
-  cs_target_t *target = forward->target;
-  uint32_t ejected;
-  uint32_t live = count_targets (forward, now, &ejected);
-  bool is_new = false;
-  if (error == CS_ERR_CONNECT || error == CS_ERR_SILENT)
-    is_new = cs_eject_now (&target->eject, &policy, now);
-  else if (error != CS_ERR_REFUSED)
-    is_new = cs_eject_failure (&target->eject, &policy, ejected, live, now);
-  if (is_new)
-    cs_log (CS_EV_TARGET_EJECTED, "target=%s error=%s ejected=%u of=%u",
-            target->id.text, cs_error_name (error), ejected + 1, live);
-  if (error == CS_ERR_SILENT)
-    cs_connections_sweep (target, true, now);
-}
-
 void
 cs_forward_check_silence (void *context, cs_time_us_t now)
 {
@@ -210,7 +168,7 @@
                            now))
     {
       /* Nothing better than to wait on; others avoid the target.  */
-      note_failure (forward, CS_ERR_SILENT, now);
+      cs_health_ended (forward->router, forward->target, CS_ERR_SILENT, now);
       return;
     }
   cs_connection_t *connection = forward->connection;
@@ -253,7 +211,7 @@
       if (error != CS_ERR_REFUSED)
         forward->outcome_unknown = true;
     }
-  note_failure (forward, error, now);
+  cs_health_ended (forward->router, forward->target, error, now);
   bool again = may_try_again (forward, error, was_sent, now);
   cs_log (CS_EV_ATTEMPT_FAILED,
           "id=%.*s target=%s error=%s sent=%d events=%llu next=%s",
--- a/router/intake.c
+++ b/router/intake.c
@@ -2,9 +2,15 @@
 
 #include <stdlib.h>
 
+#include "common/compress.h"
+#include "common/error.h"
 #include "common/log.h"
 #include "platform/store.h"
 
+/* The store holds values up to about a megabyte; other writers' spelling of
+   JSON may be longer.  */
+#define DOCUMENT_MOST (4U << 20)
+
 static void
 log_routing (const cs_routing_t *routing, uint64_t revision,
              const char *source)
@@ -17,44 +23,73 @@
           routing->organisation_count, routing->key_count);
 }
 
-/* Keeps the document for peers; without memory they ask the platform.  */
 static void
-keep_document (cs_router_t *router, const json_t *spec)
+reject_routing (uint64_t revision, const char *source, const char *reason)
 {
-  cs_buf_free (&router->routing_document);
-  if (router->mesh == NULL)
-    return;
-  char *text = json_dumps (spec, JSON_COMPACT);
-  if (text != NULL)
-    cs_buf_append (&router->routing_document, cs_str (text));
-  free (text);
+  cs_log (CS_EV_ROUTING_REJECTED, "revision=%llu source=%s reason=\"%s\"",
+          (unsigned long long)revision, source, reason);
 }
 
-void
-cs_intake_routing (cs_router_t *router, const json_t *spec, uint64_t revision,
-                   const char *source)
+/* Puts the routing into force; false when it is bad or not newer.  */
+static bool
+take_routing (cs_router_t *router, const json_t *spec, uint64_t revision,
+              const char *source)
 {
   cs_routing_t *routing = NULL;
   cs_buf_t reason = { 0 };
   if (cs_store_read_routing (spec, &routing, &reason) != 0)
     {
-      cs_log (CS_EV_ROUTING_REJECTED, "revision=%llu source=%s reason=\"%s\"",
-              (unsigned long long)revision, source,
-              reason.data == NULL ? "no memory" : reason.data);
+      reject_routing (revision, source,
+                      reason.data == NULL ? "no memory" : reason.data);
       cs_buf_free (&reason);
-      return;
+      return false;
     }
   if (router->routing != NULL && routing->version <= router->routing->version)
     {
       cs_routing_release (routing);
-      return;
+      return false;
     }
   log_routing (routing, revision, source);
   cs_routing_release (router->routing);
   router->routing = routing;
   if (revision > router->routing_news.revision)
     router->routing_news.revision = revision;
-  keep_document (router, spec);
+  cs_buf_free (&router->routing_document);
+  return true;
+}
+
+void
+cs_intake_routing (cs_router_t *router, const json_t *spec, uint64_t revision)
+{
+  if (!take_routing (router, spec, revision, "platform")
+      || router->mesh == NULL)
+    return;
+  /* Kept for peers; without memory they ask the platform.  */
+  char *text = json_dumps (spec, JSON_COMPACT);
+  if (text != NULL
+      && cs_compress (cs_str (text), &router->routing_document) != 0)
+    cs_buf_free (&router->routing_document);
+  free (text);
+}
+
+void
+cs_intake_peer_routing (cs_router_t *router, cs_str_t document,
+                        uint64_t revision)
+{
+  cs_buf_t text = { 0 };
+  json_t *spec = NULL;
+  if (cs_decompress (document, DOCUMENT_MOST, &text) != 0)
+    {
+      reject_routing (revision, "peer", "cannot be decompressed");
+      goto out;
+    }
+  spec = json_loadb (text.data, text.len, 0, NULL);
+  cs_buf_free (&text);
+  if (take_routing (router, spec, revision, "peer"))
+    cs_buf_append (&router->routing_document, document);
+out:
+  cs_buf_free (&text);
+  json_decref (spec);
 }
 
 void
--- a/router/peer/loads.c
+++ b/router/peer/loads.c
@@ -5,56 +5,56 @@
 
 #include <stdlib.h>
 
+#include "router/health.h"
 #include "router/peer/internal.h"
 
-/* A difference is told from one call on, and beyond CALLS / CHANGE_PART, so
-   that busy targets do not fill every beat.  */
-#define CHANGE_PART 8
-
-static uint32_t
-short_hash (const cs_target_t *target)
-{
-  return (uint32_t)target->hash;
-}
-
 static bool
 is_neighbour (const cs_link_t *link)
 {
   return link->greeted && link->data_centre == link->mesh->data_centre;
 }
 
-/* Calls at TARGET of all routers but those behind LINK.  */
-static uint32_t
-calls_without (const cs_link_t *link, const cs_target_t *target,
-               bool neighbours_only)
+static cs_load_t
+own_load (const cs_target_t *target)
 {
-  uint32_t sum = target->in_flight;
-  for (const cs_link_t *at = link->mesh->links; at != NULL; at = at->next)
-    if (at != link && at->greeted && (!neighbours_only || is_neighbour (at)))
-      sum += cs_load_table_get (&at->peer_own, short_hash (target));
-  return sum;
+  return (cs_load_t){ .target = (uint32_t)target->hash,
+                      .calls = target->in_flight,
+                      .ended = target->ended,
+                      .failed = target->failed };
 }
 
-static bool
-is_worth_telling (uint32_t calls, uint32_t told)
+/* The calls at TARGET that links tell of, but those of EXCEPT; only those of
+   this data centre when NEIGHBOURS_ONLY.  */
+static cs_load_t
+links_load (const cs_mesh_t *mesh, const cs_link_t *except,
+            const cs_target_t *target, bool neighbours_only)
 {
-  uint32_t change = calls > told ? calls - told : told - calls;
-  return change > told / CHANGE_PART || (calls == 0 && told > 0);
+  cs_load_t sum = { .target = (uint32_t)target->hash };
+  for (const cs_link_t *at = mesh->links; at != NULL; at = at->next)
+    {
+      if (at == except || !at->greeted
+          || (neighbours_only && !is_neighbour (at)))
+        continue;
+      cs_load_t load = cs_load_table_get (&at->peer_own, sum.target);
+      cs_load_add (&sum, &load);
+    }
+  return sum;
 }
 
-/* Notes in TOLD that CALLS at TARGET are told, and adds them to LIST.  */
+/* Notes in TOLD that LOAD is told, and adds it to LIST, if it is news.  */
 static void
-tell (cs_load_table_t *told, const cs_target_t *target, uint32_t calls,
-      Cs__Router__Load *entries, Cs__Router__Load **list, size_t *count)
+tell (cs_load_table_t *told, const cs_load_t *load, Cs__Router__Load *entries,
+      Cs__Router__Load **list, size_t *count)
 {
-  uint32_t hash = short_hash (target);
-  if (!is_worth_telling (calls, cs_load_table_get (told, hash))
-      || cs_load_table_set (told, hash, calls) != 0)
+  cs_load_t before = cs_load_table_get (told, load->target);
+  if (!cs_load_is_news (load, &before) || cs_load_table_set (told, load) != 0)
     return;
   Cs__Router__Load *entry = &entries[*count];
   cs__router__load__init (entry);
-  entry->target = hash;
-  entry->calls = calls;
+  entry->target = load->target;
+  entry->calls = load->calls;
+  entry->ended = load->ended;
+  entry->failed = load->failed;
   list[(*count)++] = entry;
 }
 
@@ -100,15 +100,15 @@
     return;
   for (size_t i = 0; i < count; i++)
     {
-      const cs_target_t *target = targets[i];
+      cs_load_t own = own_load (targets[i]);
+      cs_load_t others = links_load (mesh, link, targets[i], !neighbour);
+      cs_load_add (&others, &own);
       /* Another data centre hears the sum of this one.  */
-      uint32_t own
-          = neighbour ? target->in_flight : calls_without (link, target, true);
-      tell (&link->sent_own, target, own, scratch.own, scratch.own_list,
-            &beat->n_own);
+      tell (&link->sent_own, neighbour ? &own : &others, scratch.own,
+            scratch.own_list, &beat->n_own);
       if (beat->has_others)
-        tell (&link->sent_others, target, calls_without (link, target, false),
-              scratch.others, scratch.others_list, &beat->n_others);
+        tell (&link->sent_others, &others, scratch.others, scratch.others_list,
+              &beat->n_others);
     }
   beat->own = scratch.own_list;
   beat->others = scratch.others_list;
@@ -119,7 +119,13 @@
             size_t count)
 {
   for (size_t i = 0; i < count; i++)
-    cs_load_table_set (table, loads[i]->target, loads[i]->calls);
+    {
+      cs_load_t load = { .target = loads[i]->target,
+                         .calls = loads[i]->calls,
+                         .ended = loads[i]->ended,
+                         .failed = loads[i]->failed };
+      cs_load_table_set (table, &load);
+    }
 }
 
 void
@@ -142,6 +148,24 @@
   return best;
 }
 
+/* Takes the calls of others at TARGET into force.  Totals that went down are
+   those of another set of routers: counting starts anew from there.  */
+static void
+apply (cs_router_t *router, cs_target_t *target, const cs_load_t *others,
+       cs_time_us_t now)
+{
+  target->peer_calls = others->calls;
+  target->peer_calls_at = now;
+  bool goes_on = others->ended >= target->peers_ended
+                 && others->failed >= target->peers_failed;
+  uint32_t ended = others->ended - target->peers_ended;
+  uint32_t failed = others->failed - target->peers_failed;
+  target->peers_ended = others->ended;
+  target->peers_failed = others->failed;
+  if (goes_on && ended >= failed && ended + failed > 0)
+    cs_health_heard (router, target, ended, failed, now);
+}
+
 void
 cs_loads_apply (cs_mesh_t *mesh, cs_time_us_t now)
 {
@@ -152,15 +176,10 @@
     return;
   for (size_t i = 0; i < count; i++)
     {
-      cs_target_t *target = targets[i];
-      uint32_t calls = 0;
-      if (hub != NULL)
-        calls = cs_load_table_get (&hub->peer_others, short_hash (target));
-      else
-        for (const cs_link_t *at = mesh->links; at != NULL; at = at->next)
-          if (at->greeted)
-            calls += cs_load_table_get (&at->peer_own, short_hash (target));
-      target->peer_calls = calls;
-      target->peer_calls_at = now;
+      cs_load_t others = hub != NULL
+                             ? cs_load_table_get (&hub->peer_others,
+                                                  (uint32_t)targets[i]->hash)
+                             : links_load (mesh, NULL, targets[i], false);
+      apply (mesh->router, targets[i], &others, now);
     }
 }
--- a/router/peer/news.c
+++ b/router/peer/news.c
@@ -194,10 +194,10 @@
   cs_router_t *router = link->mesh->router;
   if (routing->version <= own_routing_version (router))
     return;
-  json_t *spec = json_loadb ((const char *)routing->document.data,
-                             routing->document.len, 0, NULL);
-  cs_intake_routing (router, spec, routing->revision, "peer");
-  json_decref (spec);
+  cs_intake_peer_routing (router,
+                          (cs_str_t){ (const char *)routing->document.data,
+                                      routing->document.len },
+                          routing->revision);
 }
 
 /* The changes build on the list at SINCE: a newer list needs none of them, and
