Free channels that finish when the router ends

Cause: the sanitizers found a channel that was still reading its peer's end when the process stopped, and an empty address parsed through a null pointer.

Change: the loop keeps finishing channels and closes them last; undefined behaviour now fails check-sanitized.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 check-sanitized: $(SANITIZED)/build.ninja
 	ninja -C $(SANITIZED)
-	./tests/run $(SANITIZED)
+	UBSAN_OPTIONS=halt_on_error=1 ./tests/run $(SANITIZED)
 
 # The decisions in virtual time, then the speed of the real daemon.
 bench: all
--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -57,6 +57,9 @@
    is not reset before it has read the end.  */
 void cs_channel_finish (cs_channel_t *channel);
 
+/* Closes all channels that are finishing, before their loop is destroyed.  */
+void cs_channels_close_finishing (cs_loop_t *loop);
+
 /* Sends or queues DATA.  Returns 0 or CS_ERR_NO_MEMORY; a connection that
    fails is reported to on_end later.  */
 int cs_channel_send (cs_channel_t *channel, cs_str_t data);
--- a/include/net/loop.h
+++ b/include/net/loop.h
@@ -29,6 +29,10 @@
 /* Scratch space for one read, shared by all channels of the loop.  */
 char *cs_loop_read_buffer (cs_loop_t *loop, size_t *size);
 
+/* Head of the list of channels that finish without an owner; net/channel.c
+   keeps it.  */
+void **cs_loop_finishing (cs_loop_t *loop);
+
 /* A timer that belongs to a larger record.  Initialise once; after that it can
    be set and cleared any number of times.  */
 typedef struct
--- a/net/channel.c
+++ b/net/channel.c
@@ -29,8 +29,19 @@
   bool paused;
   bool in_callback;
   bool closed;
+  cs_channel_t *next_finishing; /* without an owner: kept by the loop */
 };
 
+static void
+forget_finishing (cs_channel_t *channel)
+{
+  cs_channel_t **at = (cs_channel_t **)cs_loop_finishing (channel->loop);
+  while (*at != NULL && *at != channel)
+    at = &(*at)->next_finishing;
+  if (*at != NULL)
+    *at = channel->next_finishing;
+}
+
 static void
 release (cs_channel_t *channel)
 {
@@ -45,6 +56,8 @@
   if (channel == NULL || channel->closed)
     return;
   channel->closed = true;
+  if (channel->finishing)
+    forget_finishing (channel);
   event_del (&channel->readable);
   event_del (&channel->writable);
   cs_timer_clear (&channel->timer);
@@ -253,12 +266,23 @@
   if (channel->closed || channel->finishing)
     return;
   channel->finishing = true;
+  cs_channel_t **first = (cs_channel_t **)cs_loop_finishing (channel->loop);
+  channel->next_finishing = *first;
+  *first = channel;
   cs_channel_pause (channel, false);
   cs_timer_set (&channel->timer, LINGER_US);
   if (cs_channel_queued (channel) == 0)
     shutdown (channel->fd, SHUT_WR);
 }
 
+void
+cs_channels_close_finishing (cs_loop_t *loop)
+{
+  cs_channel_t **first = (cs_channel_t **)cs_loop_finishing (loop);
+  while (*first != NULL)
+    cs_channel_close (*first);
+}
+
 static int
 queue_output (cs_channel_t *channel, cs_str_t data)
 {
@@ -331,8 +355,10 @@
 cs_address_parse (cs_str_t text, struct sockaddr_in *address)
 {
   char host[INET_ADDRSTRLEN];
-  const char *colon = memrchr (text.data, ':', text.len);
   uint64_t port;
+  if (text.len == 0)
+    return CS_ERR_BAD_REQUEST;
+  const char *colon = memrchr (text.data, ':', text.len);
   if (colon == NULL || (size_t)(colon - text.data) >= sizeof host)
     return CS_ERR_BAD_REQUEST;
   size_t len = (size_t)(colon - text.data);
--- a/net/loop.c
+++ b/net/loop.c
@@ -9,6 +9,7 @@
 {
   struct event_base *base;
   char *read_buffer;
+  void *finishing;
 };
 
 cs_loop_t *
@@ -75,6 +76,12 @@
   return loop->read_buffer;
 }
 
+void **
+cs_loop_finishing (cs_loop_t *loop)
+{
+  return &loop->finishing;
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *argument)
 {
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "common/log.h"
+#include "net/channel.h"
 #include "net/listener.h"
 #include "router/caller.h"
 #include "router/follower.h"
@@ -272,6 +273,7 @@
        i++)
     if (process->signals[i] != NULL)
       event_free (process->signals[i]);
+  cs_channels_close_finishing (router->loop);
   cs_loop_destroy (router->loop);
 }
 
