Copy kept context from the target that holds it

Ruled out: fewer moves; the threshold is near the cap already.

Change: the chooser remembers where it last sent a context and names that target, or the home that the chosen one stands in for, as a source; the request asks the target to copy from there, where copying a token takes 5 us at most. Tests: Chooser, AContextThatMovesIsFetchedFromItsLastTarget and another.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -111,7 +111,7 @@
 }
 
 static int
-add (cs_fleet_t *fleet, const cs_target_entry_t *entry)
+add (cs_fleet_t *fleet, const cs_target_entry_t *entry, cs_time_us_t now)
 {
   if (reserve (fleet) != 0)
     return CS_ERR_NO_MEMORY;
@@ -127,6 +127,7 @@
   target->slots = entry->slots;
   target->leaving = entry->draining;
   target->changed = entry->revision;
+  target->joined_at = now;
   target->references = 1;
   fleet->targets[fleet->count] = target;
   fleet->listed[fleet->count] = true;
@@ -144,7 +145,8 @@
 }
 
 int
-cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry, bool *added)
+cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry,
+              cs_time_us_t now, bool *added)
 {
   size_t at = find (fleet, entry->id);
   *added = false;
@@ -167,7 +169,7 @@
       drop_at (fleet, at);
     }
   *added = true;
-  return add (fleet, entry);
+  return add (fleet, entry, now);
 }
 
 static void
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -7,6 +7,18 @@
 #include "cranberrystile/rank.h"
 
 #define HOMES_MOST 8
+/* Contexts whose last target is remembered; the newest of those that share a
+   place stays.  */
+#define CONTEXTS_REMEMBERED 2048
+/* A target that joined so recently may lack the contexts that are at home
+   there.  */
+#define JOINED_US (20 * CS_US_PER_S)
+
+typedef struct
+{
+  uint64_t key;
+  uint64_t target; /* hash */
+} placed_t;
 
 struct cs_chooser
 {
@@ -15,6 +27,7 @@
   cs_target_t **candidates; /* scratch for one choice */
   cs_rank_member_t *members;
   size_t capacity;
+  placed_t placed[CONTEXTS_REMEMBERED];
 };
 
 cs_choice_policy_t
@@ -158,6 +171,43 @@
   return NULL;
 }
 
+static const cs_target_t *
+find_by_hash (const cs_fleet_t *fleet, uint64_t hash)
+{
+  size_t count;
+  cs_target_t *const *targets = cs_fleet_targets (fleet, &count);
+  for (size_t i = 0; i < count; i++)
+    if (targets[i]->hash == hash)
+      return targets[i];
+  return NULL;
+}
+
+/* A target other than CHOSEN that is likely to hold the context KEY: the one
+   that this router last sent it to, or else the home that CHOSEN stands in
+   for.  */
+static const cs_target_t *
+find_source (cs_chooser_t *chooser, const cs_fleet_t *fleet, uint64_t key,
+             const cs_target_t *chosen, size_t count, cs_time_us_t now)
+{
+  const placed_t *placed = &chooser->placed[key % CONTEXTS_REMEMBERED];
+  uint32_t ranked[2];
+  if (placed->key == key)
+    {
+      const cs_target_t *last = find_by_hash (fleet, placed->target);
+      if (last != NULL && last != chosen
+          && !cs_eject_is_ejected (&last->eject, now))
+        return last;
+      if (last == chosen)
+        return NULL;
+    }
+  size_t found = cs_rank (key, chooser->members, count, ranked, 2);
+  if (found > 0 && chooser->candidates[ranked[0]] != chosen)
+    return chooser->candidates[ranked[0]];
+  if (found > 1 && now - chosen->joined_at < JOINED_US)
+    return chooser->candidates[ranked[1]];
+  return NULL;
+}
+
 int
 cs_chooser_choose (cs_chooser_t *chooser, const cs_fleet_t *fleet,
                    const cs_choice_ask_t *ask, cs_time_us_t now,
@@ -189,6 +239,11 @@
   if (out->target == NULL)
     out->target = less_loaded_of_two (chooser, ask, count);
   out->load = cs_target_estimate (out->target);
+  if (key != 0 && ask->can_fetch)
+    out->source = find_source (chooser, fleet, key, out->target, count, now);
+  if (key != 0)
+    chooser->placed[key % CONTEXTS_REMEMBERED]
+        = (placed_t){ key, out->target->hash };
   return CS_OK;
 }
 
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -35,13 +35,16 @@
   cs_str_t service;
   cs_str_t data_centre; /* of this router */
   const cs_prompt_context_t *context;
+  bool can_fetch; /* targets copy kept context from each other */
   const cs_target_t *avoid[CS_CHOICE_AVOID_MOST];
   uint32_t avoid_count;
 } cs_choice_ask_t;
 
 typedef struct
 {
-  cs_target_t *target; /* NULL: the service has no target */
+  cs_target_t *target;       /* NULL: the service has no target */
+  const cs_target_t *source; /* another one that is likely to hold the context
+                                which TARGET lacks; NULL: none */
   cs_choice_why_t why;
   uint32_t load; /* estimate for the target */
   double mean;   /* of the service */
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -57,6 +57,7 @@
   uint32_t peer_calls;        /* calls of other routers, as they told */
   cs_time_us_t peer_calls_at; /* when they were told; 0: not yet */
   uint64_t changed;           /* revision of its last change */
+  cs_time_us_t joined_at;     /* this incarnation became known */
   cs_eject_t eject;
   cs_outcomes_t outcomes; /* of all routers */
   uint32_t ended;         /* calls of this router, in all */
@@ -76,11 +77,11 @@
 cs_fleet_t *cs_fleet_create (cs_fleet_gone_fn *gone, void *context);
 void cs_fleet_destroy (cs_fleet_t *fleet);
 
-/* Takes in an entry.  A newer start under a known id replaces the incarnation
-   before; an older one is ignored.  *ADDED tells whether a new incarnation
-   came.  Returns 0 or CS_ERR_NO_MEMORY.  */
+/* Takes in an entry at NOW.  A newer start under a known id replaces the
+   incarnation before; an older one is ignored.  *ADDED tells whether a new
+   incarnation came.  Returns 0 or CS_ERR_NO_MEMORY.  */
 int cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry,
-                  bool *added);
+                  cs_time_us_t now, bool *added);
 
 /* The entry ID has been removed.  Until KEPT_UNTIL entries of live targets may
    come back that lapsed while the platform was away, so the target stays in
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -49,6 +49,8 @@
   cs_str_t health_path;
   uint32_t connections_most; /* of all routers to one target */
   uint32_t slots;            /* of an engine; 0 for a plain service */
+  double fetch_us_per_token; /* to copy kept context from another target; 0:
+                                they cannot */
 } cs_service_t;
 
 typedef struct
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -34,7 +34,9 @@
   cs_str_t organisation;  /* empty: none */
   cs_str_t last_event_id; /* empty: as the caller sent it */
   uint32_t deadline_ms;
-  int priority; /* 0 (first) to 9; below 0: none */
+  const struct sockaddr_in *fetch_from; /* the target first copies context from
+                                           there; NULL: it does not */
+  int priority;                         /* 0 (first) to 9; below 0: none */
   uint64_t body_len;
   bool has_body;
 } cs_target_request_t;
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -15,6 +15,10 @@
 /* Part of the time left that a caller may be told to wait.  */
 #define RETRY_AFTER_SHARE (1.0 / 3)
 
+/* Copying a token must be this quick to be worth it: engines read hundreds of
+   tokens in a millisecond at best.  */
+#define FETCH_US_MOST 5.0
+
 static void
 log_end (const cs_forward_t *forward, const char *outcome, int status,
          cs_time_us_t now)
@@ -24,7 +28,7 @@
   cs_log (
       CS_EV_REQUEST_DONE,
       "id=%.*s route=%.*s organisation=%.*s version=%llu target=%s "
-      "why=%s load=%u mean=%.1f live=%u tries=%u connects_failed=%u "
+      "why=%s source=%s load=%u mean=%.1f live=%u tries=%u connects_failed=%u "
       "first_ms=%llu total_ms=%llu status=%d outcome=%s",
       CS_STR_ARG (forward->request.id),
       forward->route == NULL ? 0 : (int)forward->route->name.len,
@@ -34,7 +38,9 @@
       forward->routing == NULL ? 0ULL
                                : (unsigned long long)forward->routing->version,
       forward->target == NULL ? "" : forward->target->id.text,
-      cs_choice_why_name (forward->choice.why), forward->choice.load,
+      cs_choice_why_name (forward->choice.why),
+      forward->choice.source == NULL ? "" : forward->choice.source->id.text,
+      forward->choice.load,
       forward->choice.mean, forward->choice.live, forward->sends,
       forward->connects, (unsigned long long)(first / CS_US_PER_MS),
       (unsigned long long)((now - forward->arrived) / CS_US_PER_MS), status,
@@ -179,6 +185,8 @@
       forward->routing, forward->route, cs_random_unit (&router->random));
   if (service == NULL)
     return CS_ERR_NO_TARGET;
+  forward->may_fetch = service->fetch_us_per_token > 0
+                       && service->fetch_us_per_token <= FETCH_US_MOST;
   forward->service = cs_service_table_get (&router->services, service->name);
   return forward->service == NULL ? CS_ERR_NO_MEMORY : CS_OK;
 }
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -29,6 +29,7 @@
   const cs_route_t *route;
   const cs_organisation_t *organisation; /* NULL on a public route */
   cs_service_state_t *service;
+  bool may_fetch; /* targets copy context quicker than they read it */
   cs_time_us_t arrived;
   cs_time_us_t give_up;
   cs_time_us_t first_byte; /* of the answer from a target; 0 until then */
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -65,6 +65,8 @@
   };
   if (forward->organisation != NULL)
     fields.organisation = forward->organisation->name;
+  if (forward->choice.source != NULL)
+    fields.fetch_from = &forward->choice.source->address;
   if (forward->events.last_id.len > 0)
     fields.last_event_id = cs_name_str (&forward->events.last_id);
   int rc = cs_headers_write_request (&forward->head, &fields, &head);
@@ -104,6 +106,7 @@
     .service = cs_name_str (&forward->service->name),
     .data_centre = cs_str (router->settings.data_centre),
     .context = forward->route->has_context ? &forward->request.context : NULL,
+    .can_fetch = forward->may_fetch,
     .avoid_count = forward->tried_count,
   };
   for (uint32_t i = 0; i < forward->tried_count; i++)
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -53,7 +53,7 @@
     entry.started_ms = started_ms;
     entry.slots = 8;
     entry.draining = draining;
-    EXPECT_EQ (cs_fleet_put (fleet, &entry, &added), CS_OK);
+    EXPECT_EQ (cs_fleet_put (fleet, &entry, now, &added), CS_OK);
     return added;
   }
 
@@ -68,6 +68,7 @@
     return nullptr;
   }
 
+  cs_time_us_t now = 0; // of the entries that are put
   int gone = 0;
   cs_fleet_t *fleet = nullptr;
 };
@@ -259,6 +260,54 @@
   EXPECT_NE (choose (), home) << "a home over its threshold";
 }
 
+// A context that moves is copied from where it was, in place of being read
+// again: a target joins and is its first home, or its home is full.
+TEST_F (Chooser, AContextThatMovesIsFetchedFromItsLastTarget)
+{
+  cs_prompt_context_t context = {};
+  cs_choice_t choice;
+  for (int i = 0; i < 8; i++)
+    put (("t" + std::to_string (i)).c_str ());
+  context.count = 1;
+  context.chain[0] = 42;
+  ask.context = &context;
+  ask.can_fetch = true;
+  cs_time_us_t later = 100 * SECOND;
+  cs_chooser_choose (chooser, fleet, &ask, later, &choice);
+  cs_target_t *home = choice.target;
+  EXPECT_EQ (choice.source, nullptr) << "nobody is known to hold it";
+  cs_chooser_choose (chooser, fleet, &ask, later, &choice);
+  EXPECT_EQ (choice.source, nullptr) << "it is there";
+  home->in_flight = 50;
+  cs_chooser_choose (chooser, fleet, &ask, later, &choice);
+  cs_target_t *second = choice.target;
+  EXPECT_NE (second, home);
+  EXPECT_EQ (choice.source, home);
+  home->in_flight = 0;
+  cs_chooser_choose (chooser, fleet, &ask, later, &choice);
+  EXPECT_EQ (choice.target, home);
+  EXPECT_EQ (choice.source, second);
+  ask.can_fetch = false;
+  home->in_flight = 50;
+  cs_chooser_choose (chooser, fleet, &ask, later, &choice);
+  EXPECT_EQ (choice.source, nullptr);
+}
+
+TEST_F (Chooser, AHomeThatJustJoinedFetchesFromTheNextHome)
+{
+  cs_prompt_context_t context = {};
+  cs_choice_t choice;
+  for (int i = 0; i < 8; i++)
+    put (("t" + std::to_string (i)).c_str ());
+  context.count = 1;
+  context.chain[0] = 42;
+  ask.context = &context;
+  ask.can_fetch = true;
+  cs_chooser_choose (chooser, fleet, &ask, SECOND, &choice);
+  ASSERT_NE (choice.source, nullptr);
+  EXPECT_NE (choice.source, choice.target);
+}
+
 TEST_F (Chooser, TheOwnDataCentreWinsTies)
 {
   put ("far", 1, false, "b");
