Try the own data centre's targets after a failed connection

Ruled out: shared ejections; the cut host hears no peers.

Change: once a connection has failed, targets of the own data centre that are not ejected come first. Test: Chooser, AfterAFailedConnectionTheOwnDataCentreComesFirst.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -92,10 +92,24 @@
   return false;
 }
 
+static bool
+is_near (const cs_choice_ask_t *ask, const cs_target_t *target)
+{
+  return cs_str_equal (cs_name_str (&target->data_centre), ask->data_centre);
+}
+
+/* Which targets are considered.  */
+typedef enum
+{
+  CONSIDER_NEAR, /* in the router's data centre, not ejected */
+  CONSIDER_SOUND,
+  CONSIDER_ALL /* ejected ones too */
+} consider_t;
+
 /* Collects the targets of the service that may get the call.  */
 static size_t
 collect (cs_chooser_t *chooser, const cs_fleet_t *fleet,
-         const cs_choice_ask_t *ask, bool ejected_too, cs_time_us_t now)
+         const cs_choice_ask_t *ask, consider_t consider, cs_time_us_t now)
 {
   size_t total;
   size_t count = 0;
@@ -106,7 +120,10 @@
       if (target->leaving || is_avoided (ask, target)
           || !cs_str_equal (cs_name_str (&target->service), ask->service))
         continue;
-      if (!ejected_too && cs_eject_is_ejected (&target->eject, now))
+      if (consider != CONSIDER_ALL
+          && cs_eject_is_ejected (&target->eject, now))
+        continue;
+      if (consider == CONSIDER_NEAR && !is_near (ask, target))
         continue;
       chooser->members[count].id = target->hash;
       chooser->members[count].weight = 1.0;
@@ -132,7 +149,7 @@
       const cs_target_t *target)
 {
   double load = cs_target_estimate (target);
-  if (!cs_str_equal (cs_name_str (&target->data_centre), ask->data_centre))
+  if (!is_near (ask, target))
     load += chooser->policy.local_extra;
   return load;
 }
@@ -220,11 +237,15 @@
   cs_fleet_targets (fleet, &total);
   if (reserve (chooser, total) != 0)
     return CS_ERR_NO_MEMORY;
-  size_t count = collect (chooser, fleet, ask, false, now);
+  size_t count = 0;
   out->why = CS_CHOICE_LEAST;
+  if (ask->near_first)
+    count = collect (chooser, fleet, ask, CONSIDER_NEAR, now);
+  if (count == 0)
+    count = collect (chooser, fleet, ask, CONSIDER_SOUND, now);
   if (count == 0)
     {
-      count = collect (chooser, fleet, ask, true, now);
+      count = collect (chooser, fleet, ask, CONSIDER_ALL, now);
       out->why = CS_CHOICE_LAST;
     }
   if (count == 0)
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -35,7 +35,9 @@
   cs_str_t service;
   cs_str_t data_centre; /* of this router */
   const cs_prompt_context_t *context;
-  bool can_fetch; /* targets copy kept context from each other */
+  bool near_first; /* a connection failed: data centres may be cut off from
+                      each other, so the own one's targets come first */
+  bool can_fetch;  /* targets copy kept context from each other */
   const cs_target_t *avoid[CS_CHOICE_AVOID_MOST];
   uint32_t avoid_count;
 } cs_choice_ask_t;
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -40,9 +40,9 @@
       forward->target == NULL ? "" : forward->target->id.text,
       cs_choice_why_name (forward->choice.why),
       forward->choice.source == NULL ? "" : forward->choice.source->id.text,
-      forward->choice.load,
-      forward->choice.mean, forward->choice.live, forward->sends,
-      forward->connects, (unsigned long long)(first / CS_US_PER_MS),
+      forward->choice.load, forward->choice.mean, forward->choice.live,
+      forward->tries, forward->connects,
+      (unsigned long long)(first / CS_US_PER_MS),
       (unsigned long long)((now - forward->arrived) / CS_US_PER_MS), status,
       outcome);
 }
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -41,6 +41,7 @@
   cs_target_t *target;         /* of the last try */
   cs_target_t *tried[CS_CHOICE_AVOID_MOST];
   uint32_t tried_count;
+  uint32_t tries;        /* in all */
   uint32_t sends;        /* tries of which a byte may have arrived */
   uint32_t connects;     /* tries that found no connection */
   bool outcome_unknown;  /* a try may have run */
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -106,6 +106,7 @@
     .service = cs_name_str (&forward->service->name),
     .data_centre = cs_str (router->settings.data_centre),
     .context = forward->route->has_context ? &forward->request.context : NULL,
+    .near_first = forward->connects > 0,
     .can_fetch = forward->may_fetch,
     .avoid_count = forward->tried_count,
   };
@@ -119,6 +120,7 @@
       return;
     }
   forward->target = forward->choice.target;
+  forward->tries++;
   remember_tried (forward);
   rc = send_to_target (forward, now);
   if (rc != 0)
--- a/router/intake.c
+++ b/router/intake.c
@@ -97,7 +97,8 @@
                   const char *source)
 {
   bool added;
-  if (cs_fleet_put (router->fleet, entry, cs_loop_now (router->loop), &added) != 0)
+  if (cs_fleet_put (router->fleet, entry, cs_loop_now (router->loop), &added)
+      != 0)
     cs_log (CS_EV_TARGET_GONE, "target=%.*s reason=\"no memory\"",
             CS_STR_ARG (entry->id));
   else if (added)
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -318,6 +318,26 @@
   EXPECT_EQ (choose (), find ("far"));
 }
 
+// A host that was cut off tried four dark homes in turn, 150 ms each, while
+// targets of its own data centre were idle.
+TEST_F (Chooser, AfterAFailedConnectionTheOwnDataCentreComesFirst)
+{
+  cs_prompt_context_t context = {};
+  for (int i = 0; i < 9; i++)
+    put (("far" + std::to_string (i)).c_str (), 1, false, "b");
+  put ("near", 1, false, "a");
+  context.count = 1;
+  ask.context = &context;
+  ask.near_first = true;
+  for (uint64_t key = 1; key < 50; key++)
+    {
+      context.chain[0] = key;
+      EXPECT_EQ (choose (), find ("near"));
+    }
+  find ("near")->eject.ejected_until = 9 * SECOND;
+  EXPECT_NE (choose (), find ("near"));
+}
+
 TEST_F (Chooser, TriedAndEjectedTargetsAreAvoided)
 {
   put ("t");
