--- a/api/client.c
+++ b/api/client.c
@@ -5,23 +5,29 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <curl/curl.h>
+#include "common/address.h"
+#include "http/client.h"
 
-#define HANDLES_MAX 32
-#define WATCH_SILENCE_S 15L
+#define CONNECTIONS_MAX 32
+/* The platform sends bookmarks; a watch that is silent for longer is on a
+   connection that nobody holds the other end of.  */
+#define WATCH_SILENCE_US (15 * CS_US_PER_S)
+/* Between two looks at whether calls are cancelled.  */
+#define IDLE_MS 200
 
 struct cs_platform
 {
-  char *base;
+  char *host;
+  struct sockaddr_in address;
   char *name_space;
-  struct curl_slist *headers;
+  char *authorization; /* header line, or empty */
   uint32_t timeout_ms;
   cs_platform_count_fn *count;
   void *context;
   atomic_bool cancelled;
   pthread_mutex_t lock; /* guards the pool below; a leaf */
-  CURL *handles[HANDLES_MAX];
-  size_t handle_count;
+  cs_http_client_t *connections[CONNECTIONS_MAX];
+  size_t connection_count;
 };
 
 static const char *const kind_paths[]
@@ -33,26 +39,16 @@
 static const char *const kind_names[]
     = { "Release", "Snapshot", "Claim", "Lease", "EndpointSlice" };
 
-static int
-build_headers (cs_platform_t *platform, const char *token)
+static char *
+build_authorization (const char *token)
 {
   cs_buf_t line = { 0 };
-  int rc = CS_ERR_NO_MEMORY;
-  struct curl_slist *list
-      = curl_slist_append (NULL, "Content-Type: application/json");
-  if (list == NULL)
-    return rc;
-  platform->headers = list;
-  /* curl would wait for a "100 Continue" before larger bodies.  */
-  if (curl_slist_append (list, "Expect:") == NULL)
-    return rc;
-  if (token[0] == '\0')
-    return 0;
-  if (cs_buf_printf (&line, "Authorization: Bearer %s", token) == 0
-      && curl_slist_append (list, line.data) != NULL)
-    rc = 0;
-  cs_buf_free (&line);
-  return rc;
+  int rc = token[0] == '\0'
+               ? cs_buf_append (&line, cs_str (""))
+               : cs_buf_printf (&line, "Authorization: Bearer %s\r\n", token);
+  if (rc != 0)
+    cs_buf_free (&line);
+  return line.data;
 }
 
 cs_platform_t *
@@ -60,19 +56,19 @@
                     const char *token, uint32_t timeout_ms,
                     cs_platform_count_fn *count, void *context)
 {
-  cs_buf_t base = { 0 };
   cs_platform_t *platform = calloc (1, sizeof *platform);
   if (platform == NULL)
     return NULL;
   pthread_mutex_init (&platform->lock, NULL);
-  cs_buf_printf (&base, "http://%s/apis/", address);
-  platform->base = base.data;
+  platform->host = strdup (address);
   platform->name_space = strdup (name_space);
+  platform->authorization = build_authorization (token);
   platform->timeout_ms = timeout_ms;
   platform->count = count;
   platform->context = context;
-  if (platform->base == NULL || platform->name_space == NULL
-      || build_headers (platform, token) != 0)
+  if (platform->host == NULL || platform->name_space == NULL
+      || platform->authorization == NULL
+      || cs_address_parse (cs_str (address), &platform->address) != 0)
     {
       cs_platform_destroy (platform);
       return NULL;
@@ -85,12 +81,12 @@
 {
   if (platform == NULL)
     return;
-  for (size_t i = 0; i < platform->handle_count; i++)
-    curl_easy_cleanup (platform->handles[i]);
-  curl_slist_free_all (platform->headers);
+  for (size_t i = 0; i < platform->connection_count; i++)
+    cs_http_client_destroy (platform->connections[i]);
   pthread_mutex_destroy (&platform->lock);
-  free (platform->base);
+  free (platform->host);
   free (platform->name_space);
+  free (platform->authorization);
   free (platform);
 }
 
@@ -100,69 +96,46 @@
   atomic_store (&platform->cancelled, true);
 }
 
-/* A result other than 0 has curl end the call.  */
-static int
-on_progress (void *context, curl_off_t total_in, curl_off_t in,
-             curl_off_t total_out, curl_off_t out)
-{
-  const cs_platform_t *platform = context;
-  return atomic_load (&platform->cancelled) ? 1 : 0;
-}
-
-static CURL *
-take_handle (cs_platform_t *platform)
+static cs_http_client_t *
+take_connection (cs_platform_t *platform)
 {
-  CURL *handle = NULL;
+  cs_http_client_t *connection = NULL;
   pthread_mutex_lock (&platform->lock);
-  if (platform->handle_count > 0)
-    handle = platform->handles[--platform->handle_count];
+  if (platform->connection_count > 0)
+    connection = platform->connections[--platform->connection_count];
   pthread_mutex_unlock (&platform->lock);
-  return handle != NULL ? handle : curl_easy_init ();
+  return connection != NULL ? connection : cs_http_client_create ();
 }
 
 static void
-give_handle (cs_platform_t *platform, CURL *handle)
+give_connection (cs_platform_t *platform, cs_http_client_t *connection)
 {
   pthread_mutex_lock (&platform->lock);
-  if (platform->handle_count < HANDLES_MAX)
+  if (connection != NULL && platform->connection_count < CONNECTIONS_MAX)
     {
-      platform->handles[platform->handle_count++] = handle;
-      handle = NULL;
+      platform->connections[platform->connection_count++] = connection;
+      connection = NULL;
     }
   pthread_mutex_unlock (&platform->lock);
-  curl_easy_cleanup (handle);
+  cs_http_client_destroy (connection);
 }
 
+/* Appends the head of a call; the body's length is named when there is one. */
 static int
-build_url (const cs_platform_t *platform, cs_kind_t kind, const char *name,
-           const char *query, cs_buf_t *out)
-{
-  return cs_buf_printf (out, "%s%s/namespaces/%s/%s%s%s%s", platform->base,
-                        kind_paths[kind], platform->name_space,
-                        kind_plurals[kind], name == NULL ? "" : "/",
-                        name == NULL ? "" : name, query);
-}
-
-static size_t
-collect (char *data, size_t size, size_t count, void *context)
-{
-  cs_str_t part = { data, size * count };
-  return cs_buf_append (context, part) == 0 ? part.len : 0;
-}
-
-static void
-set_common (cs_platform_t *platform, CURL *handle, const char *url)
+build_head (const cs_platform_t *platform, const char *method, cs_kind_t kind,
+            const char *name, const char *query, size_t body_len,
+            cs_buf_t *out)
 {
-  curl_easy_reset (handle);
-  curl_easy_setopt (handle, CURLOPT_URL, url);
-  curl_easy_setopt (handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (handle, CURLOPT_HTTPHEADER, platform->headers);
-  curl_easy_setopt (handle, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)platform->timeout_ms);
-  curl_easy_setopt (handle, CURLOPT_PROXY, "");
-  curl_easy_setopt (handle, CURLOPT_NOPROGRESS, 0L);
-  curl_easy_setopt (handle, CURLOPT_XFERINFOFUNCTION, on_progress);
-  curl_easy_setopt (handle, CURLOPT_XFERINFODATA, platform);
+  int rc = cs_buf_printf (
+      out,
+      "%s /apis/%s/namespaces/%s/%s%s%s%s HTTP/1.1\r\nHost: %s\r\n"
+      "Content-Type: application/json\r\n%s",
+      method, kind_paths[kind], platform->name_space, kind_plurals[kind],
+      name == NULL ? "" : "/", name == NULL ? "" : name, query, platform->host,
+      platform->authorization);
+  if (rc == 0 && body_len > 0)
+    rc = cs_buf_printf (out, "Content-Length: %zu\r\n", body_len);
+  return rc != 0 ? rc : cs_buf_append (out, cs_str ("\r\n"));
 }
 
 static void
@@ -206,47 +179,112 @@
   const json_t *body;
 } call_t;
 
+/* The answer of a call, or the events of a watch, while they come.  */
+typedef struct
+{
+  const cs_platform_t *platform;
+  cs_time_us_t deadline;
+  cs_time_us_t silence_us; /* longest pause; 0: none but DEADLINE */
+  cs_time_us_t last_data;
+  int status;
+  cs_buf_t body; /* of a watch, the line that is not complete yet */
+  cs_platform_event_fn *event; /* of a watch */
+  void *context;
+  bool ended; /* by the event function */
+  uint64_t bytes;
+} answer_t;
+
+static int
+on_head (void *context, const cs_http_head_t *head)
+{
+  answer_t *answer = context;
+  answer->status = head->status;
+  answer->last_data = cs_clock_now ();
+  return 0;
+}
+
+static int
+on_body (void *context, cs_str_t part)
+{
+  answer_t *answer = context;
+  answer->bytes += part.len;
+  return cs_buf_append (&answer->body, part);
+}
+
+static cs_time_us_t
+give_up_at (void *context)
+{
+  const answer_t *answer = context;
+  cs_time_us_t until = answer->last_data + answer->silence_us;
+  if (answer->silence_us == 0 || answer->deadline < until)
+    return answer->deadline;
+  return until;
+}
+
+static int
+on_idle (void *context)
+{
+  const answer_t *answer = context;
+  return atomic_load (&answer->platform->cancelled) ? CS_ERR_PLATFORM_DOWN : 0;
+}
+
+/* Sends a call and gives its answer to ON_BODY.  Returns 0, or an error of the
+   client's or of the status.  */
 static int
-perform (cs_platform_t *platform, CURL *handle, const call_t *call,
-         const char *text, cs_buf_t *answer)
+perform (cs_platform_t *platform, const call_t *call, cs_str_t text,
+         int (*on_part) (void *context, cs_str_t part), answer_t *answer)
 {
-  long status = 0;
-  curl_easy_setopt (handle, CURLOPT_CUSTOMREQUEST, call->method);
-  curl_easy_setopt (handle, CURLOPT_TIMEOUT_MS, (long)platform->timeout_ms);
-  curl_easy_setopt (handle, CURLOPT_WRITEFUNCTION, collect);
-  curl_easy_setopt (handle, CURLOPT_WRITEDATA, answer);
-  if (text != NULL)
-    curl_easy_setopt (handle, CURLOPT_POSTFIELDS, text);
-  if (curl_easy_perform (handle) != CURLE_OK)
-    return CS_ERR_PLATFORM_DOWN;
-  curl_easy_getinfo (handle, CURLINFO_RESPONSE_CODE, &status);
-  return error_of_status (status);
+  cs_http_sink_t sink = { .on_head = on_head,
+                          .on_body = on_part,
+                          .until = give_up_at,
+                          .on_idle = on_idle,
+                          .idle_ms = IDLE_MS };
+  cs_http_call_t http_call = { .address = platform->address,
+                               .body = text,
+                               .may_repeat = strcmp (call->method, "GET") == 0,
+                               .connect_ms = platform->timeout_ms };
+  cs_buf_t head = { 0 };
+  bool was_sent = false;
+  int rc = CS_ERR_NO_MEMORY;
+  cs_http_client_t *connection = take_connection (platform);
+  answer->platform = platform;
+  answer->last_data = cs_clock_now ();
+  if (connection != NULL
+      && build_head (platform, call->method, call->kind, call->name,
+                     call->query, text.len, &head)
+             == 0)
+    {
+      http_call.head = cs_buf_str (&head);
+      rc = cs_http_client_call (connection, &http_call, &sink, answer,
+                                &was_sent);
+      if (rc != 0 && !answer->ended)
+        rc = CS_ERR_PLATFORM_DOWN;
+    }
+  give_connection (platform, connection);
+  cs_buf_free (&head);
+  return rc != 0 ? rc : error_of_status (answer->status);
 }
 
 static int
 run (cs_platform_t *platform, const call_t *call, json_t **out)
 {
-  cs_buf_t url = { 0 };
-  cs_buf_t answer = { 0 };
+  answer_t answer = { 0 };
   char *text = NULL;
   int rc = CS_ERR_NO_MEMORY;
-  CURL *handle = take_handle (platform);
   if (out != NULL)
     *out = NULL;
-  if (handle == NULL
-      || build_url (platform, call->kind, call->name, call->query, &url) != 0)
-    goto out;
   if (call->body != NULL
       && (text = json_dumps (call->body, JSON_COMPACT)) == NULL)
-    goto out;
-  set_common (platform, handle, url.data);
-  rc = perform (platform, handle, call, text, &answer);
-  count_call (platform, answer.len + (text == NULL ? 0 : strlen (text)),
+    return rc;
+  answer.deadline = cs_clock_now () + platform->timeout_ms * CS_US_PER_MS;
+  rc = perform (platform, call, cs_str (text == NULL ? "" : text), on_body,
+                &answer);
+  count_call (platform, answer.bytes + (text == NULL ? 0 : strlen (text)),
               rc == CS_ERR_PLATFORM_DOWN || rc == CS_ERR_RATE_LIMITED);
   if (rc != 0 || out == NULL)
     goto out;
-  *out = json_loadb (answer.data == NULL ? "" : answer.data, answer.len, 0,
-                     NULL);
+  *out = json_loadb (answer.body.data == NULL ? "" : answer.body.data,
+                     answer.body.len, 0, NULL);
   /* An answer that cannot be read leaves the outcome of a write open.  */
   if (!json_is_object (*out))
     {
@@ -255,11 +293,8 @@
       rc = CS_ERR_PLATFORM_DOWN;
     }
 out:
-  if (handle != NULL)
-    give_handle (platform, handle);
   free (text);
-  cs_buf_free (&url);
-  cs_buf_free (&answer);
+  cs_buf_free (&answer.body);
   return rc;
 }
 
@@ -339,75 +374,49 @@
   return rc;
 }
 
-typedef struct
-{
-  cs_buf_t line;
-  cs_platform_event_fn *event;
-  void *context;
-  bool ended; /* by the event function */
-  uint64_t bytes;
-} watch_t;
-
 static bool
-handle_line (watch_t *watch)
+handle_line (answer_t *answer)
 {
   const char *type;
   json_t *object;
   bool go_on = true;
-  json_t *event = json_loadb (watch->line.data, watch->line.len, 0, NULL);
+  json_t *event = json_loadb (answer->body.data, answer->body.len, 0, NULL);
   if (json_unpack (event, "{s:s, s:o}", "type", &type, "object", &object) == 0)
-    go_on = watch->event (watch->context, type, object);
+    go_on = answer->event (answer->context, type, object);
   json_decref (event);
   return go_on;
 }
 
-static size_t
-watch_data (char *data, size_t size, size_t count, void *context)
+/* Hands on the events of a watch, one a line.  */
+static int
+on_watch_data (void *context, cs_str_t rest)
 {
-  watch_t *watch = context;
-  cs_str_t rest = { data, size * count };
-  watch->bytes += rest.len;
+  answer_t *answer = context;
+  answer->last_data = cs_clock_now ();
+  answer->bytes += rest.len;
+  /* An error's text is no event.  */
+  if (answer->status >= 300)
+    return 0;
   while (rest.len > 0)
     {
       const char *end = memchr (rest.data, '\n', rest.len);
       size_t len = end == NULL ? rest.len : (size_t)(end - rest.data);
       cs_str_t part = { rest.data, len };
-      if (cs_buf_append (&watch->line, part) != 0)
-        return 0;
+      if (cs_buf_append (&answer->body, part) != 0)
+        return CS_ERR_NO_MEMORY;
       if (end == NULL)
         break;
-      bool go_on = watch->line.len == 0 || handle_line (watch);
-      cs_buf_clear (&watch->line);
+      bool go_on = answer->body.len == 0 || handle_line (answer);
+      cs_buf_clear (&answer->body);
       if (!go_on)
         {
-          watch->ended = true;
-          return 0;
+          answer->ended = true;
+          return CS_ERR_CUT;
         }
       rest.data += len + 1;
       rest.len -= len + 1;
     }
-  return size * count;
-}
-
-static int
-perform_watch (CURL *handle, watch_t *watch, uint32_t seconds)
-{
-  long status = 0;
-  /* The platform sends bookmarks; a watch that is silent for longer is on a
-     connection that nobody holds the other end of.  */
-  curl_easy_setopt (handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-  curl_easy_setopt (handle, CURLOPT_LOW_SPEED_TIME, WATCH_SILENCE_S);
-  curl_easy_setopt (handle, CURLOPT_TIMEOUT, (long)seconds + WATCH_SILENCE_S);
-  curl_easy_setopt (handle, CURLOPT_WRITEFUNCTION, watch_data);
-  curl_easy_setopt (handle, CURLOPT_WRITEDATA, watch);
-  curl_easy_setopt (handle, CURLOPT_FAILONERROR, 1L);
-  CURLcode code = curl_easy_perform (handle);
-  curl_easy_getinfo (handle, CURLINFO_RESPONSE_CODE, &status);
-  if (watch->ended || code == CURLE_OK)
-    return 0;
-  if (code == CURLE_HTTP_RETURNED_ERROR)
-    return error_of_status (status);
-  return CS_ERR_PLATFORM_DOWN;
+  return 0;
 }
 
 int
@@ -415,29 +424,23 @@
                    const char *version, uint32_t seconds,
                    cs_platform_event_fn *event, void *context)
 {
-  watch_t watch = { .event = event, .context = context };
-  cs_buf_t url = { 0 };
+  answer_t answer
+      = { .silence_us = WATCH_SILENCE_US, .event = event, .context = context };
+  call_t call = { "GET", kind, NULL, "", NULL };
   cs_buf_t query = { 0 };
-  int rc = CS_ERR_NO_MEMORY;
-  CURL *handle = take_handle (platform);
-  if (handle == NULL
-      || cs_buf_printf (&query,
-                        "?watch=1&allowWatchBookmarks=true"
-                        "&resourceVersion=%s&timeoutSeconds=%u",
-                        version, seconds)
-             != 0
-      || build_url (platform, kind, NULL, query.data, &url) != 0)
-    goto out;
-  set_common (platform, handle, url.data);
-  rc = perform_watch (handle, &watch, seconds);
-  count_call (platform, watch.bytes, rc == CS_ERR_PLATFORM_DOWN);
-out:
-  if (handle != NULL)
-    give_handle (platform, handle);
-  cs_buf_free (&watch.line);
+  int rc = cs_buf_printf (&query,
+                          "?watch=1&allowWatchBookmarks=true"
+                          "&resourceVersion=%s&timeoutSeconds=%u",
+                          version, seconds);
+  if (rc != 0)
+    return rc;
+  call.query = query.data;
+  answer.deadline = cs_clock_now () + seconds * CS_US_PER_S + WATCH_SILENCE_US;
+  rc = perform (platform, &call, cs_str (""), on_watch_data, &answer);
+  count_call (platform, answer.bytes, rc == CS_ERR_PLATFORM_DOWN);
+  cs_buf_free (&answer.body);
   cs_buf_free (&query);
-  cs_buf_free (&url);
-  return rc;
+  return answer.ended ? 0 : rc;
 }
 
 const char *
--- a/ctl/commands/explain.c
+++ b/ctl/commands/explain.c
@@ -1,6 +1,8 @@
 /* explain OFFERING ORGANISATION CHAT: where a chat goes, and why.  */
 
-#include <curl/curl.h>
+#include <stdlib.h>
+
+#include <event2/http.h>
 
 #include "ctl/commands.h"
 #include "operator.h"
@@ -18,10 +20,10 @@
   cs_buf_printf (&path, "/explain");
   for (int i = 0; i < 3; i++)
     {
-      char *escaped = curl_easy_escape (NULL, options.operands[i], 0);
+      char *escaped = evhttp_encode_uri (options.operands[i]);
       cs_buf_printf (&path, "%c%s=%s", i == 0 ? '?' : '&', names[i],
                      escaped == NULL ? "" : escaped);
-      curl_free (escaped);
+      free (escaped);
     }
   status = cs_operator_call (&options, "GET", path.data);
   cs_buf_free (&path);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -3,8 +3,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include <curl/curl.h>
-
 #include "ctl/commands.h"
 #include "ctl/options.h"
 
@@ -46,7 +44,6 @@
       printf ("cranberrystilectl %s\n", CS_VERSION);
       return 0;
     }
-  curl_global_init (CURL_GLOBAL_DEFAULT);
   for (size_t i = 0; argc > 1 && i < COMMAND_COUNT; i++)
     if (strcmp (commands[i].name, argv[1]) == 0)
       return commands[i].run (argc - 1, argv + 1);
--- a/ctl/operator.c
+++ b/ctl/operator.c
@@ -2,33 +2,68 @@
 
 #include <stdio.h>
 
-#include <curl/curl.h>
+#include "common/address.h"
+#include "common/error.h"
+#include "http/client.h"
 
-#define TIMEOUT_S 5L
+#define TIMEOUT_MS 5000
+
+typedef struct
+{
+  cs_time_us_t deadline;
+  int status;
+} answer_t;
+
+static int
+on_head (void *context, const cs_http_head_t *head)
+{
+  ((answer_t *)context)->status = head->status;
+  return 0;
+}
+
+static int
+on_body (void *context, cs_str_t part)
+{
+  return fwrite (part.data, 1, part.len, stdout) == part.len ? 0 : CS_ERR_CUT;
+}
+
+static cs_time_us_t
+give_up_at (void *context)
+{
+  return ((const answer_t *)context)->deadline;
+}
 
 static int
-perform (CURL *handle, const char *url, const char *authorization,
-         const char *method)
+perform (const cs_options_t *options, const char *method, const char *path,
+         cs_str_t head)
 {
-  long status = 0;
-  struct curl_slist *headers = curl_slist_append (NULL, authorization);
-  curl_easy_setopt (handle, CURLOPT_URL, url);
-  curl_easy_setopt (handle, CURLOPT_CUSTOMREQUEST, method);
-  curl_easy_setopt (handle, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (handle, CURLOPT_TIMEOUT, TIMEOUT_S);
-  curl_easy_setopt (handle, CURLOPT_PROXY, "");
-  CURLcode code = curl_easy_perform (handle);
-  curl_easy_getinfo (handle, CURLINFO_RESPONSE_CODE, &status);
-  curl_slist_free_all (headers);
-  if (code != CURLE_OK)
+  static const cs_http_sink_t sink
+      = { .on_head = on_head, .on_body = on_body, .until = give_up_at };
+  cs_http_call_t call = { .head = head, .connect_ms = TIMEOUT_MS };
+  answer_t answer
+      = { .deadline = cs_clock_now () + TIMEOUT_MS * CS_US_PER_MS };
+  bool was_sent;
+  if (cs_address_parse (cs_str (options->host), &call.address) != 0)
+    {
+      fprintf (stderr, "cranberrystilectl: %s: is not an IP number and port\n",
+               options->host);
+      return CS_EXIT_USAGE;
+    }
+  cs_http_client_t *client = cs_http_client_create ();
+  int rc = client == NULL ? CS_ERR_NO_MEMORY
+                          : cs_http_client_call (client, &call, &sink, &answer,
+                                                 &was_sent);
+  cs_http_client_destroy (client);
+  if (rc != 0)
     {
-      fprintf (stderr, "cranberrystilectl: %s: %s\n", url,
-               curl_easy_strerror (code));
+      fprintf (stderr, "cranberrystilectl: %s%s: %s\n", options->host, path,
+               cs_error_name (rc));
       return CS_EXIT_FAILED;
     }
-  if (status < 300)
+  if (answer.status < 300)
     return 0;
-  fprintf (stderr, "cranberrystilectl: %s: status %ld\n", url, status);
+  fprintf (stderr, "cranberrystilectl: %s %s%s: status %d\n", method,
+           options->host, path, answer.status);
   return CS_EXIT_FAILED;
 }
 
@@ -36,23 +71,19 @@
 cs_operator_call (const cs_options_t *options, const char *method,
                   const char *path)
 {
-  cs_buf_t url = { 0 };
-  cs_buf_t authorization = { 0 };
+  cs_buf_t head = { 0 };
   int status = CS_EXIT_FAILED;
   if (options->host == NULL)
     {
       fprintf (stderr, "cranberrystilectl: --host is needed\n");
       return CS_EXIT_USAGE;
     }
-  CURL *handle = curl_easy_init ();
-  if (handle != NULL
-      && cs_buf_printf (&url, "http://%s%s", options->host, path) == 0
-      && cs_buf_printf (&authorization, "Authorization: Bearer %s",
-                        options->key)
-             == 0)
-    status = perform (handle, url.data, authorization.data, method);
-  curl_easy_cleanup (handle);
-  cs_buf_free (&url);
-  cs_buf_free (&authorization);
+  if (cs_buf_printf (&head,
+                     "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer "
+                     "%s\r\nConnection: close\r\n\r\n",
+                     method, path, options->host, options->key)
+      == 0)
+    status = perform (options, method, path, cs_buf_str (&head));
+  cs_buf_free (&head);
   return status;
 }
--- a/daemon/caller/exchange.c
+++ b/daemon/caller/exchange.c
@@ -8,11 +8,12 @@
 #include "common/log.h"
 #include "cranberrystile/answer.h"
 #include "daemon/limits.h"
+#include "http/answer.h"
 
 const char *
 cs_exchange_header (const cs_exchange_t *exchange, const char *name)
 {
-  return mg_get_header (exchange->connection, name);
+  return cs_web_header (exchange->request, name);
 }
 
 static bool
@@ -53,12 +54,11 @@
 
 void
 cs_exchange_begin (cs_exchange_t *exchange, cs_daemon_t *daemon,
-                   struct mg_connection *connection, cs_time_us_t now)
+                   cs_web_request_t *request, cs_time_us_t now)
 {
   memset (exchange, 0, sizeof *exchange);
   exchange->daemon = daemon;
-  exchange->connection = connection;
-  exchange->info = mg_get_request_info (connection);
+  exchange->request = request;
   exchange->arrived = now;
   exchange->deadline = now + daemon->settings.deadline_ms * CS_US_PER_MS;
   const char *id = cs_exchange_header (exchange, "X-Request-Id");
@@ -80,32 +80,25 @@
   cs_buf_free (&exchange->body);
 }
 
-static const char *
-status_text (int status)
-{
-  const char *text = mg_get_response_code_text (NULL, status);
-  return text == NULL ? "Unknown" : text;
-}
-
 static void
 send_head (cs_exchange_t *exchange, int status, const char *content_type,
            const char *more)
 {
   bool stopping = atomic_load (&exchange->daemon->leaving);
   if (stopping)
-    mg_disable_connection_keep_alive (exchange->connection);
-  mg_printf (exchange->connection,
-             "HTTP/1.1 %d %s\r\n"
-             "Content-Type: %s\r\n"
-             "X-Request-Id: %s\r\n"
-             "%s%s%s"
-             "%s"
-             "%s\r\n",
-             status, status_text (status), content_type,
-             exchange->request_id.text,
-             exchange->served_by[0] == '\0' ? "" : "X-Served-By: ",
-             exchange->served_by, exchange->served_by[0] == '\0' ? "" : "\r\n",
-             stopping ? "Connection: close\r\n" : "", more);
+    cs_web_close_after (exchange->request);
+  cs_web_printf (
+      exchange->request,
+      "HTTP/1.1 %d %s\r\n"
+      "Content-Type: %s\r\n"
+      "X-Request-Id: %s\r\n"
+      "%s%s%s"
+      "%s"
+      "%s\r\n",
+      status, cs_http_reason (status), content_type, exchange->request_id.text,
+      exchange->served_by[0] == '\0' ? "" : "X-Served-By: ",
+      exchange->served_by, exchange->served_by[0] == '\0' ? "" : "\r\n",
+      stopping ? "Connection: close\r\n" : "", more);
   exchange->head_sent = true;
 }
 
@@ -130,7 +123,7 @@
   see_first_byte (exchange);
   send_head (exchange, status, content_type, length);
   if (body.len > 0)
-    mg_write (exchange->connection, body.data, body.len);
+    cs_web_write (exchange->request, body);
 }
 
 /* An error within a stream: an event, then the end of the stream, so that a
@@ -142,7 +135,7 @@
   if (cs_buf_printf (&event, "event: error\ndata: %s\n\n", body->data) == 0)
     cs_exchange_stream_part (exchange, cs_buf_str (&event));
   cs_exchange_stream_end (exchange);
-  mg_disable_connection_keep_alive (exchange->connection);
+  cs_web_close_after (exchange->request);
   cs_buf_free (&event);
 }
 
@@ -169,7 +162,7 @@
                          cs_name_str (&exchange->request_id), spread, &body)
              != 0)
     {
-      mg_disable_connection_keep_alive (exchange->connection);
+      cs_web_close_after (exchange->request);
       goto out;
     }
   if (exchange->head_sent)
@@ -182,7 +175,7 @@
     snprintf (more + len, sizeof more - (size_t)len, "Retry-After: %u\r\n",
               spread);
   send_head (exchange, row->status, "application/json", more);
-  mg_write (exchange->connection, body.data, body.len);
+  cs_web_write (exchange->request, cs_buf_str (&body));
 out:
   cs_buf_free (&body);
 }
@@ -218,44 +211,24 @@
   return 0;
 }
 
-static int
-read_parts (cs_exchange_t *exchange, size_t most)
-{
-  char part[16384];
-  int got;
-  while ((got = mg_read (exchange->connection, part, sizeof part)) > 0)
-    {
-      cs_str_t bytes = { part, (size_t)got };
-      if (exchange->body.len + bytes.len > most)
-        return CS_ERR_TOO_LARGE;
-      if (cs_buf_append (&exchange->body, bytes) != 0)
-        return CS_ERR_NO_MEMORY;
-    }
-  long long announced = exchange->info->content_length;
-  if (got < 0
-      || (announced >= 0 && (long long)exchange->body.len != announced))
-    return CS_ERR_BAD_REQUEST;
-  return 0;
-}
-
 int
 cs_exchange_read_body (cs_exchange_t *exchange)
 {
   size_t most = (size_t)exchange->daemon->settings.body_limit_kib * 1024;
   const char *expect = cs_exchange_header (exchange, "Expect");
   int rc = 0;
-  if (exchange->info->content_length > (long long)most)
+  if (cs_web_is_too_large (exchange->request, most))
     rc = CS_ERR_TOO_LARGE;
   else
     {
       if (expect != NULL && strcasecmp (expect, "100-continue") == 0)
-        mg_printf (exchange->connection, "HTTP/1.1 100 Continue\r\n\r\n");
-      rc = read_parts (exchange, most);
+        cs_web_printf (exchange->request, "HTTP/1.1 100 Continue\r\n\r\n");
+      rc = cs_web_read_body (exchange->request, most, &exchange->body);
     }
   if (rc != 0)
     {
       /* What is left of the body would be read as the next request.  */
-      mg_disable_connection_keep_alive (exchange->connection);
+      cs_web_close_after (exchange->request);
       cs_exchange_fail (exchange, rc, NULL, 0);
     }
   return rc;
@@ -266,8 +239,7 @@
 {
   if (exchange->head_sent)
     return 0;
-  const char *version = exchange->info->http_version;
-  exchange->chunked = version != NULL && strcmp (version, "1.1") == 0;
+  exchange->chunked = cs_web_is_http_1_1 (exchange->request);
   cs_counters_add (exchange->daemon->counters, CS_COUNTER_STREAMS, 1);
   see_first_byte (exchange);
   send_head (exchange, 200, "text/event-stream",
@@ -278,38 +250,27 @@
   return 0;
 }
 
-/* One write a chunk: head, bytes and end in one buffer.  */
-static int
-send_chunk (cs_exchange_t *exchange, cs_str_t part)
-{
-  cs_buf_t chunk = { 0 };
-  int sent = -1;
-  if (cs_buf_printf (&chunk, "%zx\r\n", part.len) == 0
-      && cs_buf_append (&chunk, part) == 0
-      && cs_buf_append (&chunk, cs_str ("\r\n")) == 0)
-    sent = mg_write (exchange->connection, chunk.data, chunk.len);
-  cs_buf_free (&chunk);
-  return sent;
-}
-
 int
 cs_exchange_stream_part (cs_exchange_t *exchange, cs_str_t part)
 {
-  int sent;
+  cs_buf_t chunk = { 0 };
   if (part.len == 0)
     return 0;
-  if (exchange->chunked)
-    sent = send_chunk (exchange, part);
-  else
-    sent = mg_write (exchange->connection, part.data, part.len);
-  return sent <= 0 ? CS_ERR_CALLER_GONE : 0;
+  if (!exchange->chunked)
+    return cs_web_write (exchange->request, part);
+  /* One write a chunk: head, bytes and end in one buffer.  */
+  int rc = cs_http_write_chunk (part, &chunk);
+  if (rc == 0)
+    rc = cs_web_write (exchange->request, cs_buf_str (&chunk));
+  cs_buf_free (&chunk);
+  return rc == 0 ? 0 : CS_ERR_CALLER_GONE;
 }
 
 void
 cs_exchange_stream_end (cs_exchange_t *exchange)
 {
   if (exchange->chunked)
-    mg_send_chunk (exchange->connection, "", 0);
+    cs_web_write (exchange->request, cs_str ("0\r\n\r\n"));
   else
-    mg_disable_connection_keep_alive (exchange->connection);
+    cs_web_close_after (exchange->request);
 }
--- a/daemon/caller/run.c
+++ b/daemon/caller/run.c
@@ -64,7 +64,6 @@
   const cs_run_t *run = attempt->run;
   memset (request, 0, sizeof *request);
   request->method = run->method;
-  request->scheme = "http";
   request->path = run->path;
   request->body = attempt->body;
   request->request_id = cs_name_str (&attempt->exchange->request_id);
@@ -213,8 +212,6 @@
     return CS_ERR_NO_TARGET;
   cs_counters_add (daemon->counters, CS_COUNTER_HANDOVERS, 1);
   fill_request (attempt, &texts, &request);
-  request.scheme
-      = daemon->settings.tls_certificate[0] == '\0' ? "http" : "https";
   cs_cells_hop_proof (cs_str (daemon->settings.fleet_key), request.request_id,
                       proof);
   snprintf (texts.hop, sizeof texts.hop, "X-Cranberrystile-Hop: %s", proof);
--- a/daemon/caller/server.c
+++ b/daemon/caller/server.c
@@ -1,16 +1,15 @@
 /* The server of callers' requests.  */
 
-#include <stdio.h>
 #include <string.h>
 
-#include <arpa/inet.h>
-
 #include "daemon/handlers.h"
+#include "http/answer.h"
 
 /* Pause between two parts of a request after which a slow sender is given up,
-   and how long an idle connection may keep its worker.  */
-#define REQUEST_TIMEOUT_MS "10000"
-#define KEEP_ALIVE_MS "2000"
+   and how long an idle connection is kept.  */
+#define REQUEST_TIMEOUT_MS 10000
+#define KEEP_ALIVE_MS 2000
+#define OPERATOR_WORKERS 4
 
 typedef struct
 {
@@ -46,98 +45,46 @@
 static void
 serve (cs_exchange_t *exchange)
 {
-  const char *uri = exchange->info->local_uri;
-  const route_t *route = uri == NULL ? NULL : find_route (uri);
+  const char *uri = cs_web_path (exchange->request);
+  const route_t *route = find_route (uri);
   if (atomic_load (&exchange->daemon->stopping))
     cs_exchange_fail (exchange, CS_ERR_STOPPING, NULL, 1);
   else if (route == NULL)
     cs_exchange_fail (exchange, CS_ERR_NOT_FOUND, NULL, 0);
   else if (route->method != NULL
-           && strcmp (route->method, exchange->info->request_method) != 0)
+           && strcmp (route->method, cs_web_method (exchange->request)) != 0)
     cs_exchange_fail (exchange, CS_ERR_BAD_REQUEST,
                       "The method is not allowed here.", 0);
   else
     route->handle (exchange);
 }
 
-static int
-handle_request (struct mg_connection *connection, void *context)
+static void
+handle_request (cs_web_request_t *request, void *context)
 {
   cs_daemon_t *daemon = context;
   cs_exchange_t exchange;
   cs_time_us_t now = cs_clock_now ();
   atomic_fetch_add (&daemon->requests, 1);
   atomic_store (&daemon->arrived, now);
-  cs_exchange_begin (&exchange, daemon, connection, now);
+  cs_exchange_begin (&exchange, daemon, request, now);
   serve (&exchange);
   cs_exchange_end (&exchange);
   atomic_fetch_sub (&daemon->requests, 1);
-  return 200;
-}
-
-/* CivetWeb would write its own lines to standard error.  */
-static int
-drop_message (const struct mg_connection *connection, const char *message)
-{
-  return 1;
 }
 
-static struct mg_context *
-start (cs_daemon_t *daemon, const char **options, mg_request_handler handler,
-       const char *address, cs_name_t *bound)
-{
-  struct mg_callbacks callbacks = { .log_message = drop_message };
-  struct mg_server_port port;
-  char text[CS_NAME_MAX + 1];
-  struct mg_context *server = mg_start (&callbacks, daemon, options);
-  if (server == NULL)
-    return NULL;
-  mg_set_request_handler (server, "**", handler, daemon);
-  const char *colon = strrchr (address, ':');
-  if (mg_get_server_ports (server, 1, &port) != 1 || colon == NULL)
-    {
-      mg_stop (server);
-      return NULL;
-    }
-  snprintf (text, sizeof text, "%.*s:%d", (int)(colon - address), address,
-            port.port);
-  cs_name_set (bound, cs_str (text));
-  return server;
-}
-
-struct mg_context *
+cs_web_t *
 cs_server_start_callers (cs_daemon_t *daemon, cs_name_t *bound)
 {
-  const cs_settings_t *settings = &daemon->settings;
-  bool tls = settings->tls_certificate[0] != '\0';
-  char listen[CS_SETTING_TEXT_MAX + 2];
-  char workers[16];
-  snprintf (listen, sizeof listen, "%s%s", settings->caller_listen,
-            tls ? "s" : "");
-  snprintf (workers, sizeof workers, "%u", settings->workers);
-  const char *options[] = { "listening_ports",
-                            listen,
-                            "num_threads",
-                            workers,
-                            "connection_queue",
-                            "256",
-                            "listen_backlog",
-                            "1024",
-                            "tcp_nodelay",
-                            "1",
-                            "enable_keep_alive",
-                            "yes",
-                            "keep_alive_timeout_ms",
-                            KEEP_ALIVE_MS,
-                            "request_timeout_ms",
-                            REQUEST_TIMEOUT_MS,
-                            "decode_url",
-                            "no",
-                            tls ? "ssl_certificate" : NULL,
-                            settings->tls_certificate,
-                            NULL };
-  return start (daemon, options, handle_request, settings->caller_listen,
-                bound);
+  cs_web_options_t options = {
+    .listen = daemon->settings.caller_listen,
+    .workers = daemon->settings.workers,
+    .request_timeout_ms = REQUEST_TIMEOUT_MS,
+    .idle_timeout_ms = KEEP_ALIVE_MS,
+    .handle = handle_request,
+    .context = daemon,
+  };
+  return cs_web_start (&options, bound);
 }
 
 typedef struct
@@ -159,21 +106,21 @@
 };
 
 static const operator_route_t *
-find_operator_route (const struct mg_request_info *info)
+find_operator_route (const cs_web_request_t *request)
 {
   size_t count = sizeof operator_routes / sizeof operator_routes[0];
   for (size_t i = 0; i < count; i++)
-    if (strcmp (operator_routes[i].path, info->local_uri) == 0
-        && strcmp (operator_routes[i].method, info->request_method) == 0)
+    if (strcmp (operator_routes[i].path, cs_web_path (request)) == 0
+        && strcmp (operator_routes[i].method, cs_web_method (request)) == 0)
       return &operator_routes[i];
   return NULL;
 }
 
 static bool
-has_operator_key (const cs_daemon_t *daemon, struct mg_connection *connection)
+has_operator_key (const cs_daemon_t *daemon, const cs_web_request_t *request)
 {
   cs_buf_t expected = { 0 };
-  const char *given = mg_get_header (connection, "Authorization");
+  const char *given = cs_web_header (request, "Authorization");
   if (daemon->settings.operator_key[0] == '\0')
     return true;
   if (given == NULL
@@ -185,43 +132,37 @@
   return same;
 }
 
-static int
-handle_operator (struct mg_connection *connection, void *context)
+static void
+handle_operator (cs_web_request_t *request, void *context)
 {
   cs_daemon_t *daemon = context;
   cs_buf_t body = { 0 };
   const char *content_type = "application/json";
-  const struct mg_request_info *info = mg_get_request_info (connection);
-  const operator_route_t *route = find_operator_route (info);
+  const operator_route_t *route = find_operator_route (request);
   int status = 404;
-  if (route != NULL && route->needs_key
-      && !has_operator_key (daemon, connection))
+  if (route != NULL && route->needs_key && !has_operator_key (daemon, request))
     status = 401;
   else if (route != NULL)
-    status = route->operate (
-        daemon, info->query_string == NULL ? "" : info->query_string, &body,
-        &content_type);
-  mg_printf (connection,
-             "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
-             "Content-Length: %zu\r\n\r\n",
-             status, mg_get_response_code_text (connection, status),
-             content_type, body.len);
-  if (body.len > 0)
-    mg_write (connection, body.data, body.len);
+    status = route->operate (daemon, cs_web_query (request), &body,
+                             &content_type);
+  cs_web_printf (request,
+                 "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+                 "Content-Length: %zu\r\n\r\n%.*s",
+                 status, cs_http_reason (status), content_type, body.len,
+                 CS_STR_ARG (cs_buf_str (&body)));
   cs_buf_free (&body);
-  return status;
 }
 
-struct mg_context *
+cs_web_t *
 cs_server_start_operators (cs_daemon_t *daemon, cs_name_t *bound)
 {
-  const char *options[] = { "listening_ports",
-                            daemon->settings.operator_listen,
-                            "num_threads",
-                            "4",
-                            "request_timeout_ms",
-                            REQUEST_TIMEOUT_MS,
-                            NULL };
-  return start (daemon, options, handle_operator,
-                daemon->settings.operator_listen, bound);
+  cs_web_options_t options = {
+    .listen = daemon->settings.operator_listen,
+    .workers = OPERATOR_WORKERS,
+    .request_timeout_ms = REQUEST_TIMEOUT_MS,
+    .idle_timeout_ms = KEEP_ALIVE_MS,
+    .handle = handle_operator,
+    .context = daemon,
+  };
+  return cs_web_start (&options, bound);
 }
--- a/daemon/caller/service.c
+++ b/daemon/caller/service.c
@@ -17,8 +17,8 @@
 static int
 read_path (cs_exchange_t *exchange, cs_buf_t *path)
 {
-  const char *uri = exchange->info->request_uri;
-  const char *query = exchange->info->query_string;
+  const char *uri = cs_web_path (exchange->request);
+  const char *query = cs_web_query (exchange->request);
   const char *name = uri + strlen (PREFIX);
   const char *rest = strchr (name, '/');
   cs_str_t offering = cs_str (name);
@@ -28,10 +28,10 @@
                                   &exchange->offering)
       || !exchange->offering.is_service)
     return CS_ERR_NOT_FOUND;
-  if (strlen (uri) + (query == NULL ? 0 : strlen (query)) > PATH_MAX_BYTES)
+  if (strlen (uri) + strlen (query) > PATH_MAX_BYTES)
     return CS_ERR_BAD_REQUEST;
   return cs_buf_printf (path, "%s%s%s", rest == NULL ? "/" : rest,
-                        query == NULL ? "" : "?", query == NULL ? "" : query);
+                        query[0] == '\0' ? "" : "?", query);
 }
 
 /* What makes a request the same as an earlier one with its key.  */
@@ -39,7 +39,7 @@
 hash_request (const cs_exchange_t *exchange, cs_str_t path, char out[65])
 {
   cs_buf_t text = { 0 };
-  cs_buf_printf (&text, "%s %s %.*s\n", exchange->info->request_method,
+  cs_buf_printf (&text, "%s %s %.*s\n", cs_web_method (exchange->request),
                  exchange->offering.name.text, CS_STR_ARG (path));
   cs_buf_append (&text, cs_buf_str (&exchange->body));
   cs_sha256_hex (cs_buf_str (&text), out);
@@ -71,7 +71,7 @@
   const char *chat = cs_exchange_header (exchange, "X-Conversation-Id");
   cs_run_t run = {
     .path = path.data,
-    .method = exchange->info->request_method,
+    .method = cs_web_method (exchange->request),
     .content_type
     = content_type == NULL ? "application/octet-stream" : content_type,
     .idempotent = exchange->offering.idempotent,
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -13,6 +13,7 @@
 #include "daemon/limits.h"
 #include "daemon/socket.h"
 #include "daemon/summaries.h"
+#include "daemon/web.h"
 
 /* A stopping router refuses requests until none has come for this long, so
    that the last ones get an answer and not a closed connection.  */
@@ -273,9 +274,9 @@
   if (daemon == NULL)
     return;
   if (daemon->callers != NULL)
-    mg_stop (daemon->callers);
+    cs_web_stop (daemon->callers);
   if (daemon->operators != NULL)
-    mg_stop (daemon->operators);
+    cs_web_stop (daemon->operators);
   if (daemon->platform != NULL)
     cs_platform_cancel (daemon->platform);
   cs_orders_destroy (daemon->orders);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,9 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include <civetweb.h>
-#include <curl/curl.h>
-
 #include "common/log.h"
 #include "daemon/daemon.h"
 
@@ -128,18 +125,16 @@
       return EXIT_SUCCESS;
     }
   cs_log_init (settings.name, "cranberrystiled");
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  bool has_tls = (mg_init_library (MG_FEATURES_TLS) & MG_FEATURES_TLS) != 0;
-  /* Without its TLS library CivetWeb would crash at the first connection.  */
-  if (settings.tls_certificate[0] != '\0' && !has_tls)
+  /* Plain text under a setting that asks for TLS would be worse than nothing.
+   */
+  if (settings.tls_certificate[0] != '\0')
     {
       cs_log (CS_EV_START_FAILED,
-              "reason=\"this CivetWeb cannot load its TLS library\"");
+              "reason=\"TLS towards callers is not built in; end it at the "
+              "balancer\"");
       status = EXIT_FAILURE;
     }
   else
     status = run (&settings);
-  mg_exit_library ();
-  curl_global_cleanup ();
   return status;
 }
--- a/daemon/operator/explain.c
+++ b/daemon/operator/explain.c
@@ -4,13 +4,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
 #include "cranberrystile/chat_key.h"
 #include "daemon/handlers.h"
 
 static bool
-read_variable (const char *query, const char *name, char *out, size_t size)
+read_variable (const struct evkeyvalq *variables, const char *name, char *out,
+               size_t size)
 {
-  return mg_get_var (query, strlen (query), name, out, size) > 0;
+  const char *value = evhttp_find_header (variables, name);
+  if (value == NULL || value[0] == '\0' || strlen (value) >= size)
+    return false;
+  memcpy (out, value, strlen (value) + 1);
+  return true;
 }
 
 int
@@ -20,10 +28,16 @@
   char offering[CS_NAME_MAX + 1];
   char organisation[CS_NAME_MAX + 1];
   char chat[512];
-  if (!read_variable (query, "offering", offering, sizeof offering)
-      || !read_variable (query, "organisation", organisation,
-                         sizeof organisation)
-      || !read_variable (query, "chat", chat, sizeof chat))
+  struct evkeyvalq variables;
+  if (evhttp_parse_query_str (query, &variables) != 0)
+    return 400;
+  bool whole
+      = read_variable (&variables, "offering", offering, sizeof offering)
+        && read_variable (&variables, "organisation", organisation,
+                          sizeof organisation)
+        && read_variable (&variables, "chat", chat, sizeof chat);
+  evhttp_clear_headers (&variables);
+  if (!whole)
     return 400;
   uint64_t key = cs_chat_key_by_id (cs_str (organisation), cs_str (offering),
                                     cs_str (chat));
--- a/daemon/platform/orders.c
+++ b/daemon/platform/orders.c
@@ -169,7 +169,6 @@
   cs_call_sink_t sink = { &answer, take_head, take_data, NULL };
   cs_call_request_t request = {
     .method = "GET",
-    .scheme = "http",
     .path = "/load",
     .request_id = cs_str ("order-look"),
     .repeatable = true,
@@ -199,7 +198,6 @@
       (unsigned long long)orders->lease.record.transitions);
   cs_call_request_t request = {
     .method = "POST",
-    .scheme = "http",
     .path = "/v1/models/load",
     .request_id = cs_str ("order"),
     .headers = { "Content-Type: application/json" },
--- a/daemon/target/endpoint.c
+++ b/daemon/target/endpoint.c
@@ -51,8 +51,7 @@
 static void
 destroy_connection (cs_connection_t *connection)
 {
-  curl_multi_cleanup (connection->multi);
-  curl_easy_cleanup (connection->easy);
+  cs_http_client_destroy (connection->client);
   free (connection);
 }
 
@@ -87,14 +86,11 @@
     return NULL;
   connection->created = now;
   connection->generation = generation;
-  connection->easy = curl_easy_init ();
-  connection->multi = curl_multi_init ();
-  if (connection->easy == NULL || connection->multi == NULL)
-    {
-      destroy_connection (connection);
-      return NULL;
-    }
-  return connection;
+  connection->client = cs_http_client_create ();
+  if (connection->client != NULL)
+    return connection;
+  free (connection);
+  return NULL;
 }
 
 cs_connection_t *
@@ -123,7 +119,8 @@
                   bool good)
 {
   pthread_mutex_lock (&endpoint->lock);
-  bool keep = good && connection->generation == endpoint->generation
+  bool keep = good && cs_http_client_is_kept (connection->client)
+              && connection->generation == endpoint->generation
               && endpoint->pooled_count < POOLED_MAX;
   if (keep)
     endpoint->pooled[endpoint->pooled_count++] = connection;
--- a/daemon/target/poller.c
+++ b/daemon/target/poller.c
@@ -148,7 +148,6 @@
   cs_call_sink_t sink = { answer, take_head, take_data, NULL };
   cs_call_request_t request = {
     .method = "GET",
-    .scheme = "http",
     .path = "/load",
     .request_id = cs_str ("poll"),
     .repeatable = true,
--- /dev/null
+++ b/daemon/web/request.c
@@ -0,0 +1,186 @@
+/* One request, as its worker sees it.  */
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/error.h"
+#include "daemon/web/internal.h"
+
+#define READ_BYTES 16384
+/* What a caller still sends after the last answer is read for a moment, so
+   that it is not reset before it has read that answer.  */
+#define LINGER_READS 16
+
+const char *
+cs_web_method (const cs_web_request_t *request)
+{
+  return cs_http_reader_head (request->reader)->method.data;
+}
+
+const char *
+cs_web_path (const cs_web_request_t *request)
+{
+  return request->path;
+}
+
+const char *
+cs_web_query (const cs_web_request_t *request)
+{
+  return request->query;
+}
+
+bool
+cs_web_is_http_1_1 (const cs_web_request_t *request)
+{
+  return cs_http_reader_head (request->reader)->minor == 1;
+}
+
+const char *
+cs_web_header (const cs_web_request_t *request, const char *name)
+{
+  const cs_str_t *value
+      = cs_http_head_find (cs_http_reader_head (request->reader), name);
+  return value == NULL ? NULL : value->data;
+}
+
+bool
+cs_web_is_too_large (const cs_web_request_t *request, size_t most)
+{
+  const cs_http_head_t *head = cs_http_reader_head (request->reader);
+  return head->has_length && head->length > most;
+}
+
+static void
+feed_body (cs_web_request_t *request, cs_str_t data)
+{
+  size_t taken = cs_http_reader_feed (request->reader, data);
+  cs_buf_clear (&request->ahead);
+  if (taken < data.len)
+    cs_buf_append (&request->ahead,
+                   (cs_str_t){ data.data + taken, data.len - taken });
+}
+
+int
+cs_web_read_body (cs_web_request_t *request, size_t most, cs_buf_t *out)
+{
+  char part[READ_BYTES];
+  cs_buf_t ahead = request->ahead;
+  request->ahead = (cs_buf_t){ 0 };
+  request->body = out;
+  request->body_most = most;
+  request->body_rc = CS_OK;
+  feed_body (request, cs_buf_str (&ahead));
+  cs_buf_free (&ahead);
+  while (cs_http_reader_state (request->reader) == CS_HTTP_IN_BODY
+         && request->body_rc == 0)
+    {
+      ssize_t got = recv (request->fd, part, sizeof part, 0);
+      if (got < 0 && errno == EINTR)
+        continue;
+      if (got <= 0)
+        return CS_ERR_BAD_REQUEST;
+      feed_body (request, (cs_str_t){ part, (size_t)got });
+    }
+  if (request->body_rc == 0
+      && cs_http_reader_state (request->reader) == CS_HTTP_BROKEN)
+    return CS_ERR_BAD_REQUEST;
+  return request->body_rc;
+}
+
+int
+cs_web_write (cs_web_request_t *request, cs_str_t data)
+{
+  while (data.len > 0)
+    {
+      ssize_t sent = send (request->fd, data.data, data.len, MSG_NOSIGNAL);
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent <= 0)
+        {
+          request->close_after = true;
+          return CS_ERR_CALLER_GONE;
+        }
+      data.data += sent;
+      data.len -= (size_t)sent;
+    }
+  return CS_OK;
+}
+
+int
+cs_web_printf (cs_web_request_t *request, const char *format, ...)
+{
+  char *text = NULL;
+  va_list args;
+  va_start (args, format);
+  int len = vasprintf (&text, format, args);
+  va_end (args);
+  if (len < 0)
+    return CS_ERR_NO_MEMORY;
+  int rc = cs_web_write (request, (cs_str_t){ text, (size_t)len });
+  free (text);
+  return rc;
+}
+
+void
+cs_web_close_after (cs_web_request_t *request)
+{
+  request->close_after = true;
+}
+
+/* Zero-terminates the texts of the head in its own buffer: each is followed by
+   a byte that has been read already.  */
+static int
+prepare (cs_web_request_t *request)
+{
+  cs_http_head_t *head = cs_http_reader_head (request->reader);
+  char *mark;
+  request->path = strndup (head->target.data, head->target.len);
+  if (request->path == NULL)
+    return CS_ERR_NO_MEMORY;
+  mark = strchr (request->path, '?');
+  request->query = mark == NULL ? "" : mark + 1;
+  if (mark != NULL)
+    *mark = '\0';
+  ((char *)head->method.data)[head->method.len] = '\0';
+  for (size_t i = 0; i < head->count; i++)
+    ((char *)head->fields[i].value.data)[head->fields[i].value.len] = '\0';
+  return CS_OK;
+}
+
+static void
+finish (cs_web_request_t *request)
+{
+  char part[READ_BYTES];
+  shutdown (request->fd, SHUT_WR);
+  for (int i = 0; i < LINGER_READS; i++)
+    if (recv (request->fd, part, sizeof part, 0) <= 0)
+      return;
+}
+
+bool
+cs_web_serve (cs_web_request_t *request)
+{
+  cs_web_t *web = request->web;
+  request->close_after = !cs_http_reader_head (request->reader)->keep_alive;
+  if (prepare (request) != 0)
+    return false;
+  web->options.handle (request, web->options.context);
+  free (request->path);
+  request->path = NULL;
+  /* What is left of a body would be read as the next request.  */
+  if (cs_http_reader_state (request->reader) != CS_HTTP_COMPLETE)
+    request->close_after = true;
+  if (request->close_after)
+    {
+      finish (request);
+      return false;
+    }
+  cs_http_reader_next (request->reader);
+  request->head_done = false;
+  return true;
+}
--- /dev/null
+++ b/daemon/web/server.c
@@ -0,0 +1,424 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "daemon/web/internal.h"
+
+#define HEAD_MOST (16U * 1024)
+#define READ_BYTES 16384
+#define BACKLOG 1024
+#define MS_PER_S 1000
+
+static bool
+on_head (void *context, const cs_http_head_t *head)
+{
+  cs_web_request_t *request = context;
+  request->head_done = true;
+  return false;
+}
+
+static void
+on_body (void *context, cs_str_t part)
+{
+  cs_web_request_t *request = context;
+  if (request->body_rc != 0)
+    return;
+  if (request->body->len + part.len > request->body_most)
+    request->body_rc = CS_ERR_TOO_LARGE;
+  else
+    request->body_rc = cs_buf_append (request->body, part);
+}
+
+static const cs_http_handlers_t handlers
+    = { .on_head = on_head, .on_body = on_body };
+
+void
+cs_web_free_connection (cs_web_request_t *request)
+{
+  if (request->event != NULL)
+    event_free (request->event);
+  close (request->fd);
+  cs_http_reader_destroy (request->reader);
+  cs_buf_free (&request->ahead);
+  free (request->path);
+  free (request);
+}
+
+static void
+unlink_idle (cs_web_request_t *request)
+{
+  if (request->previous_idle != NULL)
+    request->previous_idle->next_idle = request->next_idle;
+  else
+    request->web->idle = request->next_idle;
+  if (request->next_idle != NULL)
+    request->next_idle->previous_idle = request->previous_idle;
+  request->next_idle = NULL;
+  request->previous_idle = NULL;
+}
+
+/* Gives a request whose head has arrived to the workers.  */
+static void
+enqueue (cs_web_request_t *request)
+{
+  cs_web_t *web = request->web;
+  event_del (request->event);
+  unlink_idle (request);
+  pthread_mutex_lock (&web->lock);
+  request->next = NULL;
+  if (web->last != NULL)
+    web->last->next = request;
+  else
+    web->first = request;
+  web->last = request;
+  pthread_cond_signal (&web->arrived);
+  pthread_mutex_unlock (&web->lock);
+}
+
+static void
+drop (cs_web_request_t *request)
+{
+  unlink_idle (request);
+  cs_web_free_connection (request);
+}
+
+/* Answers what cannot be read as a request, and closes.  */
+static void
+reject (cs_web_request_t *request)
+{
+  bool large = cs_http_reader_error (request->reader) == CS_ERR_TOO_LARGE;
+  cs_web_printf (request,
+                 "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
+                 "Connection: close\r\n\r\n",
+                 large ? "431 Request Header Fields Too Large"
+                       : "400 Bad Request");
+  shutdown (request->fd, SHUT_WR);
+  drop (request);
+}
+
+static void
+wait_for_more (cs_web_request_t *request)
+{
+  const cs_web_options_t *options = &request->web->options;
+  uint32_t ms = cs_http_reader_has_begun (request->reader)
+                    ? options->request_timeout_ms
+                    : options->idle_timeout_ms;
+  struct timeval limit = { ms / MS_PER_S, ms % MS_PER_S * 1000 };
+  event_add (request->event, &limit);
+}
+
+/* Reads DATA up to the end of a head.  */
+static void
+take (cs_web_request_t *request, cs_str_t data)
+{
+  size_t taken = cs_http_reader_feed (request->reader, data);
+  if (cs_http_reader_state (request->reader) == CS_HTTP_BROKEN)
+    {
+      reject (request);
+      return;
+    }
+  if (!request->head_done)
+    {
+      wait_for_more (request);
+      return;
+    }
+  cs_str_t rest = { data.data + taken, data.len - taken };
+  if (cs_buf_append (&request->ahead, rest) != 0)
+    drop (request);
+  else
+    enqueue (request);
+}
+
+static void
+on_event (evutil_socket_t fd, short what, void *argument)
+{
+  cs_web_request_t *request = argument;
+  char part[READ_BYTES];
+  if ((what & EV_TIMEOUT) != 0)
+    {
+      drop (request);
+      return;
+    }
+  ssize_t got = recv (fd, part, sizeof part, MSG_DONTWAIT);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    wait_for_more (request);
+  else if (got <= 0)
+    drop (request);
+  else
+    take (request, (cs_str_t){ part, (size_t)got });
+}
+
+/* Waits for the next request on a connection; one may have come already.  */
+static void
+wait_on (cs_web_request_t *request)
+{
+  cs_web_t *web = request->web;
+  request->previous_idle = NULL;
+  request->next_idle = web->idle;
+  if (web->idle != NULL)
+    web->idle->previous_idle = request;
+  web->idle = request;
+  if (request->ahead.len == 0)
+    {
+      wait_for_more (request);
+      return;
+    }
+  cs_buf_t ahead = request->ahead;
+  request->ahead = (cs_buf_t){ 0 };
+  take (request, cs_buf_str (&ahead));
+  cs_buf_free (&ahead);
+}
+
+static void
+set_timeouts (int fd, uint32_t ms)
+{
+  struct timeval limit = { ms / MS_PER_S, ms % MS_PER_S * 1000 };
+  int on = 1;
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+on_accept (evutil_socket_t fd, short what, void *argument)
+{
+  cs_web_t *web = argument;
+  int accepted = accept4 (fd, NULL, NULL, SOCK_CLOEXEC);
+  if (accepted < 0)
+    return;
+  cs_web_request_t *request = calloc (1, sizeof *request);
+  if (request == NULL)
+    {
+      close (accepted);
+      return;
+    }
+  set_timeouts (accepted, web->options.request_timeout_ms);
+  request->web = web;
+  request->fd = accepted;
+  request->reader = cs_http_reader_create (CS_HTTP_REQUESTS, HEAD_MOST,
+                                           &handlers, request);
+  request->event = event_new (web->base, accepted, EV_READ, on_event, request);
+  if (request->reader == NULL || request->event == NULL)
+    cs_web_free_connection (request);
+  else
+    wait_on (request);
+}
+
+static void
+on_wake (evutil_socket_t fd, short what, void *argument)
+{
+  cs_web_t *web = argument;
+  char bytes[64];
+  while (read (fd, bytes, sizeof bytes) == sizeof bytes)
+    continue;
+  pthread_mutex_lock (&web->lock);
+  cs_web_request_t *returned = web->returned;
+  bool stopping = web->stopping;
+  web->returned = NULL;
+  pthread_mutex_unlock (&web->lock);
+  while (returned != NULL)
+    {
+      cs_web_request_t *request = returned;
+      returned = request->next;
+      wait_on (request);
+    }
+  if (stopping)
+    event_base_loopbreak (web->base);
+}
+
+static void
+wake (cs_web_t *web)
+{
+  /* A full pipe has a byte that wakes the thread already.  */
+  if (write (web->wake[1], "", 1) < 0)
+    return;
+}
+
+static void
+give_back (cs_web_request_t *request)
+{
+  cs_web_t *web = request->web;
+  pthread_mutex_lock (&web->lock);
+  request->next = web->returned;
+  web->returned = request;
+  pthread_mutex_unlock (&web->lock);
+  wake (web);
+}
+
+/* The next request, or NULL when the server stops.  */
+static cs_web_request_t *
+dequeue (cs_web_t *web)
+{
+  pthread_mutex_lock (&web->lock);
+  while (web->first == NULL && !web->stopping)
+    pthread_cond_wait (&web->arrived, &web->lock);
+  cs_web_request_t *request = web->first;
+  if (request != NULL)
+    {
+      web->first = request->next;
+      if (web->first == NULL)
+        web->last = NULL;
+    }
+  pthread_mutex_unlock (&web->lock);
+  return request;
+}
+
+static void *
+work (void *argument)
+{
+  cs_web_t *web = argument;
+  cs_web_request_t *request;
+  while ((request = dequeue (web)) != NULL)
+    {
+      if (cs_web_serve (request))
+        give_back (request);
+      else
+        cs_web_free_connection (request);
+    }
+  return NULL;
+}
+
+static void *
+run (void *argument)
+{
+  cs_web_t *web = argument;
+  event_base_dispatch (web->base);
+  return NULL;
+}
+
+static int
+open_socket (const char *listen_at, cs_name_t *bound)
+{
+  struct sockaddr_in address;
+  socklen_t len = sizeof address;
+  char ip[INET_ADDRSTRLEN];
+  char text[CS_NAME_MAX + 1];
+  int on = 1;
+  if (cs_address_parse (cs_str (listen_at), &address) != 0)
+    return -1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (const struct sockaddr *)&address, sizeof address) != 0
+      || listen (fd, BACKLOG) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
+    {
+      close (fd);
+      return -1;
+    }
+  inet_ntop (AF_INET, &address.sin_addr, ip, sizeof ip);
+  snprintf (text, sizeof text, "%s:%u", ip, ntohs (address.sin_port));
+  cs_name_set (bound, cs_str (text));
+  return fd;
+}
+
+static bool
+make_events (cs_web_t *web)
+{
+  web->base = event_base_new ();
+  if (web->base == NULL || pipe (web->wake) != 0)
+    return false;
+  evutil_make_socket_nonblocking (web->wake[0]);
+  evutil_make_socket_nonblocking (web->wake[1]);
+  web->accept_event = event_new (web->base, web->listen_fd,
+                                 EV_READ | EV_PERSIST, on_accept, web);
+  web->wake_event = event_new (web->base, web->wake[0], EV_READ | EV_PERSIST,
+                               on_wake, web);
+  return web->accept_event != NULL && web->wake_event != NULL
+         && event_add (web->accept_event, NULL) == 0
+         && event_add (web->wake_event, NULL) == 0;
+}
+
+static bool
+start_threads (cs_web_t *web)
+{
+  web->workers = calloc (web->options.workers, sizeof *web->workers);
+  if (web->workers == NULL
+      || pthread_create (&web->thread, NULL, run, web) != 0)
+    return false;
+  while (web->worker_count < web->options.workers)
+    {
+      if (pthread_create (&web->workers[web->worker_count], NULL, work, web)
+          != 0)
+        break;
+      web->worker_count++;
+    }
+  return web->worker_count > 0;
+}
+
+/* Frees the queues, the events and the rest, once no thread is left.  */
+static void
+destroy (cs_web_t *web)
+{
+  for (cs_web_request_t *at = web->returned; at != NULL;)
+    {
+      cs_web_request_t *next = at->next;
+      cs_web_free_connection (at);
+      at = next;
+    }
+  while (web->idle != NULL)
+    drop (web->idle);
+  if (web->accept_event != NULL)
+    event_free (web->accept_event);
+  if (web->wake_event != NULL)
+    event_free (web->wake_event);
+  if (web->base != NULL)
+    event_base_free (web->base);
+  if (web->listen_fd >= 0)
+    close (web->listen_fd);
+  for (int i = 0; i < 2; i++)
+    if (web->wake[i] >= 0)
+      close (web->wake[i]);
+  pthread_mutex_destroy (&web->lock);
+  pthread_cond_destroy (&web->arrived);
+  free (web->workers);
+  free (web);
+}
+
+cs_web_t *
+cs_web_start (const cs_web_options_t *options, cs_name_t *bound)
+{
+  cs_web_t *web = calloc (1, sizeof *web);
+  if (web == NULL)
+    return NULL;
+  web->options = *options;
+  web->wake[0] = -1;
+  web->wake[1] = -1;
+  pthread_mutex_init (&web->lock, NULL);
+  pthread_cond_init (&web->arrived, NULL);
+  web->listen_fd = open_socket (options->listen, bound);
+  if (web->listen_fd < 0 || !make_events (web))
+    {
+      destroy (web);
+      return NULL;
+    }
+  if (!start_threads (web))
+    {
+      cs_web_stop (web);
+      return NULL;
+    }
+  return web;
+}
+
+void
+cs_web_stop (cs_web_t *web)
+{
+  pthread_mutex_lock (&web->lock);
+  web->stopping = true;
+  pthread_cond_broadcast (&web->arrived);
+  pthread_mutex_unlock (&web->lock);
+  for (uint32_t i = 0; i < web->worker_count; i++)
+    pthread_join (web->workers[i], NULL);
+  wake (web);
+  if (web->worker_count > 0)
+    pthread_join (web->thread, NULL);
+  destroy (web);
+}
--- a/include/daemon/daemon.h
+++ b/include/daemon/daemon.h
@@ -25,7 +25,7 @@
 #include "daemon/summaries.h"
 
 typedef struct cs_limits cs_limits_t;
-struct mg_context;
+typedef struct cs_web cs_web_t;
 
 typedef struct
 {
@@ -44,8 +44,8 @@
   cs_claims_t *claims;
   cs_orders_t *orders; /* NULL when no platform is configured */
   cs_summaries_t *summaries;
-  struct mg_context *callers;
-  struct mg_context *operators;
+  cs_web_t *callers;
+  cs_web_t *operators;
   cs_name_t caller_address;
   cs_name_t operator_address;
   cs_time_us_t started;
--- a/include/daemon/endpoint.h
+++ b/include/daemon/endpoint.h
@@ -7,18 +7,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include <curl/curl.h>
-
 #include "common/clock.h"
 #include "cranberrystile/release.h"
 #include "cranberrystile/target_view.h"
+#include "http/client.h"
 
-/* A connection to a target: a multi handle that keeps one connection, and the
-   easy handle to use with it.  */
+/* A connection to a target.  */
 typedef struct
 {
-  CURLM *multi;
-  CURL *easy;
+  cs_http_client_t *client;
   cs_time_us_t created;
   uint64_t generation;
 } cs_connection_t;
--- a/include/daemon/exchange.h
+++ b/include/daemon/exchange.h
@@ -3,15 +3,13 @@
 #ifndef CS_DAEMON_EXCHANGE_H
 #define CS_DAEMON_EXCHANGE_H
 
-#include <civetweb.h>
-
 #include "daemon/daemon.h"
+#include "daemon/web.h"
 
 typedef struct
 {
   cs_daemon_t *daemon;
-  struct mg_connection *connection;
-  const struct mg_request_info *info;
+  cs_web_request_t *request;
   cs_name_t request_id;
   cs_time_us_t arrived;
   cs_time_us_t deadline;
@@ -28,7 +26,7 @@
 
 /* Reads ids and marks from the request's headers.  */
 void cs_exchange_begin (cs_exchange_t *exchange, cs_daemon_t *daemon,
-                        struct mg_connection *connection, cs_time_us_t now);
+                        cs_web_request_t *request, cs_time_us_t now);
 void cs_exchange_end (cs_exchange_t *exchange);
 
 /* Checks the caller's key and rate.  Returns 0, or an error that was already
--- a/include/daemon/handlers.h
+++ b/include/daemon/handlers.h
@@ -29,10 +29,8 @@
 int cs_operator_answer (json_t *root, cs_buf_t *body);
 
 /* Starts a server on ADDRESS; BOUND receives the address with the port that
-   the kernel chose.  NULL when that fails.  Stop with mg_stop.  */
-struct mg_context *cs_server_start_callers (cs_daemon_t *daemon,
-                                            cs_name_t *bound);
-struct mg_context *cs_server_start_operators (cs_daemon_t *daemon,
-                                              cs_name_t *bound);
+   the kernel chose.  NULL when that fails.  Stop with cs_web_stop.  */
+cs_web_t *cs_server_start_callers (cs_daemon_t *daemon, cs_name_t *bound);
+cs_web_t *cs_server_start_operators (cs_daemon_t *daemon, cs_name_t *bound);
 
 #endif
--- a/include/daemon/target_call.h
+++ b/include/daemon/target_call.h
@@ -15,8 +15,7 @@
 typedef struct
 {
   const char *method;
-  const char *scheme; /* "http" or "https" */
-  const char *path;   /* with query */
+  const char *path; /* with query */
   cs_str_t body;
   cs_str_t request_id; /* must come back in the answer */
   bool expect_request_id;
--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -77,7 +77,4 @@
    second apart.  */
 void cs_channel_probe_peer (cs_channel_t *channel, int idle_s, int count);
 
-/* Parses "IP:PORT".  Returns 0 or CS_ERR_BAD_REQUEST.  */
-int cs_address_parse (cs_str_t text, struct sockaddr_in *address);
-
 #endif
--- a/net/listener.c
+++ b/net/listener.c
@@ -5,7 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "net/channel.h"
+#include "common/address.h"
 
 #define BACKLOG 1024
 /* Connections taken in one go before other events get their turn.  */
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -40,6 +40,9 @@
   bool *plan_dial;
   cs_hub_role_t role;
   cs_link_t *links;
+  cs_load_t *sums; /* two a target: of this data centre, of the others */
+  size_t sum_capacity;
+  bool has_sums; /* of this beat */
 };
 
 /* Beats whose sending times are remembered: a beat is answered with the next
@@ -74,6 +77,7 @@
   bool has_others;
   cs_load_table_t sent_own;
   cs_load_table_t sent_others;
+  size_t next_load; /* target from which the next beat goes on */
 };
 
 /* frames.c: a 4-byte big-endian length and a packed frame.  */
@@ -119,6 +123,9 @@
 
 /* loads.c */
 
+/* Sums up what links told, once for all beats of a round.  */
+void cs_loads_sum_up (cs_mesh_t *mesh);
+
 /* Fills the loads of BEAT for LINK, in memory that stays until the next
    call.  */
 void cs_loads_write_beat (cs_link_t *link, Cs__Router__Beat *beat);
--- a/router/peer/loads.c
+++ b/router/peer/loads.c
@@ -23,22 +23,12 @@
                       .failed = target->failed };
 }
 
-/* The calls at TARGET that links tell of, but those of EXCEPT; only those of
-   this data centre when NEIGHBOURS_ONLY.  */
-static cs_load_t
-links_load (const cs_mesh_t *mesh, const cs_link_t *except,
-            const cs_target_t *target, bool neighbours_only)
+static void
+subtract (cs_load_t *sum, const cs_load_t *part)
 {
-  cs_load_t sum = { .target = (uint32_t)target->hash };
-  for (const cs_link_t *at = mesh->links; at != NULL; at = at->next)
-    {
-      if (at == except || !at->greeted
-          || (neighbours_only && !is_neighbour (at)))
-        continue;
-      cs_load_t load = cs_load_table_get (&at->peer_own, sum.target);
-      cs_load_add (&sum, &load);
-    }
-  return sum;
+  sum->calls -= part->calls;
+  sum->ended -= part->ended;
+  sum->failed -= part->failed;
 }
 
 /* Notes in TOLD that LOAD is told, and adds it to LIST, if it is news.  */
@@ -58,60 +48,109 @@
   list[(*count)++] = entry;
 }
 
-/* Memory for the loads of one beat, used again for the next.  */
+/* Most loads told in one beat, of each list: some kilobytes a second at the
+   usual pace.  What is left comes with the next beats, from where this one
+   ended.  */
+#define LOADS_MOST 64
+
+/* Room for the loads of one beat.  */
 typedef struct
 {
-  Cs__Router__Load *own;
-  Cs__Router__Load *others;
-  Cs__Router__Load **own_list;
-  Cs__Router__Load **others_list;
-  size_t capacity;
-} scratch_t;
+  Cs__Router__Load entries[LOADS_MOST];
+  Cs__Router__Load *list[LOADS_MOST];
+  size_t count;
+} told_t;
 
-static bool
-reserve (scratch_t *scratch, size_t count)
+/* What a hub knows of the calls at each target, summed up once a beat for all
+   of its links.  Parallel to the fleet's targets.  */
+static int
+sum_up (cs_mesh_t *mesh, cs_target_t *const *targets, size_t count)
 {
-  if (count <= scratch->capacity)
-    return true;
-  free (scratch->own);
-  free (scratch->others);
-  free (scratch->own_list);
-  free (scratch->others_list);
-  scratch->own = calloc (count, sizeof *scratch->own);
-  scratch->others = calloc (count, sizeof *scratch->others);
-  scratch->own_list = calloc (count, sizeof (Cs__Router__Load *));
-  scratch->others_list = calloc (count, sizeof (Cs__Router__Load *));
-  bool done = scratch->own != NULL && scratch->others != NULL
-              && scratch->own_list != NULL && scratch->others_list != NULL;
-  scratch->capacity = done ? count : 0;
-  return done;
+  if (count > mesh->sum_capacity)
+    {
+      cs_load_t *sums = reallocarray (mesh->sums, count * 2, sizeof *sums);
+      if (sums == NULL)
+        return CS_ERR_NO_MEMORY;
+      mesh->sums = sums;
+      mesh->sum_capacity = count;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      cs_load_t *near = &mesh->sums[i * 2];
+      cs_load_t *far = &mesh->sums[i * 2 + 1];
+      *near = own_load (targets[i]);
+      *far = (cs_load_t){ .target = near->target };
+      for (const cs_link_t *at = mesh->links; at != NULL; at = at->next)
+        {
+          if (!at->greeted)
+            continue;
+          cs_load_t load = cs_load_table_get (&at->peer_own, near->target);
+          cs_load_add (is_neighbour (at) ? near : far, &load);
+        }
+    }
+  return CS_OK;
+}
+
+void
+cs_loads_sum_up (cs_mesh_t *mesh)
+{
+  size_t count;
+  cs_target_t *const *targets = cs_fleet_targets (mesh->router->fleet, &count);
+  mesh->has_sums
+      = mesh->links != NULL && sum_up (mesh, targets, count) == CS_OK;
+}
+
+/* Tells the member or hub behind LINK of the target at AT.  */
+static void
+tell_target (cs_link_t *link, const cs_target_t *target, size_t at,
+             bool with_others, told_t *own, told_t *others)
+{
+  const cs_load_t *sums = &link->mesh->sums[at * 2];
+  cs_load_t told_own = own_load (target);
+  cs_load_t sum = sums[0];
+  if (!is_neighbour (link))
+    {
+      /* Another data centre hears the sum of this one.  */
+      tell (&link->sent_own, &sum, own->entries, own->list, &own->count);
+      return;
+    }
+  tell (&link->sent_own, &told_own, own->entries, own->list, &own->count);
+  if (!with_others)
+    return;
+  cs_load_t theirs = cs_load_table_get (&link->peer_own, sum.target);
+  subtract (&sum, &theirs);
+  cs_load_add (&sum, &sums[1]);
+  tell (&link->sent_others, &sum, others->entries, others->list,
+        &others->count);
 }
 
 void
 cs_loads_write_beat (cs_link_t *link, Cs__Router__Beat *beat)
 {
-  static scratch_t scratch;
+  static told_t own;
+  static told_t others;
   const cs_mesh_t *mesh = link->mesh;
   size_t count;
   cs_target_t *const *targets = cs_fleet_targets (mesh->router->fleet, &count);
-  bool neighbour = is_neighbour (link);
-  beat->has_others = neighbour && mesh->role.is_hub;
-  if (!reserve (&scratch, count))
+  beat->has_others = is_neighbour (link) && mesh->role.is_hub;
+  own.count = 0;
+  others.count = 0;
+  if (!mesh->has_sums)
     return;
   for (size_t i = 0; i < count; i++)
     {
-      cs_load_t own = own_load (targets[i]);
-      cs_load_t others = links_load (mesh, link, targets[i], !neighbour);
-      cs_load_add (&others, &own);
-      /* Another data centre hears the sum of this one.  */
-      tell (&link->sent_own, neighbour ? &own : &others, scratch.own,
-            scratch.own_list, &beat->n_own);
-      if (beat->has_others)
-        tell (&link->sent_others, &others, scratch.others, scratch.others_list,
-              &beat->n_others);
+      size_t at = (link->next_load + i) % count;
+      if (own.count == LOADS_MOST || others.count == LOADS_MOST)
+        {
+          link->next_load = at;
+          break;
+        }
+      tell_target (link, targets[at], at, beat->has_others, &own, &others);
     }
-  beat->own = scratch.own_list;
-  beat->others = scratch.others_list;
+  beat->n_own = own.count;
+  beat->own = own.list;
+  beat->n_others = others.count;
+  beat->others = others.list;
 }
 
 static void
@@ -166,20 +205,30 @@
     cs_health_heard (router, target, ended, failed, now);
 }
 
+/* What a first hub knows of others itself.  */
+static cs_load_t
+others_at_hub (const cs_mesh_t *mesh, const cs_target_t *target, size_t at)
+{
+  cs_load_t others = mesh->sums[at * 2];
+  cs_load_t own = own_load (target);
+  subtract (&others, &own);
+  cs_load_add (&others, &mesh->sums[at * 2 + 1]);
+  return others;
+}
+
 void
 cs_loads_apply (cs_mesh_t *mesh, cs_time_us_t now)
 {
   size_t count;
   cs_target_t *const *targets = cs_fleet_targets (mesh->router->fleet, &count);
   const cs_link_t *hub = mesh->role.is_first ? NULL : find_hub (mesh);
-  if (hub == NULL && !mesh->role.is_first)
+  if (hub == NULL && !(mesh->role.is_first && mesh->has_sums))
     return;
   for (size_t i = 0; i < count; i++)
     {
-      cs_load_t others = hub != NULL
-                             ? cs_load_table_get (&hub->peer_others,
-                                                  (uint32_t)targets[i]->hash)
-                             : links_load (mesh, NULL, targets[i], false);
+      cs_load_t others = hub != NULL ? cs_load_table_get (
+                             &hub->peer_others, (uint32_t)targets[i]->hash)
+                                     : others_at_hub (mesh, targets[i], i);
       apply (mesh->router, targets[i], &others, now);
     }
 }
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "common/address.h"
 #include "common/hash.h"
 #include "router/peer/internal.h"
 
@@ -169,6 +170,7 @@
   cs_mesh_t *mesh = context;
   drop_silent_links (mesh, now);
   plan (mesh, now);
+  cs_loads_sum_up (mesh);
   cs_loads_apply (mesh, now);
   for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
     send_beat (link, now);
@@ -252,6 +254,7 @@
   while (mesh->links != NULL)
     cs_link_close (mesh->links);
   cs_listener_destroy (mesh->listener);
+  free (mesh->sums);
   free (mesh->members);
   free (mesh->plan_members);
   free (mesh->plan_dial);
--- a/router/store/client.c
+++ b/router/store/client.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "common/address.h"
 #include "http/reader.h"
 #include "net/channel.h"
 
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -97,8 +97,6 @@
                         status == 0 ? follower->called_at : now))
     cs_log (CS_EV_PLATFORM_LOST, "kind=%s status=%d",
             cs_store_kind_name (follower->kind), status);
-  if (follower->listing)
-    restart_list (follower);
   cs_timer_set (&follower->timer,
                 (cs_time_us_t)(pause_ms * spread * CS_US_PER_MS));
 }
