--- /dev/null
+++ b/router/target/health.c
@@ -0,0 +1,87 @@
+#include "router/health.h"
+
+#include "common/log.h"
+
+/* The counts of TARGET's service, and how many of its targets are ejected.  */
+static cs_outcomes_t
+sum_service (const cs_router_t *router, const cs_target_t *target,
+             uint32_t *live, uint32_t *ejected, cs_time_us_t now)
+{
+  size_t count;
+  cs_outcomes_t sum = { .at = now };
+  cs_target_t *const *targets = cs_fleet_targets (router->fleet, &count);
+  *live = 0;
+  *ejected = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!cs_name_equal (&targets[i]->service, &target->service))
+        continue;
+      cs_outcomes_add (&targets[i]->outcomes, 0, 0, now);
+      sum.ended += targets[i]->outcomes.ended;
+      sum.failed += targets[i]->outcomes.failed;
+      (*live)++;
+      if (cs_eject_is_ejected (&targets[i]->eject, now))
+        (*ejected)++;
+    }
+  return sum;
+}
+
+static void
+eject (cs_target_t *target, const char *why, cs_time_us_t now)
+{
+  cs_eject_policy_t policy = cs_eject_policy_default ();
+  if (cs_eject_now (&target->eject, &policy, now))
+    cs_log (CS_EV_TARGET_EJECTED,
+            "target=%s why=%s failed=%.1f ended=%.1f for_ms=%llu",
+            target->id.text, why, target->outcomes.failed,
+            target->outcomes.ended,
+            (unsigned long long)((target->eject.ejected_until - now)
+                                 / CS_US_PER_MS));
+}
+
+/* Ejects TARGET when it stands out and enough others are left.  */
+static void
+judge (cs_router_t *router, cs_target_t *target, const char *why,
+       cs_time_us_t now)
+{
+  uint32_t live;
+  uint32_t ejected;
+  cs_eject_policy_t policy = cs_eject_policy_default ();
+  cs_outcomes_t service
+      = sum_service (router, target, &live, &ejected, now);
+  if (cs_outcomes_stand_out (&target->outcomes, &service)
+      && ejected + 1 <= (uint32_t)(policy.share_most * live))
+    eject (target, why, now);
+}
+
+void
+cs_health_ended (cs_router_t *router, cs_target_t *target, int error,
+                 cs_time_us_t now)
+{
+  /* A target that refuses work says how it is; it does not fail.  */
+  if (error == CS_ERR_REFUSED)
+    return;
+  target->ended++;
+  cs_outcomes_add (&target->outcomes, 1, error == CS_OK ? 0 : 1, now);
+  if (error == CS_OK)
+    {
+      cs_eject_success (&target->eject);
+      return;
+    }
+  target->failed++;
+  if (error == CS_ERR_CONNECT || error == CS_ERR_SILENT)
+    eject (target, cs_error_name (error), now);
+  else
+    judge (router, target, cs_error_name (error), now);
+  if (error == CS_ERR_SILENT)
+    cs_connections_sweep (target, true, now);
+}
+
+void
+cs_health_heard (cs_router_t *router, cs_target_t *target, uint32_t ended,
+                 uint32_t failed, cs_time_us_t now)
+{
+  cs_outcomes_add (&target->outcomes, ended, failed, now);
+  if (failed > 0)
+    judge (router, target, "peers", now);
+}
