Keep the target that context is copied from until its request has ended

Cause: the line at a request's end names that target; when it had left the fleet meanwhile the name was read from freed memory.

Ruled out: the targets that were tried; those are referenced.

Change: the forward holds a reference. Test: Answers, ContextIsCopiedFromATargetThatMayLeave; under the address sanitizer heap-use-after-free before, passes after.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -188,7 +188,7 @@
   return NULL;
 }
 
-static const cs_target_t *
+static cs_target_t *
 find_by_hash (const cs_fleet_t *fleet, uint64_t hash)
 {
   size_t count;
@@ -202,7 +202,7 @@
 /* A target other than CHOSEN that is likely to hold the context KEY: the one
    that this router last sent it to, or else the home that CHOSEN stands in
    for.  */
-static const cs_target_t *
+static cs_target_t *
 find_source (cs_chooser_t *chooser, const cs_fleet_t *fleet, uint64_t key,
              const cs_target_t *chosen, size_t count, cs_time_us_t now)
 {
@@ -210,7 +210,7 @@
   uint32_t ranked[2];
   if (placed->key == key)
     {
-      const cs_target_t *last = find_by_hash (fleet, placed->target);
+      cs_target_t *last = find_by_hash (fleet, placed->target);
       if (last != NULL && last != chosen
           && !cs_eject_is_ejected (&last->eject, now))
         return last;
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -44,9 +44,9 @@
 
 typedef struct
 {
-  cs_target_t *target;       /* NULL: the service has no target */
-  const cs_target_t *source; /* another one that is likely to hold the context
-                                which TARGET lacks; NULL: none */
+  cs_target_t *target; /* NULL: the service has no target */
+  cs_target_t *source; /* another one that is likely to hold the context which
+                          TARGET lacks; NULL: none */
   cs_choice_why_t why;
   uint32_t load; /* estimate for the target */
   double mean;   /* of the service */
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -39,7 +39,7 @@
                                : (unsigned long long)forward->routing->version,
       forward->target == NULL ? "" : forward->target->id.text,
       cs_choice_why_name (forward->choice.why),
-      forward->choice.source == NULL ? "" : forward->choice.source->id.text,
+      forward->source == NULL ? "" : forward->source->id.text,
       forward->choice.load, forward->choice.mean, forward->choice.live,
       forward->tries, forward->connects,
       (unsigned long long)(first / CS_US_PER_MS),
@@ -59,6 +59,7 @@
     }
   for (uint32_t i = 0; i < forward->tried_count; i++)
     cs_target_release (forward->tried[i]);
+  cs_target_release (forward->source);
   cs_http_head_free (&forward->head);
   cs_buf_free (&forward->body);
   cs_buf_free (&forward->answer_head);
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -47,7 +47,8 @@
   bool outcome_unknown;  /* a try may have run */
   cs_time_us_t sent_at;  /* of the try under way */
   cs_time_us_t event_at; /* last part of a stream's answer; 0: none yet */
-  cs_choice_t choice;
+  cs_choice_t choice;  /* of the last try; its targets are TARGET and SOURCE */
+  cs_target_t *source; /* where the last try's target copies context from */
 
   /* The answer.  */
   cs_forward_mode_t mode;
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -65,8 +65,8 @@
   };
   if (forward->organisation != NULL)
     fields.organisation = forward->organisation->name;
-  if (forward->choice.source != NULL)
-    fields.fetch_from = &forward->choice.source->address;
+  if (forward->source != NULL)
+    fields.fetch_from = &forward->source->address;
   if (forward->events.last_id.len > 0)
     fields.last_event_id = cs_name_str (&forward->events.last_id);
   int rc = cs_headers_write_request (&forward->head, &fields, &head);
@@ -98,6 +98,17 @@
   return cs_silence_limit (forward->route, &silence);
 }
 
+/* The source may leave the fleet before the request ends, whose log line names
+   it.  */
+static void
+keep_source (cs_forward_t *forward)
+{
+  cs_target_release (forward->source);
+  forward->source = forward->choice.source;
+  if (forward->source != NULL)
+    cs_target_reference (forward->source);
+}
+
 void
 cs_forward_try (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -119,6 +130,7 @@
       cs_forward_fail (forward, rc, now);
       return;
     }
+  keep_source (forward);
   forward->target = forward->choice.target;
   forward->tries++;
   remember_tried (forward);
--- a/router/target/health.c
+++ b/router/target/health.c
@@ -47,8 +47,7 @@
   uint32_t live;
   uint32_t ejected;
   cs_eject_policy_t policy = cs_eject_policy_default ();
-  cs_outcomes_t service
-      = sum_service (router, target, &live, &ejected, now);
+  cs_outcomes_t service = sum_service (router, target, &live, &ejected, now);
   if (cs_outcomes_stand_out (&target->outcomes, &service)
       && ejected + 1 <= (uint32_t)(policy.share_most * live))
     eject (target, why, now);
--- a/tests/router/answer_test.cc
+++ b/tests/router/answer_test.cc
@@ -201,6 +201,31 @@
       [this] { return engine.saw_close || other.saw_close; }, 500));
 }
 
+// The log line at the end names the target that the context was copied from,
+// and was written from memory that had been freed when that one had left.
+TEST_F (Answers, ContextIsCopiedFromATargetThatMayLeave)
+{
+  set_engines (Target::stream (10, 0, 100));
+  wire::Socket socket (wire::Socket::connect_to (router->callers ()));
+  socket.send (
+      request ("POST", "/chat/x", "X-Prompt-Prefix: 5c:800,91:410\r\n", "b"));
+  ASSERT_TRUE (Router::eventually ([this] { return runs () == 1; }));
+  wire::Message sent = engine_requests ()[0];
+  const Target &source = engine.count () == 1 ? other : engine;
+  EXPECT_NE (source.entry ("engines").find (sent.field ("kv-fetch")),
+             std::string::npos);
+  EXPECT_NE (sent.field ("kv-fetch"), "");
+  store.remove ("servers", source.id ());
+  ASSERT_TRUE (Router::eventually ([&] {
+    return router->log ().find ("CS1408 target=" + source.id ())
+           != std::string::npos;
+  }));
+  EXPECT_TRUE (socket.read ().whole);
+  EXPECT_TRUE (Router::eventually ([&] {
+    return router->log ().find ("source=" + source.id ()) != std::string::npos;
+  }));
+}
+
 TEST_F (Answers, AMisdirectedRequestGoesElsewhere)
 {
   std::atomic<int> calls{ 0 };
--- a/tests/router/fixture.h
+++ b/tests/router/fixture.h
@@ -259,7 +259,9 @@
            + route ("open", "safe", "desk",
                     ",\"public\":true,\"timeout_ms\":1500")
            + more_routes
-           + "],\"services\":[{\"name\":\"engines\",\"health_path\":\"/h\"},"
+           + "],\"services\":[{\"name\":\"engines\",\"health_path\":\"/h\","
+             "\"engine\":{\"slots\":8,\"kv_token_bytes\":1000,"
+             "\"link_mbps\":1000000.0}},"
              "{\"name\":\"desk\",\"health_path\":\"/h\"}],"
              "\"limits\":{\"max_header_bytes\":2048,\"max_body_bytes\":100000,"
              "\"header_timeout_ms\":400,\"idle_timeout_ms\":900},"
