Give tests ports that no outgoing connection can take

Cause: Answers.ACallerThatLeavesEndsItsWork failed once in a run of all tests. In the failed run the group took 4 to 5 s longer than usual, which is the wait for a router that does not get ready: the test had picked a port of the range that the kernel gives to outgoing connections, and some connection took it before the router listened there.

Change: ports below that range.

--- a/tests/router/fixture.h
+++ b/tests/router/fixture.h
@@ -19,12 +19,29 @@
 
 extern char **environ;
 
-// Picks a port that is free now.
+// Picks a port that is free now, below those that the kernel gives to outgoing
+// connections: one of these would take it before the router listens there.
 inline int
 free_port ()
 {
-  wire::Server server ([] (wire::Socket &) {});
-  return server.port ();
+  const int first = 20000;
+  const int count = 10000;
+  static int next = static_cast<int> (getpid ()) * 101 % count;
+  for (;;)
+    {
+      sockaddr_in address = {};
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      next = (next + 1) % count;
+      address.sin_family = AF_INET;
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      address.sin_port = htons (first + next);
+      bool is_free
+          = bind (fd, reinterpret_cast<sockaddr *> (&address), sizeof address)
+            == 0;
+      close (fd);
+      if (is_free)
+        return first + next;
+    }
 }
 
 class Router
