Take a target that was not tried before one that failed the call

Its log shows one request that got answers of another call from e2, e1 and e2 again, while e3 was sound: an ask named only the last target as one to avoid, so the third try could go back to the first. Ruled out: load (the three tries took 2 ms), the retry budget (a third try was made), the stand-in (it gave the four wrong answers that the scenario orders).

Change: an ask carries the list of targets that failed the call, oldest first. When all live ones are on it, only the newest stays avoided. On the wire the field is repeated and unpacked, so a router of the version before reads the newest.

--- a/bench/state.h
+++ b/bench/state.h
@@ -74,7 +74,7 @@
   uint32_t engine;
   uint32_t epoch;
   uint32_t tries;
-  uint64_t avoid;
+  cs_avoid_list_t avoid;
   uint64_t serial; /* the call's id towards the owner */
   cs_time_us_t ends;
   cs_time_us_t arrived;
--- a/bench/world.c
+++ b/bench/world.c
@@ -381,7 +381,7 @@
                            world->setup.size.engines, world->now))
     cs_pool_set_target (cs_owner_pool (owner), engine->id, 1,
                         CS_TARGET_EJECTED, false, world->now);
-  call->avoid = engine->id;
+  cs_avoid_list_add (&call->avoid, engine->id);
   call->tries++;
   if (call->tries >= TRIES_MOST
       || !cs_retry_budget_take (&world->budgets[call->router]))
--- a/cranberrystile/placement/choose.c
+++ b/cranberrystile/placement/choose.c
@@ -31,7 +31,8 @@
 fits (const choice_t *choice, size_t i, uint32_t cap)
 {
   const cs_pool_target_t *target = &choice->pool->targets[i];
-  if (target->state != CS_TARGET_LIVE || target->id == choice->ask->avoid)
+  if (target->state != CS_TARGET_LIVE
+      || cs_avoid_list_has (&choice->ask->avoid, target->id))
     return false;
   if (target->load + 1 > usable_slots (choice, target))
     return false;
--- a/cranberrystile/placement/pool.c
+++ b/cranberrystile/placement/pool.c
@@ -367,11 +367,11 @@
 }
 
 static bool
-has_live_target (const cs_pool_t *pool, uint64_t avoid)
+has_live_target (const cs_pool_t *pool, const cs_avoid_list_t *avoid)
 {
   for (size_t i = 0; i < pool->count; i++)
     if (pool->targets[i].state == CS_TARGET_LIVE
-        && pool->targets[i].id != avoid)
+        && !cs_avoid_list_has (avoid, pool->targets[i].id))
       return true;
   return false;
 }
@@ -390,11 +390,14 @@
       grant->why = CS_WHY_FIRST;
       return 0;
     }
-  if (!has_live_target (pool, 0))
+  /* All have failed this call: better an earlier one again than the last,
+     and better the last than none.  */
+  if (!has_live_target (pool, &wanted.avoid))
+    cs_avoid_list_keep_newest (&wanted.avoid);
+  if (!has_live_target (pool, &wanted.avoid))
+    wanted.avoid.count = 0;
+  if (!has_live_target (pool, &wanted.avoid))
     return CS_ERR_NO_TARGET;
-  /* Better the target that has just failed than none.  */
-  if (!has_live_target (pool, ask->avoid))
-    wanted.avoid = 0;
   int rc = cs_pool_choose (pool, &wanted, now, &index, &grant->why);
   if (rc != 0)
     return rc;
--- a/daemon/caller/run.c
+++ b/daemon/caller/run.c
@@ -28,7 +28,7 @@
   cs_str_t body;
   char *continued_body; /* owned; the body once an answer is continued */
   uint32_t tries;
-  uint64_t avoid;
+  cs_avoid_list_t avoid;
   bool resume;
   cs_placed_t placed; /* the place of the last try, while HAS_PLACE */
   bool has_place;
@@ -157,7 +157,7 @@
   *was_placed = true;
   attempt->has_place = true;
   attempt->last_error = 0;
-  attempt->avoid = attempt->placed.target;
+  cs_avoid_list_add (&attempt->avoid, attempt->placed.target);
   cs_endpoint_t *endpoint
       = cs_endpoints_find (daemon->endpoints, attempt->placed.target);
   /* The owner may have a newer release than this router.  */
--- a/daemon/placement/frames.c
+++ b/daemon/placement/frames.c
@@ -41,7 +41,8 @@
   item.ask.organisation = ask->organisation;
   item.ask.key = ask->key;
   item.ask.context_tokens = ask->context_tokens;
-  item.ask.avoid = ask->avoid;
+  for (size_t i = 0; i < ask->n_avoid; i++)
+    cs_avoid_list_add (&item.ask.avoid, ask->avoid[i]);
   item.priority = ask->batch ? CS_PRIORITY_BATCH : CS_PRIORITY_INTERACTIVE;
   item.weight = ask->weight;
   item.enqueued = now;
--- a/daemon/placement/placement.c
+++ b/daemon/placement/placement.c
@@ -220,6 +220,7 @@
 {
   Cs__Peer__Ask message;
   cs_frame_t frame;
+  cs_avoid_list_t avoid = request->avoid;
   cs__peer__ask__init (&message);
   message.pool = slot->id;
   message.call = call;
@@ -231,7 +232,8 @@
   message.wait_ms = request->deadline > now
                         ? (uint32_t)((request->deadline - now) / CS_US_PER_MS)
                         : 0;
-  message.avoid = request->avoid;
+  message.n_avoid = request->avoid.count;
+  message.avoid = avoid.ids;
   message.targets = slot->target_count;
   cs__peer__frame__init (&frame);
   frame.body_case = CS__PEER__FRAME__BODY_ASK;
--- a/include/cranberrystile/pool.h
+++ b/include/cranberrystile/pool.h
@@ -18,6 +18,7 @@
 #include "common/error.h"
 #include "common/hash.h"
 #include "common/str.h"
+#include "cranberrystile/avoid_list.h"
 
 /* How a target for a call is chosen.  The product uses CS_PLACE_BOUNDED for
    models and CS_PLACE_LEAST_LOADED for plain services, which have no cache to
@@ -73,8 +74,7 @@
   uint64_t organisation;
   uint64_t key;            /* chat key */
   uint32_t context_tokens; /* tokens that a warm cache would save */
-  uint64_t avoid;          /* id of a target to use only if no other
-                              is live, or 0 */
+  cs_avoid_list_t avoid;   /* used only if no other is live */
 } cs_pool_ask_t;
 
 typedef struct
--- a/include/daemon/placement.h
+++ b/include/daemon/placement.h
@@ -22,7 +22,7 @@
   uint64_t key;
   uint32_t context_tokens;
   bool batch;
-  uint64_t avoid;        /* id of a target not to use, or 0 */
+  cs_avoid_list_t avoid;
   cs_time_us_t deadline; /* of the wait for a target */
 } cs_place_request_t;
 
--- a/protocol/peer.pb-c.c
+++ b/protocol/peer.pb-c.c
@@ -1205,9 +1205,9 @@
   {
     "avoid",
     9,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
+    offsetof(Cs__Peer__Ask, n_avoid),
     offsetof(Cs__Peer__Ask, avoid),
     NULL,
     NULL,
--- a/protocol/peer.pb-c.h
+++ b/protocol/peer.pb-c.h
@@ -122,7 +122,12 @@
   protobuf_c_boolean batch;
   uint32_t weight;
   uint32_t wait_ms;
-  uint64_t avoid;
+  /*
+   * Targets that failed this call, oldest first.  Unpacked, so that a router
+   * of a version with one target reads the newest.
+   */
+  size_t n_avoid;
+  uint64_t *avoid;
   /*
    * that the asker believes to be there
    */
@@ -130,7 +135,7 @@
 };
 #define CS__PEER__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__peer__ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Cs__Peer__Grant
--- a/tests/scenarios/decision.c
+++ b/tests/scenarios/decision.c
@@ -121,8 +121,20 @@
   decision->now = (cs_time_us_t)atol (words->words[0]) * CS_US_PER_MS;
 }
 
+static void
+add_avoided (cs_avoid_list_t *list, const char *names)
+{
+  char name[64];
+  for (; names != NULL; names = strchr (names, ','))
+    {
+      names += *names == ',';
+      snprintf (name, sizeof name, "%.*s", (int)strcspn (names, ","), names);
+      cs_avoid_list_add (list, id_of (name));
+    }
+}
+
 /* ask ROUTER CALL [organisation=] [chat=] [context=] [priority=batch]
-   [wait=MS] [weight=] [avoid=] */
+   [wait=MS] [weight=] [avoid=TARGET,...] */
 void
 verb_ask (scenario_t *scenario, const words_t *words)
 {
@@ -134,7 +146,7 @@
   item.ask.organisation = id_of (words_option (words, "organisation", "o"));
   item.ask.key = id_of (words_option (words, "chat", words->words[1]));
   item.ask.context_tokens = (uint32_t)words_number (words, "context", 0);
-  item.ask.avoid = avoid == NULL ? 0 : id_of (avoid);
+  add_avoided (&item.ask.avoid, avoid);
   item.priority = strcmp (words_option (words, "priority", ""), "batch") == 0
                       ? CS_PRIORITY_BATCH
                       : CS_PRIORITY_INTERACTIVE;
--- a/tests/unit/decisions_test.cc
+++ b/tests/unit/decisions_test.cc
@@ -328,7 +328,7 @@
   cs_pool_policy_t policy = cs_pool_policy_default ();
   cs_pool_t *pool = cs_pool_create (&policy, 1);
   cs_pool_grant_t grant;
-  cs_pool_ask_t ask = { 1, 1, 1, 5, 100, 0 };
+  cs_pool_ask_t ask = { 1, 1, 1, 5, 100, { { 0 }, 0 } };
   size_t count;
   cs_pool_set_target (pool, 7, 8, CS_TARGET_LIVE, false, 1);
   ASSERT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), 0);
@@ -351,7 +351,7 @@
   cs_pool_policy_t policy = cs_pool_policy_default ();
   cs_pool_t *pool = cs_pool_create (&policy, 1);
   cs_pool_grant_t grant;
-  cs_pool_ask_t ask = { 1, 1, 1, 5, 100, 7 };
+  cs_pool_ask_t ask = { 1, 1, 1, 5, 100, { { 7 }, 1 } };
   EXPECT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), CS_ERR_NO_TARGET);
   cs_pool_set_target (pool, 7, 8, CS_TARGET_LIVE, false, 1);
   ASSERT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), 0);
@@ -363,6 +363,39 @@
   cs_pool_destroy (pool);
 }
 
+TEST (Pool, ATargetThatWasNotTriedIsTakenBeforeOneThatFailed)
+{
+  cs_pool_policy_t policy = cs_pool_policy_default ();
+  cs_pool_t *pool = cs_pool_create (&policy, 1);
+  cs_pool_grant_t grant;
+  for (uint64_t id = 7; id <= 9; id++)
+    cs_pool_set_target (pool, id, 8, CS_TARGET_LIVE, false, 1);
+  for (uint64_t key = 0; key < 32; key++)
+    {
+      cs_pool_ask_t ask = { 1, key * 2, 1, key, 100, { { 7, 8 }, 2 } };
+      ASSERT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), 0);
+      EXPECT_EQ (grant.target, 9u);
+      cs_pool_release (pool, 1, ask.call, 1000000);
+      /* All have failed: any but the newest.  */
+      ask.call++;
+      cs_avoid_list_add (&ask.avoid, 9);
+      ASSERT_EQ (cs_pool_place (pool, &ask, 1000000, &grant), 0);
+      EXPECT_NE (grant.target, 9u);
+      cs_pool_release (pool, 1, ask.call, 1000000);
+    }
+  cs_pool_destroy (pool);
+}
+
+TEST (Pool, AFullListOfAvoidedTargetsDropsItsOldest)
+{
+  cs_avoid_list_t list = { { 0 }, 0 };
+  for (uint64_t id = 1; id <= CS_AVOID_MOST + 1; id++)
+    cs_avoid_list_add (&list, id);
+  EXPECT_EQ (list.count, (uint32_t)CS_AVOID_MOST);
+  EXPECT_FALSE (cs_avoid_list_has (&list, 1));
+  EXPECT_TRUE (cs_avoid_list_has (&list, CS_AVOID_MOST + 1));
+}
+
 TEST (Pool, DoubtedCallsStayOnTheTargetButNotInTheMean)
 {
   cs_pool_policy_t policy = cs_pool_policy_default ();
