Let callers of the daemon read a refusal while they still send

The worker answered, read at most 256 KB more and closed; what the caller had in flight beyond that made the kernel reset the connection, which the caller met in its send before it had read the answer.

Change: a finished connection goes back to the server's thread, which reads and drops what comes until the peer closes, for 2 s at most, as the router's channels do. The worker is free at once; it was held for up to 16 reads of a second each.

--- a/daemon/web/internal.h
+++ b/daemon/web/internal.h
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <pthread.h>
 
+#include "common/clock.h"
 #include "daemon/web.h"
 #include "http/reader.h"
 
@@ -28,6 +29,8 @@
   const char *query;
   bool head_done;
   bool close_after;
+  bool finishing; /* answered for good; the rest is read and dropped */
+  cs_time_us_t finish_until;
 };
 
 struct cs_web
@@ -52,9 +55,21 @@
 };
 
 /* Serves the request that has arrived on the connection.  Returns whether the
-   connection can carry another one.  */
+   connection goes back to the server's thread.  */
 bool cs_web_serve (cs_web_request_t *request);
 
+/* Ends the output.  What the peer still sends is read and dropped until it
+   closes, since a reset could keep it from reading the last answer.  */
+void cs_web_finish (cs_web_request_t *request);
+
+/* Waits on a connection for its next request, which may have come already, or
+   for its end.  Of the server's thread, as is what follows.  */
+void cs_web_wait_on (cs_web_request_t *request);
+void cs_web_on_event (evutil_socket_t fd, short what, void *argument);
+void cs_web_drop (cs_web_request_t *request);
+
+extern const cs_http_handlers_t cs_web_reader_handlers;
+
 void cs_web_free_connection (cs_web_request_t *request);
 
 #endif
--- a/daemon/web/request.c
+++ b/daemon/web/request.c
@@ -12,9 +12,6 @@
 #include "daemon/web/internal.h"
 
 #define READ_BYTES 16384
-/* What a caller still sends after the last answer is read for a moment, so
-   that it is not reset before it has read that answer.  */
-#define LINGER_READS 16
 
 const char *
 cs_web_method (const cs_web_request_t *request)
@@ -152,16 +149,6 @@
   return CS_OK;
 }
 
-static void
-finish (cs_web_request_t *request)
-{
-  char part[READ_BYTES];
-  shutdown (request->fd, SHUT_WR);
-  for (int i = 0; i < LINGER_READS; i++)
-    if (recv (request->fd, part, sizeof part, 0) <= 0)
-      return;
-}
-
 bool
 cs_web_serve (cs_web_request_t *request)
 {
@@ -177,8 +164,8 @@
     request->close_after = true;
   if (request->close_after)
     {
-      finish (request);
-      return false;
+      cs_web_finish (request);
+      return true;
     }
   cs_http_reader_next (request->reader);
   request->head_done = false;
--- a/daemon/web/server.c
+++ b/daemon/web/server.c
@@ -12,170 +12,9 @@
 #include "daemon/web/internal.h"
 
 #define HEAD_MOST (16U * 1024)
-#define READ_BYTES 16384
 #define BACKLOG 1024
 #define MS_PER_S 1000
 
-static bool
-on_head (void *context, const cs_http_head_t *head)
-{
-  cs_web_request_t *request = context;
-  request->head_done = true;
-  return false;
-}
-
-static void
-on_body (void *context, cs_str_t part)
-{
-  cs_web_request_t *request = context;
-  if (request->body_rc != 0)
-    return;
-  if (request->body->len + part.len > request->body_most)
-    request->body_rc = CS_ERR_TOO_LARGE;
-  else
-    request->body_rc = cs_buf_append (request->body, part);
-}
-
-static const cs_http_handlers_t handlers
-    = { .on_head = on_head, .on_body = on_body };
-
-void
-cs_web_free_connection (cs_web_request_t *request)
-{
-  if (request->event != NULL)
-    event_free (request->event);
-  close (request->fd);
-  cs_http_reader_destroy (request->reader);
-  cs_buf_free (&request->ahead);
-  free (request->path);
-  free (request);
-}
-
-static void
-unlink_idle (cs_web_request_t *request)
-{
-  if (request->previous_idle != NULL)
-    request->previous_idle->next_idle = request->next_idle;
-  else
-    request->web->idle = request->next_idle;
-  if (request->next_idle != NULL)
-    request->next_idle->previous_idle = request->previous_idle;
-  request->next_idle = NULL;
-  request->previous_idle = NULL;
-}
-
-/* Gives a request whose head has arrived to the workers.  */
-static void
-enqueue (cs_web_request_t *request)
-{
-  cs_web_t *web = request->web;
-  event_del (request->event);
-  unlink_idle (request);
-  pthread_mutex_lock (&web->lock);
-  request->next = NULL;
-  if (web->last != NULL)
-    web->last->next = request;
-  else
-    web->first = request;
-  web->last = request;
-  pthread_cond_signal (&web->arrived);
-  pthread_mutex_unlock (&web->lock);
-}
-
-static void
-drop (cs_web_request_t *request)
-{
-  unlink_idle (request);
-  cs_web_free_connection (request);
-}
-
-/* Answers what cannot be read as a request, and closes.  */
-static void
-reject (cs_web_request_t *request)
-{
-  bool large = cs_http_reader_error (request->reader) == CS_ERR_TOO_LARGE;
-  cs_web_printf (request,
-                 "HTTP/1.1 %s\r\nContent-Length: 0\r\n"
-                 "Connection: close\r\n\r\n",
-                 large ? "431 Request Header Fields Too Large"
-                       : "400 Bad Request");
-  shutdown (request->fd, SHUT_WR);
-  drop (request);
-}
-
-static void
-wait_for_more (cs_web_request_t *request)
-{
-  const cs_web_options_t *options = &request->web->options;
-  uint32_t ms = cs_http_reader_has_begun (request->reader)
-                    ? options->request_timeout_ms
-                    : options->idle_timeout_ms;
-  struct timeval limit = { ms / MS_PER_S, ms % MS_PER_S * 1000 };
-  event_add (request->event, &limit);
-}
-
-/* Reads DATA up to the end of a head.  */
-static void
-take (cs_web_request_t *request, cs_str_t data)
-{
-  size_t taken = cs_http_reader_feed (request->reader, data);
-  if (cs_http_reader_state (request->reader) == CS_HTTP_BROKEN)
-    {
-      reject (request);
-      return;
-    }
-  if (!request->head_done)
-    {
-      wait_for_more (request);
-      return;
-    }
-  cs_str_t rest = { data.data + taken, data.len - taken };
-  if (cs_buf_append (&request->ahead, rest) != 0)
-    drop (request);
-  else
-    enqueue (request);
-}
-
-static void
-on_event (evutil_socket_t fd, short what, void *argument)
-{
-  cs_web_request_t *request = argument;
-  char part[READ_BYTES];
-  if ((what & EV_TIMEOUT) != 0)
-    {
-      drop (request);
-      return;
-    }
-  ssize_t got = recv (fd, part, sizeof part, MSG_DONTWAIT);
-  if (got < 0 && (errno == EAGAIN || errno == EINTR))
-    wait_for_more (request);
-  else if (got <= 0)
-    drop (request);
-  else
-    take (request, (cs_str_t){ part, (size_t)got });
-}
-
-/* Waits for the next request on a connection; one may have come already.  */
-static void
-wait_on (cs_web_request_t *request)
-{
-  cs_web_t *web = request->web;
-  request->previous_idle = NULL;
-  request->next_idle = web->idle;
-  if (web->idle != NULL)
-    web->idle->previous_idle = request;
-  web->idle = request;
-  if (request->ahead.len == 0)
-    {
-      wait_for_more (request);
-      return;
-    }
-  cs_buf_t ahead = request->ahead;
-  request->ahead = (cs_buf_t){ 0 };
-  take (request, cs_buf_str (&ahead));
-  cs_buf_free (&ahead);
-}
-
 static void
 set_timeouts (int fd, uint32_t ms)
 {
@@ -203,12 +42,13 @@
   request->web = web;
   request->fd = accepted;
   request->reader = cs_http_reader_create (CS_HTTP_REQUESTS, HEAD_MOST,
-                                           &handlers, request);
-  request->event = event_new (web->base, accepted, EV_READ, on_event, request);
+                                           &cs_web_reader_handlers, request);
+  request->event
+      = event_new (web->base, accepted, EV_READ, cs_web_on_event, request);
   if (request->reader == NULL || request->event == NULL)
     cs_web_free_connection (request);
   else
-    wait_on (request);
+    cs_web_wait_on (request);
 }
 
 static void
@@ -227,7 +67,7 @@
     {
       cs_web_request_t *request = returned;
       returned = request->next;
-      wait_on (request);
+      cs_web_wait_on (request);
     }
   if (stopping)
     event_base_loopbreak (web->base);
@@ -365,7 +205,7 @@
       at = next;
     }
   while (web->idle != NULL)
-    drop (web->idle);
+    cs_web_drop (web->idle);
   if (web->accept_event != NULL)
     event_free (web->accept_event);
   if (web->wake_event != NULL)
--- /dev/null
+++ b/tests/unit/web_test.cc
@@ -0,0 +1,145 @@
+// The daemon's web server, over its own socket.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+extern "C"
+{
+#include "common/address.h"
+#include "daemon/web.h"
+}
+
+namespace
+{
+
+const size_t kBodyMost = 4 << 20;
+
+// Refuses a body that is too large without reading it.
+void
+handle (cs_web_request_t *request, void *context)
+{
+  const char *status = "200 OK";
+  if (cs_web_is_too_large (request, kBodyMost))
+    {
+      status = "413 Content Too Large";
+      cs_web_close_after (request);
+    }
+  cs_web_printf (request, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status);
+}
+
+class Web : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    cs_web_options_t options = {};
+    options.listen = "127.0.0.1:0";
+    options.workers = 1;
+    options.request_timeout_ms = 1000;
+    options.idle_timeout_ms = 1000;
+    options.handle = handle;
+    web = cs_web_start (&options, &bound);
+    ASSERT_NE (web, nullptr);
+  }
+
+  void
+  TearDown () override
+  {
+    cs_web_stop (web);
+  }
+
+  int
+  dial ()
+  {
+    struct sockaddr_in address;
+    struct timeval limit = { 5, 0 };
+    EXPECT_EQ (cs_address_parse (cs_name_str (&bound), &address), 0);
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    EXPECT_EQ (connect (fd, reinterpret_cast<struct sockaddr *> (&address),
+                        sizeof address),
+               0);
+    return fd;
+  }
+
+  static bool
+  send_all (int fd, const std::string &data)
+  {
+    size_t sent = 0;
+    while (sent < data.size ())
+      {
+        ssize_t now = send (fd, data.data () + sent, data.size () - sent,
+                            MSG_NOSIGNAL);
+        if (now <= 0)
+          return false;
+        sent += static_cast<size_t> (now);
+      }
+    return true;
+  }
+
+  static std::string
+  read_to_end (int fd)
+  {
+    std::string all;
+    char part[4096];
+    ssize_t got;
+    while ((got = recv (fd, part, sizeof part, 0)) > 0)
+      all.append (part, static_cast<size_t> (got));
+    return got == 0 ? all : all + "(reset or timed out)";
+  }
+
+  cs_web_t *web = nullptr;
+  cs_name_t bound;
+};
+
+TEST_F (Web, ACallerThatSendsOnAfterItsRefusalStillReadsIt)
+{
+  int fd = dial ();
+  ASSERT_TRUE (send_all (fd, "POST / HTTP/1.1\r\nHost: a\r\n"
+                             "Content-Length: 6000000\r\n\r\n"));
+  std::this_thread::sleep_for (std::chrono::milliseconds (50));
+  EXPECT_TRUE (send_all (fd, std::string (6000000, 'x')));
+  shutdown (fd, SHUT_WR);
+  EXPECT_EQ (read_to_end (fd),
+             "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n");
+  close (fd);
+}
+
+// The only worker stays free for others meanwhile.
+TEST_F (Web, ACallerThatDoesNotCloseHoldsNoWorker)
+{
+  int stays = dial ();
+  ASSERT_TRUE (send_all (stays, "POST / HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: 6000000\r\n\r\n"));
+  std::this_thread::sleep_for (std::chrono::milliseconds (50));
+  auto begun = std::chrono::steady_clock::now ();
+  int other = dial ();
+  ASSERT_TRUE (send_all (
+      other, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+  EXPECT_EQ (read_to_end (other),
+             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_LT (std::chrono::steady_clock::now () - begun,
+             std::chrono::milliseconds (500));
+  close (other);
+  close (stays);
+}
+
+// What is no request is answered before its sender is cut off.
+TEST_F (Web, ASenderOfWhatIsNoRequestReadsItsRefusal)
+{
+  int fd = dial ();
+  ASSERT_TRUE (send_all (fd, "NO REQUEST\r\n\r\n"));
+  std::this_thread::sleep_for (std::chrono::milliseconds (50));
+  EXPECT_TRUE (send_all (fd, std::string (1000000, 'x')));
+  shutdown (fd, SHUT_WR);
+  EXPECT_EQ (read_to_end (fd).substr (0, 12), "HTTP/1.1 400");
+  close (fd);
+}
+
+} // namespace
