Take the platform's bounds of draining, contact and grace from its settings

Cause: the template passed on three bounds and the rest were constants of today's sites: a grace of 8 s, a settling time of 2.7 s, a watch of 1.5 s. On a platform with a grace of 2 s every stop would have been cut, and with drain_ms 1000 a lost watch would have hidden a leaving target. A bound that a platform leaves out (its contract is not in force) gave an empty setting, and a fraction in window_s an error: either kept the router from starting.

Change: settings grace_s, drain_ms and contact_ms; wait of a watch and settling time follow from them; fractions are taken; each bound stands in a section of the template, so that one that is left out falls back. Requests are taken for half of the grace at most.

New tests: fractions and short bounds (unit), a stop within a grace of 1.5 s (process; it took over 3 s before).

--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -6,6 +6,7 @@
 
 #include <stdint.h>
 
+#include "common/clock.h"
 #include "common/settings_table.h"
 #include "common/str.h"
 
@@ -24,19 +25,19 @@
   uint32_t directory_s; /* between two looks for other routers */
   /* [platform] */
   char platform[CS_SETTING_TEXT_MAX];
-  uint32_t apply_ms;    /* a change is in force everywhere within this */
-  uint32_t watch_ms;    /* longest wait of one watch */
+  double apply_ms;   /* a configuration is in force everywhere within this */
+  double drain_ms;   /* a target that leaves gets nothing new after this */
+  double contact_ms; /* all bounds hold again this long after trouble */
+  uint32_t watch_ms; /* longest wait of one watch, if the bounds allow it */
   uint32_t coalesce_ms; /* pause between two watches, so that a burst of
                            changes is one call */
   uint32_t call_timeout_ms;
-  uint32_t lapse_ms;  /* targets that lapsed during an outage are back this
-                         long after it */
-  uint32_t settle_ms; /* a target that left is out of use this long after an
-                         outage */
+  uint32_t lapse_ms; /* targets that lapsed during an outage are back this
+                        long after it */
   /* [retry] */
   double retry_ratio; /* repeats per first try, all routers together */
   double retry_slack; /* repeats in a window beside that, likewise */
-  uint32_t retry_window_s;
+  double retry_window_s;
   /* [target] */
   uint32_t connect_timeout_ms;
   uint32_t unacknowledged_ms; /* sent bytes may wait this long for an ack */
@@ -45,11 +46,23 @@
                                  used within this time, or on a new one */
   /* [stop] */
   uint32_t lame_duck_ms; /* requests are still taken for this long */
-  uint32_t grace_ms;     /* the process is gone after this */
+  double grace_s;        /* the process is gone after this */
   /* [log] */
   uint32_t lines_per_s;
 } cs_router_settings_t;
 
+/* Time within which any news of the platform has to be acted on.  */
+cs_time_us_t cs_router_settings_news_us (const cs_router_settings_t *settings);
+
+/* Wait of one watch: it has to leave time for another call, also when the
+   first was lost on a connection that fell silent.  */
+uint32_t cs_router_settings_watch_ms (const cs_router_settings_t *settings);
+
+/* A target whose entry is missing since an outage is out of use this long
+   after the outage's last sign.  */
+cs_time_us_t
+cs_router_settings_settle_us (const cs_router_settings_t *settings);
+
 /* Reads FILE.  Returns 0, or CS_ERR_BAD_SETTING with one line "FILE:LINE: what
    is wrong" appended to REASON; OUT is unspecified then.  */
 int cs_router_settings_read (const char *file, cs_router_settings_t *out,
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -22,6 +22,9 @@
 /* Part of the grace after which a stop ends what is still under way; the rest
    is for the process to end by itself.  */
 #define GRACE_SHARE 0.96
+/* Part of the grace in which requests are taken at most; the rest is for those
+   under way.  */
+#define LAME_DUCK_SHARE 0.5
 
 typedef struct
 {
@@ -69,7 +72,8 @@
   router->settings = *settings;
   cs_log_limit (settings->lines_per_s);
   router->services.retry_ratio = settings->retry_ratio;
-  router->services.retry_window_us = settings->retry_window_s * CS_US_PER_S;
+  router->services.retry_window_us
+      = (cs_time_us_t)(settings->retry_window_s * CS_US_PER_S);
 }
 
 static void
@@ -130,13 +134,16 @@
 {
   cs_router_t *router = &process->router;
   cs_time_us_t elapsed = now - process->stop_begun;
-  cs_time_us_t grace = router->settings.grace_ms * CS_US_PER_MS;
-  if (elapsed < router->settings.lame_duck_ms * CS_US_PER_MS)
+  double grace_us = router->settings.grace_s * CS_US_PER_S;
+  double taking_us = router->settings.lame_duck_ms * CS_US_PER_MS;
+  if (taking_us > grace_us * LAME_DUCK_SHARE)
+    taking_us = grace_us * LAME_DUCK_SHARE;
+  if ((double)elapsed < taking_us)
     return;
   cs_listener_destroy (process->callers);
   process->callers = NULL;
   cs_callers_close_idle (router);
-  if (router->callers == NULL || elapsed > (cs_time_us_t)(grace * GRACE_SHARE))
+  if (router->callers == NULL || (double)elapsed > grace_us * GRACE_SHARE)
     cs_loop_stop (router->loop);
 }
 
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -184,7 +184,7 @@
   if (mesh == NULL || mesh->role.is_hub || news->confirmed_at == 0)
     return false;
   return now - news->confirmed_at + REST_MARGIN_US
-         < mesh->router->settings.apply_ms * CS_US_PER_MS;
+         < cs_router_settings_news_us (&mesh->router->settings);
 }
 
 size_t
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -64,9 +64,10 @@
                              &path);
   else
     {
+      uint32_t wait_ms = cs_router_settings_watch_ms (settings);
       rc = cs_store_watch_path (follower->kind, follower->news->revision,
-                                settings->watch_ms, &path);
-      timeout_ms = settings->watch_ms + WATCH_SLACK_MS;
+                                wait_ms, &path);
+      timeout_ms = wait_ms + WATCH_SLACK_MS;
     }
   if (rc == 0)
     cs_store_client_call (follower->client, "GET", cs_buf_str (&path),
@@ -117,7 +118,7 @@
   const cs_router_settings_t *settings = &follower->router->settings;
   cs_outage_policy_t policy
       = { .lapse_us = settings->lapse_ms * CS_US_PER_MS,
-          .settle_us = settings->settle_ms * CS_US_PER_MS };
+          .settle_us = cs_router_settings_settle_us (settings) };
   return cs_outage_kept_until (&follower->outage, &policy, now);
 }
 
--- a/tests/router/state_test.cc
+++ b/tests/router/state_test.cc
@@ -115,6 +115,21 @@
   EXPECT_EQ (router->exit_within (6000), 0);
 }
 
+// A platform that kills after a short grace still gets a clean end.
+TEST_F (State, AStopFitsIntoAShortGrace)
+{
+  router->write_settings (store.address (), "[stop]\ngrace_s = 1.5\n");
+  ASSERT_TRUE (Router::eventually (
+      [this] { return router->log ().find ("CS1008") != std::string::npos; }));
+  set_engines (Target::stream (8, 0, 100));
+  wire::Socket socket (wire::Socket::connect_to (router->callers ()));
+  socket.send (request ("POST", "/talk/x", "", "b"));
+  ASSERT_TRUE (Router::eventually ([this] { return runs () == 1; }));
+  router->signal (SIGTERM);
+  EXPECT_TRUE (socket.read (1500).whole);
+  EXPECT_EQ (router->exit_within (1500), 0);
+}
+
 TEST_F (State, SettingsThatChangeAreReadWholeOrNotAtAll)
 {
   router->write_settings (store.address (), "[log]\nlines_per_s = 77\n");
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -460,6 +460,36 @@
   EXPECT_NE (why.find ("[listen] callers: is missing"), std::string::npos);
 }
 
+// The platform writes its bounds as whole numbers or fractions.
+TEST (Codec, BoundsOfThePlatformMayBeFractions)
+{
+  std::string why;
+  EXPECT_EQ (read_settings (std::string (SETTINGS)
+                                + "window_s = 7.5\n[stop]\ngrace_s = 6.5\n"
+                                  "[platform]\napply_ms = 1500.5\n"
+                                  "drain_ms = 900.0\ncontact_ms = 2500.0\n",
+                            &why),
+             0)
+      << why;
+}
+
+// A watch must leave time for another call before its news is due.
+TEST (Codec, ShortBoundsShortenTheWatch)
+{
+  cs_router_settings_t settings = {};
+  settings.watch_ms = 1500;
+  settings.apply_ms = 2000;
+  settings.drain_ms = 2000;
+  settings.contact_ms = 3000;
+  EXPECT_EQ (cs_router_settings_watch_ms (&settings), 1500u);
+  settings.drain_ms = 1000;
+  EXPECT_EQ (cs_router_settings_watch_ms (&settings), 750u);
+  EXPECT_EQ (cs_router_settings_news_us (&settings), 1000000u);
+  settings.contact_ms = 1000;
+  EXPECT_EQ (cs_router_settings_watch_ms (&settings), 500u);
+  EXPECT_EQ (cs_router_settings_settle_us (&settings), 900000u);
+}
+
 TEST (Codec, DamagedSettingsDoNoHarm)
 {
   cs_random_t random = { 27, 0 };
