--- /dev/null
+++ b/tests/router/documents.h
@@ -0,0 +1,58 @@
+// Configurations as the platform's store holds them.
+
+#ifndef TESTS_ROUTER_DOCUMENTS_H
+#define TESTS_ROUTER_DOCUMENTS_H
+
+#include <string>
+
+namespace document
+{
+
+inline std::string
+route (const std::string &name, const std::string &kind,
+       const std::string &service, const std::string &more)
+{
+  return "{\"name\":\"" + name
+         + "\",\"host\":\"h.example\",\"path_prefix\":\"/" + name
+         + "/\",\"kind\":\"" + kind + "\",\"service\":\"" + service
+         + "\",\"target_latency_ms\":600" + more + "}";
+}
+
+// Routes of each kind before two services; key k1 is ORGANISATION's.
+inline std::string
+config (int version, const std::string &organisation,
+        const std::string &more_routes = "")
+{
+  return "{\"version\":" + std::to_string (version) + ",\"routes\":["
+         + route ("safe", "safe", "engines",
+                  ",\"max_attempts\":2,\"timeout_ms\":1500")
+         + ","
+         + route ("once", "unsafe", "engines",
+                  ",\"max_attempts\":1,\"timeout_ms\":1500")
+         + ","
+         + route ("chat", "streaming", "engines",
+                  ",\"max_attempts\":2,\"timeout_ms\":9000,"
+                  "\"stream_resume\":true,\"session_affinity\":true")
+         + ","
+         + route ("talk", "streaming", "engines",
+                  ",\"max_attempts\":1,\"timeout_ms\":9000")
+         + ","
+         + route ("desk", "unsafe", "desk",
+                  ",\"max_attempts\":2,\"timeout_ms\":1500")
+         + ","
+         + route ("open", "safe", "desk",
+                  ",\"public\":true,\"timeout_ms\":1500")
+         + more_routes
+         + "],\"services\":[{\"name\":\"engines\",\"health_path\":\"/h\","
+           "\"engine\":{\"slots\":8,\"kv_token_bytes\":1000,"
+           "\"link_mbps\":1000000.0}},"
+           "{\"name\":\"desk\",\"health_path\":\"/h\"}],"
+           "\"limits\":{\"max_header_bytes\":2048,\"max_body_bytes\":100000,"
+           "\"header_timeout_ms\":400,\"idle_timeout_ms\":900},"
+           "\"tenants\":[{\"name\":\""
+         + organisation + "\",\"api_keys\":[\"k1\"]}]}";
+}
+
+}
+
+#endif
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -65,6 +65,8 @@
   std::atomic<bool> silent{ false };
   // Calls get this status, if it is not 0.
   std::atomic<int> refuse_with{ 0 };
+  // So many calls are done, and their connections closed without an answer.
+  std::atomic<int> lose{ 0 };
   // Watches of older revisions than this get 410.
   std::atomic<uint64_t> forgotten{ 0 };
   std::atomic<int> calls{ 0 };
@@ -102,9 +104,12 @@
   void
   answer (wire::Socket &socket, int status, const std::string &body)
   {
-    socket.send ("HTTP/1.1 " + std::to_string (status)
-                 + " X\r\nContent-Type: application/json\r\nContent-Length: "
-                 + std::to_string (body.size ()) + "\r\n\r\n" + body);
+    if (lose > 0 && lose-- > 0)
+      socket.close ();
+    else
+      socket.send ("HTTP/1.1 " + std::to_string (status)
+                   + " X\r\nContent-Type: application/json\r\nContent-Length: "
+                   + std::to_string (body.size ()) + "\r\n\r\n" + body);
   }
 
   std::string
--- a/tests/router/wire.h
+++ b/tests/router/wire.h
@@ -93,6 +93,12 @@
     return fd_ >= 0;
   }
 
+  int
+  fd () const
+  {
+    return fd_;
+  }
+
   bool
   send (const std::string &text)
   {
