Copy contexts from homes that leave

A context whose home leaves goes to the next home; a router that had not sent it lately saw no source there, since leaving targets were not ranked, and the new home read it whole although the old one still held it and served copies.

Ruled out: that each engine reads the first parts which many contexts share.

Change: the source of a context without a known last target is ranked among leaving targets too.

Conclusion: kept for the engines' sake; what is left is read again by calls that meet an engine while it still reads the same part, and after crashes.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -133,6 +133,29 @@
   return count;
 }
 
+/* Adds the targets of the service that leave behind the COUNT that may get the
+   call: until they are gone they still hold what was at home there.  Returns
+   the new count.  */
+static size_t
+collect_leaving (cs_chooser_t *chooser, const cs_fleet_t *fleet,
+                 const cs_choice_ask_t *ask, size_t count)
+{
+  size_t total;
+  cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
+  for (size_t i = 0; i < total; i++)
+    {
+      cs_target_t *target = targets[i];
+      if (!target->leaving
+          || !cs_str_equal (cs_name_str (&target->service), ask->service))
+        continue;
+      chooser->members[count].id = target->hash;
+      chooser->members[count].weight = 1.0;
+      chooser->candidates[count] = target;
+      count++;
+    }
+  return count;
+}
+
 static double
 mean_load (const cs_chooser_t *chooser, size_t count)
 {
@@ -203,7 +226,8 @@
    that this router last sent it to, or else the home that CHOSEN stands in
    for.  */
 static cs_target_t *
-find_source (cs_chooser_t *chooser, const cs_fleet_t *fleet, uint64_t key,
+find_source (cs_chooser_t *chooser, const cs_fleet_t *fleet,
+             const cs_choice_ask_t *ask, uint64_t key,
              const cs_target_t *chosen, size_t count, cs_time_us_t now)
 {
   const placed_t *placed = &chooser->placed[key % CONTEXTS_REMEMBERED];
@@ -217,6 +241,7 @@
       if (last == chosen)
         return NULL;
     }
+  count = collect_leaving (chooser, fleet, ask, count);
   size_t found = cs_rank (key, chooser->members, count, ranked, 2);
   if (found > 0 && chooser->candidates[ranked[0]] != chosen)
     return chooser->candidates[ranked[0]];
@@ -261,7 +286,8 @@
     out->target = less_loaded_of_two (chooser, ask, count);
   out->load = cs_target_estimate (out->target);
   if (key != 0 && ask->can_fetch)
-    out->source = find_source (chooser, fleet, key, out->target, count, now);
+    out->source
+        = find_source (chooser, fleet, ask, key, out->target, count, now);
   if (key != 0)
     chooser->placed[key % CONTEXTS_REMEMBERED]
         = (placed_t){ key, out->target->hash };
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -308,6 +308,27 @@
   EXPECT_NE (choice.source, choice.target);
 }
 
+// Routers that have not sent a context lately still know its home that leaves.
+TEST_F (Chooser, AContextIsFetchedFromItsHomeThatLeaves)
+{
+  cs_prompt_context_t context = {};
+  cs_choice_t choice;
+  for (int i = 0; i < 8; i++)
+    put (("t" + std::to_string (i)).c_str ());
+  context.count = 1;
+  context.chain[0] = 42;
+  ask.context = &context;
+  cs_target_t *home = choose ();
+  home->leaving = true;
+  ask.can_fetch = true;
+  cs_choice_policy_t policy = cs_choice_policy_default ();
+  cs_chooser_t *other = cs_chooser_create (&policy, 2);
+  cs_chooser_choose (other, fleet, &ask, 100 * SECOND, &choice);
+  EXPECT_NE (choice.target, home);
+  EXPECT_EQ (choice.source, home);
+  cs_chooser_destroy (other);
+}
+
 TEST_F (Chooser, TheOwnDataCentreWinsTies)
 {
   put ("far", 1, false, "b");
