Bound the memory that requests' bodies may fill

Cause: bodies up to the configured limit (4 MB) are held whole, so that a request can go to another target, and nothing bounded their sum: 40 callers that send 4 MB each at once exceed the 160 MB of the smallest host, and the process would be killed with all its requests.

Weighed: passing bodies on as they come, which frees the memory but ends the repeat to another target after the first bytes and needs its own handling of answers that come before the body is in; not done. A queue for room, which would hold callers.

Change: setting [host] memory_mb (from the platform's limits); bodies fill a fifth of it at most. A larger body that finds no room is refused at once with 503, its id and Retry-After ("not run" is true: nothing was sent), and the connection ends. Bodies up to 64 KB are always taken.

Measured: SmallHost (16 MB): beside 40 unfinished bodies of 99 kB a further one gets 503, a small one is served, and the large one is once the others have left.

--- a/include/router/forward.h
+++ b/include/router/forward.h
@@ -18,6 +18,9 @@
    when this returns.  */
 void cs_forward_run (cs_forward_t *forward, cs_time_us_t now);
 
+/* Answers ERROR in place of serving the request.  FORWARD is gone then.  */
+void cs_forward_refuse (cs_forward_t *forward, int error, cs_time_us_t now);
+
 /* The caller has left: the target's connection is closed at once.  */
 void cs_forward_abandon (cs_forward_t *forward);
 
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -49,6 +49,7 @@
   cs_mesh_t *mesh;      /* NULL: this router has no peers */
   cs_caller_t *callers; /* open caller connections */
   uint32_t in_flight;   /* requests under way */
+  size_t body_bytes;    /* of requests' bodies, held until they are answered */
   bool stopping;
   bool closing; /* the balancer has noticed: idle callers are closed */
 } cs_router_t;
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -15,6 +15,7 @@
   /* [host] */
   char name[CS_SETTING_TEXT_MAX];
   char data_centre[CS_SETTING_TEXT_MAX];
+  double memory_mb; /* the process may use */
   /* [listen] */
   char callers[CS_SETTING_TEXT_MAX];
   char readiness[CS_SETTING_TEXT_MAX];
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -14,6 +14,11 @@
 #define BODY_BYTES_FIRST (4U * 1024 * 1024)
 #define HEAD_TIMEOUT_MS_FIRST 3000
 #define IDLE_TIMEOUT_MS_FIRST 15000
+/* Part of the process's memory that bodies of requests may fill. Each is held
+   once for another try and may wait once more for its target to read.  */
+#define BODIES_SHARE 0.2
+/* A body up to this size is always taken.  */
+#define SMALL_BODY_BYTES (64U * 1024)
 /* Requests that a caller sends ahead are kept up to this size; then it is not
    read from until it has been answered.  */
 #define AHEAD_BYTES (64U * 1024)
@@ -30,6 +35,7 @@
   cs_buf_t ahead;        /* received while a request is being served */
   cs_timer_t timer;      /* idle, or until the request has arrived */
   bool too_large;
+  bool no_room;     /* for the rest of the body */
   bool close_after; /* the caller wants the connection closed */
   bool reading;     /* requests are being read: the record stays until then */
   bool gone;        /* destroyed while READING */
@@ -62,6 +68,7 @@
 release (cs_caller_t *caller)
 {
   cs_http_reader_destroy (caller->reader);
+  caller->router->body_bytes -= caller->body.len;
   cs_buf_free (&caller->body);
   cs_buf_free (&caller->ahead);
   free (caller);
@@ -138,13 +145,29 @@
   return true;
 }
 
+/* Whether so many more bytes of a body may be held.  */
+static bool
+has_room (const cs_caller_t *caller, size_t more)
+{
+  const cs_router_t *router = caller->router;
+  double most = router->settings.memory_mb * (1U << 20) * BODIES_SHARE;
+  return caller->body.len + more <= SMALL_BODY_BYTES
+         || (double)(router->body_bytes + more) <= most;
+}
+
 static void
 on_body (void *context, cs_str_t part)
 {
   cs_caller_t *caller = context;
-  if (caller->body.len + part.len > limits (caller)->body_bytes
-      || cs_buf_append (&caller->body, part) != 0)
+  if (caller->no_room || caller->too_large)
+    return;
+  if (caller->body.len + part.len > limits (caller)->body_bytes)
     caller->too_large = true;
+  else if (!has_room (caller, part.len)
+           || cs_buf_append (&caller->body, part) != 0)
+    caller->no_room = true;
+  else
+    caller->router->body_bytes += part.len;
 }
 
 static const cs_http_handlers_t reader_handlers
@@ -168,6 +191,24 @@
     cs_forward_run (caller->forward, now);
 }
 
+/* Refuses the request whose body finds no room.  The rest of it is not read,
+   so the connection ends.  */
+static void
+refuse_body (cs_caller_t *caller)
+{
+  cs_router_t *router = caller->router;
+  cs_time_us_t now = cs_loop_now (router->loop);
+  cs_timer_clear (&caller->timer);
+  caller->close_after = true;
+  caller->forward = cs_forward_create (router, caller,
+                                       cs_http_reader_head (caller->reader),
+                                       &caller->body, now);
+  if (caller->forward == NULL)
+    reject (caller, CS_ERR_NO_MEMORY);
+  else
+    cs_forward_refuse (caller->forward, CS_ERR_OVERLOADED, now);
+}
+
 /* Reads DATA up to the end of a request.  */
 static void
 read_request (cs_caller_t *caller, cs_str_t *data)
@@ -181,6 +222,11 @@
       reject (caller, CS_ERR_TOO_LARGE);
       return;
     }
+  if (caller->no_room)
+    {
+      refuse_body (caller);
+      return;
+    }
   switch (cs_http_reader_state (caller->reader))
     {
     case CS_HTTP_BROKEN:
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -61,6 +61,7 @@
     cs_target_release (forward->tried[i]);
   cs_target_release (forward->source);
   cs_http_head_free (&forward->head);
+  forward->router->body_bytes -= forward->body.len;
   cs_buf_free (&forward->body);
   cs_buf_free (&forward->answer_head);
   cs_buf_free (&forward->answer_body);
@@ -241,6 +242,15 @@
   cs_forward_try (forward, now);
 }
 
+void
+cs_forward_refuse (cs_forward_t *forward, int error, cs_time_us_t now)
+{
+  const char *why = "";
+  /* A head that is bad as well is refused all the same.  */
+  (void)cs_headers_read_request (&forward->head, &forward->request, &why);
+  cs_forward_fail (forward, error, now);
+}
+
 void
 cs_forward_abandon (cs_forward_t *forward)
 {
--- a/router/settings.c
+++ b/router/settings.c
@@ -12,6 +12,8 @@
 
 static const cs_setting_t settings[] = {
   { "host", "data_centre", CS_SETTING_NAME, AT (data_centre), 0, 0, NULL },
+  { "host", "memory_mb", CS_SETTING_FRACTION, AT (memory_mb), 16, 1000000,
+    "256" },
   { "host", "name", CS_SETTING_NAME, AT (name), 0, 0, NULL },
   { "listen", "callers", CS_SETTING_ADDRESS, AT (callers), 0, 0, NULL },
   { "listen", "metrics", CS_SETTING_ADDRESS_OR_NONE, AT (metrics), 0, 0, "" },
--- a/tests/router/edge_test.cc
+++ b/tests/router/edge_test.cc
@@ -141,6 +141,43 @@
   EXPECT_EQ (runs (), 0U);
 }
 
+class SmallHost : public Path
+{
+protected:
+  std::string
+  settings () override
+  {
+    return Path::settings () + "[host]\nmemory_mb = 16\n";
+  }
+};
+
+// Bodies held for many callers at once must not fill the process's memory.
+TEST_F (SmallHost, ALargeBodyWithoutRoomIsRefusedAtOnceAndSmallOnesAreServed)
+{
+  const size_t size = 99000;
+  const int count = 40; // of 99 kB: more than a fifth of 16 MB
+  std::vector<std::unique_ptr<wire::Socket>> slow;
+  std::string text = request ("POST", "/once/x", "", std::string (size, 'b'));
+  for (int i = 0; i < count; i++)
+    {
+      slow.push_back (std::make_unique<wire::Socket> (
+          wire::Socket::connect_to (router->callers ())));
+      slow.back ()->send (text.substr (0, text.size () - 1));
+    }
+  wire::Message refused = ask (text);
+  EXPECT_EQ (refused.status (), 503);
+  EXPECT_FALSE (refused.field ("retry-after").empty ());
+  EXPECT_EQ (refused.field ("x-request-id"), "q" + std::to_string (numbers));
+  EXPECT_EQ (runs (), 0U);
+  EXPECT_EQ (ask (request ("POST", "/once/x", "", "small")).status (), 200);
+  slow.clear ();
+  EXPECT_TRUE (Router::eventually ([&] {
+    return ask (request ("POST", "/once/x", "", std::string (size, 'b')))
+               .status ()
+           == 200;
+  }));
+}
+
 TEST_F (Edge, ASlowSenderIsToldSo)
 {
   wire::Socket socket (wire::Socket::connect_to (router->callers ()));
