--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,63 +1,14 @@
 /* cranberrystiled: the router of one entry host.  */
 
-#include <argtable2.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "common/program_options.h"
 #include "daemon/daemon.h"
 
-#define EXIT_USAGE 2
-
-typedef struct
-{
-  const char *settings; /* points into argv */
-  bool check;
-} arguments_t;
-
-/* Returns the exit status, or -1 to go on.  */
-static int
-parse_arguments (int argc, char **argv, arguments_t *out)
-{
-  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
-  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
-  struct arg_lit *check
-      = arg_lit0 (NULL, "check-settings", "check the settings and exit");
-  struct arg_str *settings
-      = arg_str0 ("s", "settings", "FILE", "settings, in INI form");
-  struct arg_end *end = arg_end (4);
-  void *table[] = { help, version, check, settings, end };
-  int errors = arg_parse (argc, argv, table);
-  int status = -1;
-  if (help->count > 0)
-    {
-      printf ("Usage: cranberrystiled");
-      arg_print_syntax (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-24s %s\n");
-      status = 0;
-    }
-  else if (version->count > 0)
-    {
-      printf ("cranberrystiled %s\n", CS_VERSION);
-      status = 0;
-    }
-  else if (errors > 0 || settings->count == 0)
-    {
-      fprintf (stderr, "cranberrystiled: --settings FILE is needed; see "
-                       "--help\n");
-      status = EXIT_USAGE;
-    }
-  else
-    {
-      out->settings = settings->sval[0];
-      out->check = check->count > 0;
-    }
-  arg_freetable (table, sizeof table / sizeof table[0]);
-  return status;
-}
-
 static void
 block_signals (sigset_t *set)
 {
@@ -107,21 +58,22 @@
 main (int argc, char **argv)
 {
   static cs_settings_t settings;
-  arguments_t arguments;
+  cs_program_options_t options;
   cs_buf_t reason = { 0 };
-  int status = parse_arguments (argc, argv, &arguments);
+  int status = cs_program_options_parse ("cranberrystiled", NULL, argc, argv,
+                                         &options);
   if (status >= 0)
     return status;
   cs_log_init ("-", "cranberrystiled");
-  if (cs_settings_read (arguments.settings, &settings, &reason) != 0)
+  if (cs_settings_read (options.settings, &settings, &reason) != 0)
     {
       cs_log (CS_EV_BAD_SETTING, "%s", reason.data);
       cs_buf_free (&reason);
-      return EXIT_USAGE;
+      return CS_EXIT_USAGE;
     }
-  if (arguments.check)
+  if (options.check)
     {
-      printf ("%s: the settings are good\n", arguments.settings);
+      printf ("%s: the settings are good\n", options.settings);
       return EXIT_SUCCESS;
     }
   cs_log_init (settings.name, "cranberrystiled");
--- a/daemon/peer/frame.c
+++ b/daemon/peer/frame.c
@@ -1,6 +1,5 @@
 #include "daemon/frame.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,35 +12,7 @@
 int
 cs_frame_pack (const cs_frame_t *frame, cs_buf_t *out)
 {
-  size_t len = cs__peer__frame__get_packed_size (frame);
-  uint32_t head = htonl ((uint32_t)len);
-  uint8_t *packed = malloc (len + 1);
-  if (packed == NULL || len > CS_FRAME_MAX)
-    {
-      free (packed);
-      return CS_ERR_NO_MEMORY;
-    }
-  cs__peer__frame__pack (frame, packed);
-  cs_str_t head_bytes = { (const char *)&head, sizeof head };
-  cs_str_t body_bytes = { (const char *)packed, len };
-  int rc = cs_buf_append (out, head_bytes);
-  if (rc == 0)
-    rc = cs_buf_append (out, body_bytes);
-  free (packed);
-  return rc;
-}
-
-int
-cs_frame_length (const unsigned char head[CS_FRAME_HEAD], uint32_t most,
-                 uint32_t *length)
-{
-  uint32_t value;
-  memcpy (&value, head, sizeof value);
-  value = ntohl (value);
-  if (value == 0 || value > most)
-    return CS_ERR_BAD_FRAME;
-  *length = value;
-  return 0;
+  return cs_frame_append (&frame->base, out);
 }
 
 static bool
--- a/include/ctl/options.h
+++ b/include/ctl/options.h
@@ -8,10 +8,10 @@
 #include <jansson.h>
 
 #include "api/client.h"
+#include "common/program_options.h"
 #include "cranberrystile/release.h"
 
 #define CS_EXIT_FAILED 1
-#define CS_EXIT_USAGE 2
 #define CS_EXIT_CONFLICT 3
 #define CS_EXIT_UNKNOWN 4
 
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -1,31 +1,12 @@
-#include <arpa/inet.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "protocol/framing.h"
 #include "router/peer/internal.h"
 
-/* Longest packed frame in bytes: a routing document, which the platform bounds
-   by a megabyte, or a whole list of targets.  */
-#define FRAME_MOST (4U << 20)
-#define HEAD_BYTES 4
-
 int
 cs_router_frame_pack (const cs_router_frame_t *frame, cs_buf_t *out)
 {
-  size_t len = cs__router__frame__get_packed_size (frame);
-  uint32_t head = htonl ((uint32_t)len);
-  uint8_t *packed = malloc (len + 1);
-  if (packed == NULL || len > FRAME_MOST)
-    {
-      free (packed);
-      return CS_ERR_NO_MEMORY;
-    }
-  cs__router__frame__pack (frame, packed);
-  int rc = cs_buf_append (out, (cs_str_t){ (const char *)&head, HEAD_BYTES });
-  if (rc == 0)
-    rc = cs_buf_append (out, (cs_str_t){ (const char *)packed, len });
-  free (packed);
-  return rc;
+  return cs_frame_append (&frame->base, out);
 }
 
 static bool
@@ -76,16 +57,15 @@
   uint32_t len;
   *frame = NULL;
   *taken = 0;
-  if (bytes.len < HEAD_BYTES)
+  if (bytes.len < CS_FRAME_HEAD)
     return CS_OK;
-  memcpy (&len, bytes.data, HEAD_BYTES);
-  len = ntohl (len);
-  if (len == 0 || len > FRAME_MOST)
+  if (cs_frame_length ((const unsigned char *)bytes.data, CS_FRAME_MAX, &len)
+      != 0)
     return CS_ERR_BAD_FRAME;
-  if (bytes.len - HEAD_BYTES < len)
+  if (bytes.len - CS_FRAME_HEAD < len)
     return CS_OK;
   *frame = cs__router__frame__unpack (
-      NULL, len, (const uint8_t *)bytes.data + HEAD_BYTES);
+      NULL, len, (const uint8_t *)bytes.data + CS_FRAME_HEAD);
   if (*frame == NULL)
     return CS_ERR_BAD_FRAME;
   if (!is_good_frame (*frame))
@@ -94,6 +74,6 @@
       *frame = NULL;
       return CS_ERR_BAD_FRAME;
     }
-  *taken = HEAD_BYTES + len;
+  *taken = CS_FRAME_HEAD + len;
   return CS_OK;
 }
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -105,7 +105,7 @@
   answer (wire::Socket &socket, int status, const std::string &body)
   {
     if (lose > 0 && lose-- > 0)
-      socket.close ();
+      shutdown (socket.fd (), SHUT_RDWR);
     else
       socket.send ("HTTP/1.1 " + std::to_string (status)
                    + " X\r\nContent-Type: application/json\r\nContent-Length: "
