Keep work that may not be repeated away from targets that fail

Ruled out: a larger share for ejection; three targets cannot carry five targets' load (0.06 s of work, 6 slots, 64 calls a second each).

Change: the chooser counts a target as busier by its failing share, by 8 calls for work that may not be repeated and 4 for other work; a home that fails a fifth of its calls is passed over for the former.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -39,6 +39,10 @@
     .home_extra = 2,
     .homes = 4,
     .local_extra = 1,
+    .risk_once = 8,       /* a lost booking outweighs the wait behind a plain
+                             service's slots; 16 made more late than it saved */
+    .risk_repeatable = 4, /* another try takes as long as a few calls wait */
+    .home_risk_most = 0.2,
   };
   return policy;
 }
@@ -166,15 +170,18 @@
 }
 
 /* Estimated calls at TARGET; one in another data centre counts as LOCAL_EXTRA
-   calls busier.  */
+   calls busier, one that fails by its risk: a target that fails fast is idle
+   and would draw all calls.  */
 static double
 cost (const cs_chooser_t *chooser, const cs_choice_ask_t *ask,
-      const cs_target_t *target)
+      const cs_target_t *target, cs_time_us_t now)
 {
   double load = cs_target_estimate (target);
+  double risk = ask->once ? chooser->policy.risk_once
+                          : chooser->policy.risk_repeatable;
   if (!is_near (ask, target))
     load += chooser->policy.local_extra;
-  return load;
+  return load + risk * cs_outcomes_failing_share (&target->outcomes, now);
 }
 
 /* The less loaded of two candidates drawn at random.  All routers see the same
@@ -182,7 +189,7 @@
    together (Mitzenmacher, "How useful is old information?", 2000).  */
 static cs_target_t *
 less_loaded_of_two (cs_chooser_t *chooser, const cs_choice_ask_t *ask,
-                    size_t count)
+                    size_t count, cs_time_us_t now)
 {
   size_t first = cs_random_u64 (&chooser->random) % count;
   if (count == 1)
@@ -192,12 +199,13 @@
     second++;
   cs_target_t *a = chooser->candidates[first];
   cs_target_t *b = chooser->candidates[second];
-  return cost (chooser, ask, b) < cost (chooser, ask, a) ? b : a;
+  return cost (chooser, ask, b, now) < cost (chooser, ask, a, now) ? b : a;
 }
 
-/* The first home under the threshold, or NULL.  */
+/* The first home under the threshold and not at risk, or NULL.  */
 static cs_target_t *
-free_home (cs_chooser_t *chooser, uint64_t key, size_t count, double mean)
+free_home (cs_chooser_t *chooser, const cs_choice_ask_t *ask, uint64_t key,
+           size_t count, double mean, cs_time_us_t now)
 {
   uint32_t ranked[HOMES_MOST];
   uint32_t homes = chooser->policy.homes;
@@ -206,8 +214,14 @@
   size_t found = cs_rank (key, chooser->members, count, ranked,
                           homes < HOMES_MOST ? homes : HOMES_MOST);
   for (size_t i = 0; i < found; i++)
-    if (cs_target_estimate (chooser->candidates[ranked[i]]) < threshold)
-      return chooser->candidates[ranked[i]];
+    {
+      cs_target_t *home = chooser->candidates[ranked[i]];
+      bool at_risk = ask->once
+                     && cs_outcomes_failing_share (&home->outcomes, now)
+                            >= chooser->policy.home_risk_most;
+      if (!at_risk && cs_target_estimate (home) < threshold)
+        return home;
+    }
   return NULL;
 }
 
@@ -279,11 +293,11 @@
   out->mean = mean_load (chooser, count);
   if (key != 0)
     {
-      out->target = free_home (chooser, key, count, out->mean);
+      out->target = free_home (chooser, ask, key, count, out->mean, now);
       out->why = out->target != NULL ? CS_CHOICE_HOME : CS_CHOICE_SPILL;
     }
   if (out->target == NULL)
-    out->target = less_loaded_of_two (chooser, ask, count);
+    out->target = less_loaded_of_two (chooser, ask, count, now);
   out->load = cs_target_estimate (out->target);
   if (key != 0 && ask->can_fetch)
     out->source
--- a/cranberrystile/retry/outcomes.c
+++ b/cranberrystile/retry/outcomes.c
@@ -12,14 +12,22 @@
 #define SHARE_LEAST 0.3
 #define TIMES_OTHERS 2.0
 
+/* What is left of a count after the time since it was made.  */
+static double
+part_left (const cs_outcomes_t *outcomes, cs_time_us_t now)
+{
+  if (now <= outcomes->at)
+    return 1.0;
+  return exp2 (-(double)(now - outcomes->at) / HALF_LIFE_US);
+}
+
 void
 cs_outcomes_add (cs_outcomes_t *outcomes, double ended, double failed,
                  cs_time_us_t now)
 {
   if (now > outcomes->at)
     {
-      double half_lives = (double)(now - outcomes->at) / HALF_LIFE_US;
-      double left = exp2 (-half_lives);
+      double left = part_left (outcomes, now);
       outcomes->ended *= left;
       outcomes->failed *= left;
       outcomes->at = now;
@@ -28,6 +36,14 @@
   outcomes->failed += failed;
 }
 
+double
+cs_outcomes_failing_share (const cs_outcomes_t *outcomes, cs_time_us_t now)
+{
+  if (outcomes->failed * part_left (outcomes, now) < FAILURES_LEAST)
+    return 0;
+  return outcomes->failed / outcomes->ended;
+}
+
 bool
 cs_outcomes_stand_out (const cs_outcomes_t *target,
                        const cs_outcomes_t *service)
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -26,6 +26,11 @@
   uint32_t homes;       /* ranked targets that share a context when hot */
   uint32_t local_extra; /* calls by which a target of another data centre must
                            be less loaded to be preferred */
+  double risk_once; /* calls that a target which fails all counts as busier,
+                       for work that may not be repeated */
+  double risk_repeatable; /* the same for work that may */
+  double home_risk_most;  /* a home is passed over for work that may not be
+                             repeated when so large a share fails */
 } cs_choice_policy_t;
 
 cs_choice_policy_t cs_choice_policy_default (void);
@@ -37,6 +42,7 @@
   const cs_prompt_context_t *context;
   bool near_first; /* a connection failed: data centres may be cut off from
                       each other, so the own one's targets come first */
+  bool once;       /* a failure is not repeated elsewhere */
   bool can_fetch;  /* targets copy kept context from each other */
   const cs_target_t *avoid[CS_CHOICE_AVOID_MOST];
   uint32_t avoid_count;
--- a/include/cranberrystile/outcomes.h
+++ b/include/cranberrystile/outcomes.h
@@ -24,4 +24,9 @@
 bool cs_outcomes_stand_out (const cs_outcomes_t *target,
                             const cs_outcomes_t *service);
 
+/* Share of the recent calls that failed; 0 while too few failed to tell it
+   from chance.  */
+double cs_outcomes_failing_share (const cs_outcomes_t *outcomes,
+                                  cs_time_us_t now);
+
 #endif
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -118,6 +118,7 @@
     .data_centre = cs_str (router->settings.data_centre),
     .context = forward->route->has_context ? &forward->request.context : NULL,
     .near_first = forward->connects > 0,
+    .once = !is_repeatable (forward),
     .can_fetch = forward->may_fetch,
     .avoid_count = forward->tried_count,
   };
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -329,6 +329,48 @@
   cs_chooser_destroy (other);
 }
 
+// Two of five targets lose half of their calls, and are idle for it. Too many
+// are bad for all to be ejected; work that may not be repeated avoids them.
+TEST_F (Chooser, WorkThatMayNotRepeatAvoidsTargetsThatFail)
+{
+  const int count = 2000;
+  for (int i = 0; i < 5; i++)
+    {
+      put (("t" + std::to_string (i)).c_str ());
+      cs_target_t *target = find (("t" + std::to_string (i)).c_str ());
+      target->in_flight = i < 2 ? 1 : 4;
+      cs_outcomes_add (&target->outcomes, 40, i < 2 ? 20 : 1, SECOND);
+    }
+  int once = 0;
+  int repeatable = 0;
+  for (int i = 0; i < count; i++)
+    {
+      ask.once = true;
+      once += choose ()->in_flight == 1;
+      ask.once = false;
+      repeatable += choose ()->in_flight == 1;
+    }
+  /* Both of the two drawn are bad in one of ten draws.  */
+  EXPECT_LE (once, count * 12 / 100);
+  EXPECT_GE (repeatable, count / 2) << "they still carry what may repeat";
+}
+
+TEST_F (Chooser, AHomeThatFailsIsPassedOverForWorkThatMayNotRepeat)
+{
+  cs_prompt_context_t context = {};
+  for (int i = 0; i < 8; i++)
+    put (("t" + std::to_string (i)).c_str ());
+  context.count = 1;
+  context.chain[0] = 42;
+  ask.context = &context;
+  cs_target_t *home = choose ();
+  cs_outcomes_add (&home->outcomes, 10, 5, SECOND);
+  EXPECT_EQ (choose (), home);
+  ask.once = true;
+  EXPECT_NE (choose (), home);
+  EXPECT_EQ (why, CS_CHOICE_HOME) << "another of its homes";
+}
+
 TEST_F (Chooser, TheOwnDataCentreWinsTies)
 {
   put ("far", 1, false, "b");
