--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -110,6 +110,14 @@
   CONSIDER_ALL /* ejected ones too */
 } consider_t;
 
+static void
+add_candidate (cs_chooser_t *chooser, size_t at, cs_target_t *target)
+{
+  chooser->members[at].id = target->hash;
+  chooser->members[at].weight = 1.0;
+  chooser->candidates[at] = target;
+}
+
 /* Collects the targets of the service that may get the call.  */
 static size_t
 collect (cs_chooser_t *chooser, const cs_fleet_t *fleet,
@@ -129,10 +137,7 @@
         continue;
       if (consider == CONSIDER_NEAR && !is_near (ask, target))
         continue;
-      chooser->members[count].id = target->hash;
-      chooser->members[count].weight = 1.0;
-      chooser->candidates[count] = target;
-      count++;
+      add_candidate (chooser, count++, target);
     }
   return count;
 }
@@ -152,10 +157,7 @@
       if (!target->leaving
           || !cs_str_equal (cs_name_str (&target->service), ask->service))
         continue;
-      chooser->members[count].id = target->hash;
-      chooser->members[count].weight = 1.0;
-      chooser->candidates[count] = target;
-      count++;
+      add_candidate (chooser, count++, target);
     }
   return count;
 }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -230,7 +230,15 @@
     return choice.target;
   }
 
+  void
+  put_eight ()
+  {
+    for (int i = 0; i < 8; i++)
+      put (("t" + std::to_string (i)).c_str ());
+  }
+
   cs_chooser_t *chooser = nullptr;
+  cs_prompt_context_t context = { { 42 }, { 0 }, 1, 0 };
   cs_choice_ask_t ask = {};
   cs_choice_why_t why = CS_CHOICE_LEAST;
 };
@@ -246,11 +254,7 @@
 
 TEST_F (Chooser, TheSameContextGoesHome)
 {
-  cs_prompt_context_t context = {};
-  for (int i = 0; i < 8; i++)
-    put (("t" + std::to_string (i)).c_str ());
-  context.count = 1;
-  context.chain[0] = 42;
+  put_eight ();
   ask.context = &context;
   cs_target_t *home = choose ();
   for (int i = 0; i < 20; i++)
@@ -264,12 +268,8 @@
 // again: a target joins and is its first home, or its home is full.
 TEST_F (Chooser, AContextThatMovesIsFetchedFromItsLastTarget)
 {
-  cs_prompt_context_t context = {};
   cs_choice_t choice;
-  for (int i = 0; i < 8; i++)
-    put (("t" + std::to_string (i)).c_str ());
-  context.count = 1;
-  context.chain[0] = 42;
+  put_eight ();
   ask.context = &context;
   ask.can_fetch = true;
   cs_time_us_t later = 100 * SECOND;
@@ -295,12 +295,8 @@
 
 TEST_F (Chooser, AHomeThatJustJoinedFetchesFromTheNextHome)
 {
-  cs_prompt_context_t context = {};
   cs_choice_t choice;
-  for (int i = 0; i < 8; i++)
-    put (("t" + std::to_string (i)).c_str ());
-  context.count = 1;
-  context.chain[0] = 42;
+  put_eight ();
   ask.context = &context;
   ask.can_fetch = true;
   cs_chooser_choose (chooser, fleet, &ask, SECOND, &choice);
@@ -311,12 +307,8 @@
 // Routers that have not sent a context lately still know its home that leaves.
 TEST_F (Chooser, AContextIsFetchedFromItsHomeThatLeaves)
 {
-  cs_prompt_context_t context = {};
   cs_choice_t choice;
-  for (int i = 0; i < 8; i++)
-    put (("t" + std::to_string (i)).c_str ());
-  context.count = 1;
-  context.chain[0] = 42;
+  put_eight ();
   ask.context = &context;
   cs_target_t *home = choose ();
   home->leaving = true;
@@ -357,11 +349,7 @@
 
 TEST_F (Chooser, AHomeThatFailsIsPassedOverForWorkThatMayNotRepeat)
 {
-  cs_prompt_context_t context = {};
-  for (int i = 0; i < 8; i++)
-    put (("t" + std::to_string (i)).c_str ());
-  context.count = 1;
-  context.chain[0] = 42;
+  put_eight ();
   ask.context = &context;
   cs_target_t *home = choose ();
   cs_outcomes_add (&home->outcomes, 10, 5, SECOND);
