Let the soak link without optimisation

The optimised build folds it.

Change: the constants of the soak's classes are constexpr, which C++17 makes inline.

--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -98,7 +98,7 @@
   };
 
   // Four fifths of the configuration's limit, as callers are allowed.
-  static const int kIdleMs = 720;
+  static constexpr int kIdleMs = 720;
 
   void
   work (int number)
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -70,10 +70,10 @@
     std::function<void ()> act;
   };
 
-  static const int kNoticeMs = 2000; // the balancer's two misses
-  static const int kGraceMs = 8000;
+  static constexpr int kNoticeMs = 2000; // the balancer's two misses
+  static constexpr int kGraceMs = 8000;
   /* Callers' requests wait for 1.5 s at most, and streams take under one.  */
-  static const int kStopMs = 7000;
+  static constexpr int kStopMs = 7000;
 
   int
   between (int least, int most)
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -34,9 +34,9 @@
   }
 
 private:
-  static const int kTimingSlackMs = 250; // threads of the soak itself
+  static constexpr int kTimingSlackMs = 250; // threads of the soak itself
   // A request cut within this of its own limits is not the stop's fault.
-  static const int kTimeoutMs = 1500;
+  static constexpr int kTimeoutMs = 1500;
 
   const std::vector<const Run *> &
   runs_of (const Request &request)
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -52,7 +52,7 @@
   std::atomic<int64_t> dead_before{ 0 };
 
 private:
-  static const int kLookMs = 5; // between two looks at the faults
+  static constexpr int kLookMs = 5; // between two looks at the faults
 
   struct Part
   {
