Leave a home earlier, so that a hot context in a burst keeps to the cap

The log shows only `why=home`, with estimates up to 42 beside a mean of 23 to 28, so under the threshold of 1.7 x mean + 2: 72 routers see each other's calls one or two beats (300 ms) late and fill a home together while a burst of half a class about one context grows. Ruled out: processor time (the same without it, 227 of 7,043), spills, ejected targets.

Change: a home is used up to 1.45 x mean + 2.

A new test with 36 choosers that see each other a beat late has 5.5 in 100 sends above the cap with 1.7 and 2.3 with 1.45.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -34,7 +34,7 @@
 cs_choice_policy_default (void)
 {
   cs_choice_policy_t policy = {
-    .home_factor = 1.7, /* under the users' cap of 2 x mean + 3, with room for
+    .home_factor = 1.45, /* under the users' cap of 2 x mean + 3, with room for
                            what other routers send at the same time */
     .home_extra = 2,
     .homes = 4,
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -1,12 +1,14 @@
 // The table of targets, and what decides by it.
 
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
 extern "C"
 {
 #include "common/error.h"
+#include "common/hash.h"
 #include "cranberrystile/chooser.h"
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/outage.h"
@@ -359,6 +361,102 @@
   EXPECT_EQ (why, CS_CHOICE_HOME) << "another of its homes";
 }
 
+// Routers see each other's calls a beat late. While a burst of calls about one
+// context grows, each finds its home under the threshold.
+TEST (ChooserFleet, AHotContextInABurstKeepsItsHomesUnderTheCap)
+{
+  const int routers = 36;
+  const int targets = 30;
+  const int beat_ms = 300;
+  const int run_ms = 1000;     // a call's time at its target
+  const int length_ms = 4000;  // the load grows to the end
+  const double cap_factor = 2; // the users' bound
+  const double cap_extra = 3;
+  struct Call
+  {
+    int ends_ms;
+    int router;
+    int target;
+  };
+  std::vector<cs_fleet_t *> fleets;
+  std::vector<cs_chooser_t *> choosers;
+  std::vector<int> load (targets);
+  std::vector<Call> calls;
+  cs_random_t random = { 5, 0 };
+  cs_choice_policy_t policy = cs_choice_policy_default ();
+  int sent = 0;
+  int above = 0;
+  for (int r = 0; r < routers; r++)
+    {
+      fleets.push_back (
+          cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr));
+      choosers.push_back (cs_chooser_create (&policy, 100 + r));
+      for (int t = 0; t < targets; t++)
+        {
+          bool added;
+          std::string id = "t" + std::to_string (t);
+          cs_target_entry_t entry = {};
+          entry.id = cs_str (id.c_str ());
+          entry.service = cs_str ("engines");
+          entry.data_centre = cs_str ("a");
+          entry.started_ms = 1;
+          cs_fleet_put (fleets[r], &entry, 1, &added);
+        }
+    }
+  for (int ms = 0; ms < length_ms; ms++)
+    {
+      cs_time_us_t now = (cs_time_us_t)(ms + 1000) * CS_US_PER_MS;
+      for (size_t i = calls.size (); i-- > 0;)
+        if (calls[i].ends_ms <= ms)
+          {
+            size_t count;
+            cs_fleet_targets (fleets[calls[i].router], &count)[calls[i].target]
+                ->in_flight--;
+            load[calls[i].target]--;
+            calls[i] = calls.back ();
+            calls.pop_back ();
+          }
+      if (ms % beat_ms == 0)
+        for (int r = 0; r < routers; r++)
+          for (int t = 0; t < targets; t++)
+            {
+              size_t count;
+              cs_target_t *target = cs_fleet_targets (fleets[r], &count)[t];
+              target->peer_calls = load[t] - target->in_flight;
+              target->peer_calls_at = now;
+            }
+      /* From 300 to 1,500 calls a second; one in seven about the hot context.  */
+      double due = 0.3 + 1.2 * ms / length_ms;
+      for (; cs_random_unit (&random) < due; due -= 1)
+        {
+          int r = static_cast<int> (cs_random_u64 (&random) % routers);
+          cs_prompt_context_t context = { { 42 }, { 0 }, 1, 0 };
+          if (cs_random_u64 (&random) % 7 != 0)
+            context.chain[0] = 1000 + cs_random_u64 (&random) % 300;
+          cs_choice_ask_t ask = {};
+          cs_choice_t choice;
+          ask.service = cs_str ("engines");
+          ask.data_centre = cs_str ("a");
+          ask.context = &context;
+          cs_chooser_choose (choosers[r], fleets[r], &ask, now, &choice);
+          int t = std::stoi (choice.target->id.text + 1);
+          double mean = (double)calls.size () / targets;
+          above += load[t] > cap_factor * mean + cap_extra;
+          sent++;
+          choice.target->in_flight++;
+          load[t]++;
+          calls.push_back ({ ms + run_ms, r, t });
+        }
+    }
+  EXPECT_GT (sent, 2000);
+  EXPECT_LE (above * 100, sent * 3) << above << " of " << sent;
+  for (int r = 0; r < routers; r++)
+    {
+      cs_chooser_destroy (choosers[r]);
+      cs_fleet_destroy (fleets[r]);
+    }
+}
+
 TEST_F (Chooser, TheOwnDataCentreWinsTies)
 {
   put ("far", 1, false, "b");
