--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -425,7 +425,8 @@
               target->peer_calls = load[t] - target->in_flight;
               target->peer_calls_at = now;
             }
-      /* From 300 to 1,500 calls a second; one in seven about the hot context.  */
+      /* From 300 to 1,500 calls a second; one in seven about the hot context.
+       */
       double due = 0.3 + 1.2 * ms / length_ms;
       for (; cs_random_unit (&random) < due; due -= 1)
         {
