Do not take a removed target up again from a peer that missed its removal

A router that never knew the target still takes it, as it must when all have restarted while the platform is away.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -216,6 +216,17 @@
   return since >= fleet->forgotten;
 }
 
+bool
+cs_fleet_was_removed (const cs_fleet_t *fleet, cs_str_t id)
+{
+  if (fleet->removals == NULL || find (fleet, id) < fleet->count)
+    return false;
+  for (size_t i = 0; i < CS_FLEET_REMOVALS; i++)
+    if (cs_str_equal (cs_name_str (&fleet->removals[i].id), id))
+      return true;
+  return false;
+}
+
 bool
 cs_fleet_remove (cs_fleet_t *fleet, cs_str_t id, cs_time_us_t kept_until,
                  cs_time_us_t now)
--- a/router/peer/news.c
+++ b/router/peer/news.c
@@ -213,6 +213,10 @@
 take_target (cs_router_t *router, const Cs__Router__Target *target,
              uint64_t revision, cs_time_us_t now)
 {
+  /* The peer missed the removal, and cannot tell it from a lapsed entry.  */
+  if (target->kept_ms > 0
+      && cs_fleet_was_removed (router->fleet, cs_str (target->id)))
+    return;
   cs_target_entry_t entry = {
     .id = cs_str (target->id),
     .service = cs_str (target->service),
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -101,6 +101,18 @@
   EXPECT_EQ (find ("t"), nullptr);
 }
 
+TEST_F (Fleet, ARemovalIsRememberedUntilTheTargetIsBack)
+{
+  EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("t")));
+  put ("t");
+  EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("t")));
+  cs_fleet_remove (fleet, cs_str ("t"), 0, SECOND);
+  EXPECT_TRUE (cs_fleet_was_removed (fleet, cs_str ("t")));
+  EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("u")));
+  put ("t", 2);
+  EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("t")));
+}
+
 TEST_F (Fleet, LapsedTargetsStayUntilTheyMayBeBack)
 {
   put ("t");
--- a/tests/unit/sharing_test.cc
+++ b/tests/unit/sharing_test.cc
@@ -9,6 +9,7 @@
 #include "cranberrystile/hub_plan.h"
 #include "cranberrystile/load_table.h"
 #include "cranberrystile/outcomes.h"
+#include "router/peer/internal.h"
 }
 
 namespace
@@ -113,6 +114,52 @@
   EXPECT_TRUE (cs_load_is_news (&load, &told));
 }
 
+// A peer that was cut off while a target was removed lists it as lapsed, at a
+// newer revision. Who saw the removal does not take the target up again; who
+// never knew the target does.
+TEST (News, ARemovedTargetIsNotTakenUpAgainAsALapsedOne)
+{
+  static cs_router_t router;
+  cs_mesh_t mesh = {};
+  cs_link_t link = {};
+  bool added;
+  size_t count;
+  router.loop = cs_loop_create ();
+  router.fleet = cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr);
+  mesh.router = &router;
+  link.mesh = &mesh;
+  cs_target_entry_t entry = {};
+  entry.id = cs_str ("left");
+  entry.service = cs_str ("engines");
+  entry.data_centre = cs_str ("a");
+  cs_fleet_set_revision (router.fleet, 10);
+  cs_fleet_put (router.fleet, &entry, 1, &added);
+  cs_fleet_remove (router.fleet, cs_str ("left"), 0, 1);
+
+  Cs__Router__Target lapsed[2];
+  Cs__Router__Target *list[2];
+  const char *ids[2] = { "left", "unknown" };
+  for (int i = 0; i < 2; i++)
+    {
+      cs__router__target__init (&lapsed[i]);
+      lapsed[i].id = const_cast<char *> (ids[i]);
+      lapsed[i].service = const_cast<char *> ("engines");
+      lapsed[i].data_centre = const_cast<char *> ("a");
+      lapsed[i].kept_ms = 2000;
+      list[i] = &lapsed[i];
+    }
+  Cs__Router__Targets targets = CS__ROUTER__TARGETS__INIT;
+  targets.revision = 20;
+  targets.targets = list;
+  targets.n_targets = 2;
+  cs_news_read_targets (&link, &targets, 1000);
+  cs_target_t *const *known = cs_fleet_targets (router.fleet, &count);
+  ASSERT_EQ (count, 1U);
+  EXPECT_STREQ (known[0]->id.text, "unknown");
+  cs_fleet_destroy (router.fleet);
+  cs_loop_destroy (router.loop);
+}
+
 TEST (Outcomes, ATargetThatFailsAloneStandsOut)
 {
   cs_outcomes_t target = {};
