Report the daemon ready only once its pools are set up

Change: /readyz also waits for the placement's first refresh that a release asked for; until then it says "no pools".

Not shown to fail first: the gap is 2 ms, and process/outage is the test that met it.

--- a/daemon/operator/health.c
+++ b/daemon/operator/health.c
@@ -19,6 +19,8 @@
     reason = "leaving";
   else if (cs_configuration_revision (daemon->configuration) == 0)
     reason = "no release";
+  else if (!cs_placement_has_pools (daemon->placement))
+    reason = "no pools";
   bool ready = reason[0] == 'r';
   cs_buf_printf (body, "{\"status\":\"%s\"}\n", reason);
   return ready ? 200 : 503;
--- a/daemon/placement/internal.h
+++ b/daemon/placement/internal.h
@@ -81,6 +81,7 @@
   pthread_cond_t tick;
   bool stopping;
   bool refresh;
+  bool has_pools;   /* those of a release, and their owners, were set up */
   cs_name_t region; /* of the own data centre */
   uint64_t last_call;
   cs_time_us_t created;
--- a/daemon/placement/placement.c
+++ b/daemon/placement/placement.c
@@ -90,6 +90,7 @@
 {
   cs_placement_t *placement = argument;
   cs_time_us_t last_sync = 0;
+  bool has_release = false;
   pthread_mutex_lock (&placement->lock);
   while (!placement->stopping)
     {
@@ -97,11 +98,17 @@
       /* Ejections end by time, so targets are looked at now and then.  */
       if (placement->refresh || now > last_sync + 200 * CS_US_PER_MS)
         {
+          /* A refresh is asked for once a release's targets are in place; one
+             may be half installed at the other times.  */
+          if (placement->refresh
+              && cs_configuration_revision (placement->configuration) > 0)
+            has_release = true;
           placement->refresh = false;
           last_sync = now;
           slots_refresh (placement, now);
         }
       slots_update_owners (placement, now);
+      placement->has_pools = placement->has_pools || has_release;
       bool queued = tick_owners (placement, now);
       unlock_and_send (placement);
       pthread_mutex_lock (&placement->lock);
@@ -402,6 +409,15 @@
   unlock_and_send (placement);
 }
 
+bool
+cs_placement_has_pools (cs_placement_t *placement)
+{
+  pthread_mutex_lock (&placement->lock);
+  bool has_pools = placement->has_pools;
+  pthread_mutex_unlock (&placement->lock);
+  return has_pools;
+}
+
 void
 cs_placement_refresh (cs_placement_t *placement)
 {
--- a/include/daemon/placement.h
+++ b/include/daemon/placement.h
@@ -60,6 +60,10 @@
 void cs_placement_finish (cs_placement_t *placement, const cs_placed_t *placed,
                           int error);
 
+/* Whether the pools of a release have been set up; asks before that find no
+   target.  */
+bool cs_placement_has_pools (cs_placement_t *placement);
+
 /* The set or the state of targets, or of hosts, may have changed.  */
 void cs_placement_refresh (cs_placement_t *placement);
 
