Remove the entries of routers that are gone for good

Cause: a router writes its entry at its start and takes it back on SIGTERM. A host that loses power or is replaced leaves it in the platform's store for ever, and no router forgot a member that it once knew. Members that are gone are dialled every 16 s and make each router's part of the repeats smaller.

Ruled out: an expiry by time (clocks step, and after an outage of the platform every entry would look old); removal by whoever cannot reach a host (a data centre that is cut off would be removed while it serves).

Change: entries are renewed (peer.renew_s, 300 s). First hubs remove, under the condition of its revision, an entry that missed three renewals, counted in looks at the list, and whose router is not connected. Members that two lists in a row lack are forgotten. Members are a file of their own.

Before: the store of Entries.OfHostsThatAreGoneForGoodAreRemoved kept 4 entries. After: 2, within 13 s at renew_s = 1.

--- a/include/common/event.h
+++ b/include/common/event.h
@@ -25,6 +25,7 @@
   X (PEER_LOST, 1302, 4)                                                      \
   X (PEER_REJECTED, 1303, 4)                                                  \
   X (OWNER_CHANGED, 1305, 6)                                                  \
+  X (PEER_GONE, 1306, 5)                                                      \
   X (TARGET_LEAVING, 1401, 5)                                                 \
   X (TARGET_SILENT, 1402, 4)                                                  \
   X (TARGET_EJECTED, 1403, 4)                                                 \
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -34,6 +34,10 @@
    one is created.  */
 int cs_store_object_path (cs_store_kind_t kind, cs_str_t name, cs_buf_t *out);
 
+/* Appends the path that removes one object if it is still at REVISION.  */
+int cs_store_remove_path (cs_store_kind_t kind, cs_str_t name,
+                          uint64_t revision, cs_buf_t *out);
+
 /* Appends the path that waits up to WAIT_MS for changes of KIND after
    REVISION.  */
 int cs_store_watch_path (cs_store_kind_t kind, uint64_t revision,
@@ -76,7 +80,8 @@
 {
   cs_str_t name;
   cs_str_t data_centre;
-  cs_str_t address; /* where it takes connections of peers */
+  cs_str_t address;  /* where it takes connections of peers */
+  uint32_t renewals; /* so that each renewal is a change to the store */
 } cs_router_entry_t;
 
 /* Returns 0 or CS_ERR_BAD_REQUEST.  */
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -24,6 +24,7 @@
   /* [peer] */
   uint32_t beat_ms;     /* between two words to each peer */
   uint32_t directory_s; /* between two looks for other routers */
+  uint32_t renew_s;     /* between two renewals of this router's entry */
   /* [platform] */
   char platform[CS_SETTING_TEXT_MAX];
   double apply_ms;   /* a configuration is in force everywhere within this */
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -5,8 +5,10 @@
 
 #include "cranberrystile/hub_plan.h"
 #include "cranberrystile/load_table.h"
+#include "cranberrystile/renewal.h"
 #include "net/channel.h"
 #include "net/listener.h"
+#include "platform/store.h"
 #include "router.pb-c.h"
 #include "router/mesh.h"
 
@@ -24,6 +26,8 @@
   uint64_t data_centre;
   cs_time_us_t out_until; /* could not be reached; tried again then */
   uint32_t failures;      /* in a row */
+  uint32_t lists_without; /* lists of the platform in a row that lack it */
+  cs_renewal_t renewal;   /* of its entry there */
 } cs_member_t;
 
 struct cs_mesh
@@ -98,16 +102,29 @@
 void cs_link_close (cs_link_t *link);
 void cs_link_send (cs_link_t *link, const cs_router_frame_t *frame);
 
-/* mesh.c */
+/* members.c */
 
-/* Adds or renews a member; the router itself is passed over.  */
-void cs_mesh_add_member (cs_mesh_t *mesh, cs_str_t name, cs_str_t data_centre,
-                         cs_str_t address);
+/* Adds or renews a member.  Returns it, valid until the next change of the
+   members; NULL for the router itself, a bad address, or without memory.  */
+cs_member_t *cs_mesh_add_member (cs_mesh_t *mesh, cs_str_t name,
+                                 cs_str_t data_centre, cs_str_t address);
+void cs_mesh_forget_member (cs_mesh_t *mesh, uint64_t id);
 
 /* A dialled link to member ID ended, or stands.  */
 void cs_mesh_link_lost (cs_mesh_t *mesh, uint64_t id, cs_time_us_t now);
 void cs_mesh_link_greeted (cs_mesh_t *mesh, uint64_t id);
 
+/* Around a whole list of the platform: members that it lacks for the second
+   time are forgotten, unless they are connected.  */
+void cs_mesh_list_begin (cs_mesh_t *mesh);
+void cs_mesh_list_entry (cs_mesh_t *mesh, const cs_router_entry_t *entry,
+                         uint64_t revision);
+void cs_mesh_list_end (cs_mesh_t *mesh);
+
+/* A member that is listed, but neither connected nor renewing its entry; NULL:
+   none.  */
+const cs_member_t *cs_mesh_find_gone (const cs_mesh_t *mesh);
+
 /* news.c */
 void cs_news_write_beat (cs_link_t *link, Cs__Router__Beat *beat,
                          cs_time_us_t now);
--- /dev/null
+++ b/router/peer/members.c
@@ -0,0 +1,162 @@
+/* The routers that are known: from the platform's list, or because they
+   connected.  */
+
+#include <stdlib.h>
+
+#include "common/address.h"
+#include "common/hash.h"
+#include "router/peer/internal.h"
+
+/* A member that could not be reached is tried again after this, doubled with
+   each failure up to the most.  */
+#define OUT_FIRST_US (500 * CS_US_PER_MS)
+#define OUT_DOUBLINGS_MOST 5
+
+/* Lists may be some seconds old, so one that lacks a member proves nothing. */
+#define LISTS_TO_FORGET 2
+
+static cs_member_t *
+find (const cs_mesh_t *mesh, uint64_t id)
+{
+  for (size_t i = 0; i < mesh->member_count; i++)
+    if (mesh->members[i].id == id)
+      return &mesh->members[i];
+  return NULL;
+}
+
+static void *
+grow (void *list, size_t count, size_t size)
+{
+  return reallocarray (list, count, size);
+}
+
+/* Makes room for one more member; returns NULL without memory.  */
+static cs_member_t *
+create (cs_mesh_t *mesh)
+{
+  size_t count = mesh->member_count + 1;
+  cs_member_t *members = grow (mesh->members, count, sizeof *members);
+  if (members != NULL)
+    mesh->members = members;
+  cs_hub_member_t *plan = grow (mesh->plan_members, count, sizeof *plan);
+  if (plan != NULL)
+    mesh->plan_members = plan;
+  bool *dial = grow (mesh->plan_dial, count, sizeof *dial);
+  if (dial != NULL)
+    mesh->plan_dial = dial;
+  if (members == NULL || plan == NULL || dial == NULL)
+    return NULL;
+  mesh->member_count = count;
+  members[count - 1] = (cs_member_t){ 0 };
+  return &members[count - 1];
+}
+
+cs_member_t *
+cs_mesh_add_member (cs_mesh_t *mesh, cs_str_t name, cs_str_t data_centre,
+                    cs_str_t address)
+{
+  uint64_t id = cs_hash (name, 0);
+  struct sockaddr_in parsed;
+  if (id == mesh->id || cs_address_parse (address, &parsed) != 0)
+    return NULL;
+  cs_member_t *member = find (mesh, id);
+  if (member == NULL)
+    member = create (mesh);
+  if (member == NULL)
+    return NULL;
+  cs_name_set (&member->name, name);
+  member->id = id;
+  member->data_centre = cs_hash (data_centre, 0);
+  member->address = parsed;
+  return member;
+}
+
+void
+cs_mesh_link_lost (cs_mesh_t *mesh, uint64_t id, cs_time_us_t now)
+{
+  cs_member_t *member = find (mesh, id);
+  if (member == NULL)
+    return;
+  uint32_t doublings = member->failures < OUT_DOUBLINGS_MOST
+                           ? member->failures
+                           : OUT_DOUBLINGS_MOST;
+  member->out_until = now + (OUT_FIRST_US << doublings);
+  member->failures++;
+}
+
+void
+cs_mesh_link_greeted (cs_mesh_t *mesh, uint64_t id)
+{
+  cs_member_t *member = find (mesh, id);
+  if (member == NULL)
+    return;
+  member->failures = 0;
+  member->out_until = 0;
+}
+
+static bool
+is_connected (const cs_mesh_t *mesh, uint64_t id)
+{
+  for (const cs_link_t *link = mesh->links; link != NULL; link = link->next)
+    if (link->id == id && link->greeted)
+      return true;
+  return false;
+}
+
+static void
+forget_at (cs_mesh_t *mesh, size_t at)
+{
+  mesh->member_count--;
+  mesh->members[at] = mesh->members[mesh->member_count];
+}
+
+void
+cs_mesh_forget_member (cs_mesh_t *mesh, uint64_t id)
+{
+  cs_member_t *member = find (mesh, id);
+  if (member != NULL)
+    forget_at (mesh, (size_t)(member - mesh->members));
+}
+
+void
+cs_mesh_list_begin (cs_mesh_t *mesh)
+{
+  for (size_t i = 0; i < mesh->member_count; i++)
+    mesh->members[i].lists_without++;
+}
+
+void
+cs_mesh_list_entry (cs_mesh_t *mesh, const cs_router_entry_t *entry,
+                    uint64_t revision)
+{
+  cs_member_t *member = cs_mesh_add_member (
+      mesh, entry->name, entry->data_centre, entry->address);
+  if (member == NULL)
+    return;
+  member->lists_without = 0;
+  cs_renewal_look (&member->renewal, revision);
+}
+
+void
+cs_mesh_list_end (cs_mesh_t *mesh)
+{
+  for (size_t i = mesh->member_count; i-- > 0;)
+    if (mesh->members[i].lists_without >= LISTS_TO_FORGET
+        && !is_connected (mesh, mesh->members[i].id))
+      forget_at (mesh, i);
+}
+
+const cs_member_t *
+cs_mesh_find_gone (const cs_mesh_t *mesh)
+{
+  const cs_router_settings_t *settings = &mesh->router->settings;
+  for (size_t i = 0; i < mesh->member_count; i++)
+    {
+      const cs_member_t *member = &mesh->members[i];
+      if (member->lists_without == 0 && !is_connected (mesh, member->id)
+          && cs_renewal_has_stopped (&member->renewal, settings->renew_s,
+                                     settings->directory_s))
+        return member;
+    }
+  return NULL;
+}
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -2,16 +2,11 @@
 
 #include <stdlib.h>
 
-#include "common/address.h"
 #include "common/hash.h"
 #include "router/peer/internal.h"
 
 /* A peer that says nothing for so many beats is lost.  */
 #define SILENT_BEATS 4
-/* A member that could not be reached is tried again after this, doubled with
-   each failure up to the most.  */
-#define OUT_FIRST_US (500 * CS_US_PER_MS)
-#define OUT_DOUBLINGS_MOST 5
 /* Assumed while the platform has not told: more than any fleet has.  */
 #define MEMBERS_UNKNOWN 1000
 
@@ -19,15 +14,6 @@
    long at most, also while the platform is slow.  */
 #define REST_MARGIN_US (500 * CS_US_PER_MS)
 
-static cs_member_t *
-find_member (const cs_mesh_t *mesh, uint64_t id)
-{
-  for (size_t i = 0; i < mesh->member_count; i++)
-    if (mesh->members[i].id == id)
-      return &mesh->members[i];
-  return NULL;
-}
-
 static cs_link_t *
 find_link (const cs_mesh_t *mesh, uint64_t id, bool dialled)
 {
@@ -37,75 +23,6 @@
   return NULL;
 }
 
-static void *
-grow (void *list, size_t count, size_t size)
-{
-  return reallocarray (list, count, size);
-}
-
-/* Makes room for one more member; returns NULL without memory.  */
-static cs_member_t *
-new_member (cs_mesh_t *mesh)
-{
-  size_t count = mesh->member_count + 1;
-  cs_member_t *members = grow (mesh->members, count, sizeof *members);
-  if (members != NULL)
-    mesh->members = members;
-  cs_hub_member_t *plan = grow (mesh->plan_members, count, sizeof *plan);
-  if (plan != NULL)
-    mesh->plan_members = plan;
-  bool *dial = grow (mesh->plan_dial, count, sizeof *dial);
-  if (dial != NULL)
-    mesh->plan_dial = dial;
-  if (members == NULL || plan == NULL || dial == NULL)
-    return NULL;
-  mesh->member_count = count;
-  members[count - 1] = (cs_member_t){ 0 };
-  return &members[count - 1];
-}
-
-void
-cs_mesh_add_member (cs_mesh_t *mesh, cs_str_t name, cs_str_t data_centre,
-                    cs_str_t address)
-{
-  uint64_t id = cs_hash (name, 0);
-  struct sockaddr_in parsed;
-  if (id == mesh->id || cs_address_parse (address, &parsed) != 0)
-    return;
-  cs_member_t *member = find_member (mesh, id);
-  if (member == NULL)
-    member = new_member (mesh);
-  if (member == NULL)
-    return;
-  cs_name_set (&member->name, name);
-  member->id = id;
-  member->data_centre = cs_hash (data_centre, 0);
-  member->address = parsed;
-}
-
-void
-cs_mesh_link_lost (cs_mesh_t *mesh, uint64_t id, cs_time_us_t now)
-{
-  cs_member_t *member = find_member (mesh, id);
-  if (member == NULL)
-    return;
-  uint32_t doublings = member->failures < OUT_DOUBLINGS_MOST
-                           ? member->failures
-                           : OUT_DOUBLINGS_MOST;
-  member->out_until = now + (OUT_FIRST_US << doublings);
-  member->failures++;
-}
-
-void
-cs_mesh_link_greeted (cs_mesh_t *mesh, uint64_t id)
-{
-  cs_member_t *member = find_member (mesh, id);
-  if (member == NULL)
-    return;
-  member->failures = 0;
-  member->out_until = 0;
-}
-
 /* Decides the role anew, and opens the links that it asks for.  */
 static void
 plan (cs_mesh_t *mesh, cs_time_us_t now)
--- a/router/settings.c
+++ b/router/settings.c
@@ -24,6 +24,7 @@
   { "peer", "beat_ms", CS_SETTING_NUMBER, AT (beat_ms), 20, 10000, "300" },
   { "peer", "directory_s", CS_SETTING_NUMBER, AT (directory_s), 1, 3600,
     "10" },
+  { "peer", "renew_s", CS_SETTING_NUMBER, AT (renew_s), 1, 86400, "300" },
   { "platform", "address", CS_SETTING_ADDRESS, AT (platform), 0, 0, NULL },
   { "platform", "apply_ms", CS_SETTING_FRACTION, AT (apply_ms), 100, 600000,
     "2000" },
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -61,6 +61,14 @@
     return objects_[kind].size ();
   }
 
+  std::string
+  spec (const std::string &kind, const std::string &name)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    auto at = objects_[kind].find (name);
+    return at == objects_[kind].end () ? "" : at->second.spec;
+  }
+
   // Calls are read and never answered, also those that wait already.
   std::atomic<bool> silent{ false };
   // Calls get this status, if it is not 0.
@@ -220,14 +228,33 @@
         answer (socket, 200, body);
       }
     else
-      write (socket, method, kind, name, call.body);
+      write (socket, method, kind, name, call.body,
+             query (target, "revision"));
+  }
+
+  // Whether the object NAME still is at REVISION; empty: any will do.
+  bool
+  is_at (const std::string &kind, const std::string &name,
+         const std::string &revision)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    auto at = objects_[kind].find (name);
+    return revision.empty ()
+           || (at != objects_[kind].end ()
+               && std::to_string (at->second.revision) == revision);
   }
 
   // Objects of the routers' own kind.
   void
   write (wire::Socket &socket, const std::string &method,
-         const std::string &kind, std::string name, const std::string &body)
+         const std::string &kind, std::string name, const std::string &body,
+         const std::string &revision)
   {
+    if (!is_at (kind, name, revision))
+      {
+        answer (socket, 409, "{}");
+        return;
+      }
     if (method == "DELETE")
       {
         remove (kind, name);
@@ -242,9 +269,9 @@
       std::lock_guard<std::mutex> lock (mutex_);
       exists = objects_[kind].count (name) > 0;
     }
-    if (method == "POST" && exists)
+    if (exists != (method == "PUT"))
       {
-        answer (socket, 409, "{}");
+        answer (socket, exists ? 409 : 404, "{}");
         return;
       }
     size_t spec = body.find ("\"spec\":") + 7;
--- a/tests/router/state_test.cc
+++ b/tests/router/state_test.cc
@@ -248,4 +248,57 @@
       2500));
 }
 
+// Entries of routers come and go with their hosts.
+class Entries : public Path
+{
+protected:
+  std::string
+  settings () override
+  {
+    return "[peer]\ndirectory_s = 1\nrenew_s = 1\n";
+  }
+};
+
+TEST_F (Entries, OfHostsThatAreGoneForGoodAreRemoved)
+{
+  Router peer ("r2", store.address (), settings ());
+  ASSERT_TRUE (
+      Router::eventually ([&] { return store.count ("routers") == 2; }));
+  store.put ("routers", "r0",
+             "{\"data_centre\":\"a\",\"address\":\"127.0.0.1:9\"}");
+  store.put ("routers", "r9",
+             "{\"data_centre\":\"b\",\"address\":\"127.0.0.1:9\"}");
+  EXPECT_TRUE (Router::eventually (
+      [&] { return store.count ("routers") == 2; }, 20000));
+  EXPECT_NE (store.spec ("routers", "r1"), "");
+  EXPECT_NE (store.spec ("routers", "r2"), "");
+  EXPECT_NE (router->log ().find ("CS1306") == std::string::npos,
+             peer.log ().find ("CS1306") == std::string::npos)
+      << "one of the two is the first hub and logs the removals";
+}
+
+TEST_F (Entries, OfARouterThatLivesComeBack)
+{
+  store.remove ("routers", "r1");
+  EXPECT_TRUE (Router::eventually (
+      [this] { return store.count ("routers") == 1; }, 4000));
+}
+
+// While the platform is away no entry can be renewed, which says nothing of
+// the hosts.
+TEST_F (Entries, OutliveAnOutageOfThePlatform)
+{
+  Router peer ("r2", store.address (), settings ());
+  ASSERT_TRUE (
+      Router::eventually ([&] { return store.count ("routers") == 2; }));
+  peer.signal (SIGSTOP);
+  store.refuse_with = 503;
+  std::this_thread::sleep_for (std::chrono::milliseconds (7000));
+  store.refuse_with = 0;
+  peer.signal (SIGCONT);
+  std::this_thread::sleep_for (std::chrono::milliseconds (2500));
+  EXPECT_EQ (store.count ("routers"), 2U);
+  EXPECT_EQ (router->log ().find ("CS1306"), std::string::npos);
+}
+
 }
--- a/tests/unit/sharing_test.cc
+++ b/tests/unit/sharing_test.cc
@@ -9,6 +9,7 @@
 #include "cranberrystile/hub_plan.h"
 #include "cranberrystile/load_table.h"
 #include "cranberrystile/outcomes.h"
+#include "cranberrystile/renewal.h"
 #include "router/peer/internal.h"
 }
 
@@ -191,4 +192,29 @@
   EXPECT_FALSE (cs_outcomes_stand_out (&target, &service));
 }
 
+TEST (Renewal, AnEntryThatMissedThreeRenewalsHasStopped)
+{
+  // Renewed each 300 s and looked at each 10 s: 30 looks a renewal.
+  cs_renewal_t renewal = {};
+  for (int look = 0; look < 90; look++)
+    cs_renewal_look (&renewal, 7);
+  EXPECT_FALSE (cs_renewal_has_stopped (&renewal, 300, 10));
+  for (int look = 0; look < 10; look++)
+    cs_renewal_look (&renewal, 7);
+  EXPECT_TRUE (cs_renewal_has_stopped (&renewal, 300, 10));
+  cs_renewal_look (&renewal, 8);
+  EXPECT_FALSE (cs_renewal_has_stopped (&renewal, 300, 10));
+}
+
+TEST (Renewal, SeldomLooksStillLeaveTheOwnerSeveral)
+{
+  cs_renewal_t renewal = {};
+  for (int look = 0; look < 4; look++)
+    cs_renewal_look (&renewal, 7);
+  EXPECT_FALSE (cs_renewal_has_stopped (&renewal, 1, 3600));
+  cs_renewal_look (&renewal, 7);
+  cs_renewal_look (&renewal, 7);
+  EXPECT_TRUE (cs_renewal_has_stopped (&renewal, 1, 3600));
+}
+
 }
