Count an unknown target as removed once removals are forgotten

Cause: a peer that missed a removal during an outage passes the target on as lapsed. The routers that know of the removal refuse it, but they remember only the last 128: after a release of a service of 200 targets one that was gone could be used again, and a request would reach it later than drain_ms allows.

Ruled out: remembering all removals (memory without a bound; 12,000 targets are the size to serve).

Change: once a removal is no longer remembered, a target that is not known and that a peer passes on as lapsed is left out. If it lives, the platform lists it again within about two seconds.

Before: the new test of 129 removals failed. After: it passes.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -219,7 +219,11 @@
 bool
 cs_fleet_was_removed (const cs_fleet_t *fleet, cs_str_t id)
 {
-  if (fleet->removals == NULL || find (fleet, id) < fleet->count)
+  if (find (fleet, id) < fleet->count)
+    return false;
+  if (fleet->forgotten != 0)
+    return true;
+  if (fleet->removals == NULL)
     return false;
   for (size_t i = 0; i < CS_FLEET_REMOVALS; i++)
     if (cs_str_equal (cs_name_str (&fleet->removals[i].id), id))
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -105,8 +105,8 @@
                              const cs_name_t *out[CS_FLEET_REMOVALS],
                              size_t *count);
 
-/* Whether the target ID is not known, and was until it was removed; of the
-   removals that are remembered.  */
+/* Whether the target ID is not known, and was or may have been until it was
+   removed: once a removal is no longer remembered, that holds for any.  */
 bool cs_fleet_was_removed (const cs_fleet_t *fleet, cs_str_t id);
 
 /* Before a whole list is taken in, and after: what the list did not name is
--- a/router/peer/news.c
+++ b/router/peer/news.c
@@ -213,7 +213,8 @@
 take_target (cs_router_t *router, const Cs__Router__Target *target,
              uint64_t revision, cs_time_us_t now)
 {
-  /* The peer missed the removal, and cannot tell it from a lapsed entry.  */
+  /* The peer missed the removal, and cannot tell it from a lapsed entry.  A
+     target that lives is listed again within seconds.  */
   if (target->kept_ms > 0
       && cs_fleet_was_removed (router->fleet, cs_str (target->id)))
     return;
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -113,6 +113,22 @@
   EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("t")));
 }
 
+// Whether one that is not known was removed cannot be told any more.
+TEST_F (Fleet, WithMoreRemovalsThanAreRememberedAnyTargetMayBeOne)
+{
+  for (int i = 0; i <= CS_FLEET_REMOVALS; i++)
+    {
+      std::string id = "t" + std::to_string (i);
+      cs_fleet_set_revision (fleet, 10 + i);
+      put (id.c_str ());
+      EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("other")));
+      cs_fleet_remove (fleet, cs_str (id.c_str ()), 0, SECOND);
+    }
+  EXPECT_TRUE (cs_fleet_was_removed (fleet, cs_str ("t0")));
+  put ("t0");
+  EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("t0")));
+}
+
 TEST_F (Fleet, LapsedTargetsStayUntilTheyMayBeBack)
 {
   put ("t");
