Add a model of the engines, and weigh the ways to choose on it

The change: cranberrystile-experiment, an engine model in virtual time (steps, prompts in chunks, shared memory, refusals, copies), eight patterns of load, five ways to choose, among them the router's own library as it is. 15 tests.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 	$(BUILD)/bench/cranberrystile-bench
 	$(BUILD)/tests/scenarios/scenario $(BUILD) tests/scenarios/demo/speed.scn
 	$(BUILD)/bench/cranberrystile-streams
+	$(BUILD)/experiment/cranberrystile-experiment
 
 format: packages
 	clang-format -i $(SOURCES)
--- /dev/null
+++ b/experiment/main.c
@@ -0,0 +1,143 @@
+/* cranberrystile-experiment: ways to choose an engine, under loads of several
+   patterns, on a model of the engines.  */
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "trial.h"
+
+#define EXIT_USAGE 2
+
+static void
+print_header (void)
+{
+  printf ("%-8s %-16s %-13s %6s %6s %6s %6s %7s %7s %6s %5s %5s %6s %5s %5s "
+          "%5s %5s\n",
+          "engines", "pattern", "way", "ontime", "served", "second", "kind",
+          "first50", "first95", "again", "skew", "sk99", "asked", "refus",
+          "fail", "left", "rep");
+}
+
+static void
+print_row (const trial_setup_t *setup, const trial_result_t *r)
+{
+  printf ("%-8s %-16s %-13s %6.3f %6.3f %6.3f %6.3f %7.0f %7.0f %6.2f %5.2f "
+          "%5.2f %6u %5u %5u %5u %5u\n",
+          setup->installation->name, pattern_name (setup->pattern),
+          way_name (setup->way), r->on_time, r->served, r->worst_second,
+          r->worst_kind, r->first_p50_ms, r->first_p95_ms, r->read_again,
+          r->skew_p50, r->skew_p99, r->requests, r->refused, r->failed,
+          r->left, r->repeats);
+  fflush (stdout);
+}
+
+typedef struct
+{
+  const char *installation; /* NULL: all */
+  const char *pattern;
+  const char *way;
+} selection_t;
+
+static bool
+is_selected (const char *wanted, const char *name)
+{
+  return wanted == NULL || strcmp (wanted, name) == 0;
+}
+
+/* Runs what is selected; returns how many runs there were, or -1.  */
+static int
+run_all (const trial_setup_t *base, const selection_t *selection)
+{
+  int runs = 0;
+  const installation_t *installation;
+  trial_setup_t setup = *base;
+  print_header ();
+  for (size_t i = 0; (installation = installation_at (i)) != NULL; i++)
+    for (int pattern = 0; pattern < PATTERN_COUNT; pattern++)
+      for (int way = 0; way < WAY_COUNT; way++)
+        {
+          trial_result_t result;
+          setup.installation = installation;
+          setup.pattern = (pattern_t)pattern;
+          setup.way = (way_t)way;
+          if (!is_selected (selection->installation, installation->name)
+              || !is_selected (selection->pattern, pattern_name (pattern))
+              || !is_selected (selection->way, way_name (way)))
+            continue;
+          if (trial_run (&setup, &result) != 0)
+            return -1;
+          print_row (&setup, &result);
+          runs++;
+        }
+  return runs;
+}
+
+static void
+set_double (double *value, const struct arg_dbl *option)
+{
+  if (option->count > 0)
+    *value = option->dval[0];
+}
+
+int
+main (int argc, char **argv)
+{
+  trial_setup_t setup
+      = { .scale = 1, .seed = 1, .policy = cs_choice_policy_default () };
+  selection_t selection = { NULL, NULL, NULL };
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *installation
+      = arg_str0 ("i", "installation", "NAME", "desk or grown; default both");
+  struct arg_str *pattern
+      = arg_str0 ("p", "pattern", "NAME", "one pattern of load; default all");
+  struct arg_str *way
+      = arg_str0 ("w", "way", "NAME", "one way of choosing; default all");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "default 1");
+  struct arg_dbl *scale
+      = arg_dbl0 (NULL, "scale", "F", "of the load; default 1");
+  struct arg_dbl *home_factor = arg_dbl0 (
+      NULL, "home-factor", "F", "a home is left at this times the mean load");
+  struct arg_dbl *home_extra
+      = arg_dbl0 (NULL, "home-extra", "CALLS", "and this many calls");
+  struct arg_int *homes
+      = arg_int0 (NULL, "homes", "N", "engines that share a hot context");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help,  installation, pattern,    way,   seed,
+                    scale, home_factor,  home_extra, homes, end };
+  int errors = arg_parse (argc, argv, table);
+  int status = EXIT_SUCCESS;
+  if (help->count > 0 || errors > 0)
+    {
+      printf ("Usage: cranberrystile-experiment");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+      status = errors > 0 ? EXIT_USAGE : EXIT_SUCCESS;
+      goto out;
+    }
+  if (installation->count > 0)
+    selection.installation = installation->sval[0];
+  if (pattern->count > 0)
+    selection.pattern = pattern->sval[0];
+  if (way->count > 0)
+    selection.way = way->sval[0];
+  if (seed->count > 0)
+    setup.seed = (uint64_t)seed->ival[0];
+  set_double (&setup.scale, scale);
+  set_double (&setup.policy.home_factor, home_factor);
+  set_double (&setup.policy.home_extra, home_extra);
+  if (homes->count > 0)
+    setup.policy.homes = (uint32_t)homes->ival[0];
+  int runs = run_all (&setup, &selection);
+  if (runs == 0)
+    fprintf (stderr, "cranberrystile-experiment: there is no such "
+                     "installation, pattern or way\n");
+  if (runs < 0)
+    fprintf (stderr, "cranberrystile-experiment: out of memory\n");
+  if (runs <= 0)
+    status = EXIT_USAGE;
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- /dev/null
+++ b/tests/unit/experiment_test.cc
@@ -0,0 +1,291 @@
+// The model of the engines, and ways to choose among them under load.
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "parts.h"
+#include "trial.h"
+}
+
+namespace
+{
+
+const cs_time_us_t SECOND = CS_US_PER_S;
+const cs_time_us_t MS = CS_US_PER_MS;
+
+// A request whose shared part NUMBER has 1000 tokens, with 100 of its own.
+engine_request_t
+request (uint32_t id, uint64_t number, uint32_t output = 10)
+{
+  engine_request_t out = {};
+  out.id = id;
+  out.context.count = 1;
+  out.context.chain[0] = number;
+  out.context.tokens[0] = 1000;
+  out.context.own_tokens = 100;
+  out.output = output;
+  return out;
+}
+
+class Engine : public testing::Test
+{
+protected:
+  // Two slots; 1 ms a step; 100 tokens are read in a ms, 500 in a step.
+  engine_setup_t setup = { 2, 2, 4000, 1000, 0, 100, 500, 200 };
+  engine_t *engine = nullptr;
+  cs_time_us_t now = SECOND;
+  std::map<uint32_t, cs_time_us_t> first;
+  std::map<uint32_t, cs_time_us_t> done;
+  std::map<uint32_t, uint32_t> tokens;
+
+  void
+  SetUp () override
+  {
+    engine = create ();
+  }
+
+  void
+  TearDown () override
+  {
+    engine_destroy (engine);
+  }
+
+  engine_t *
+  create ()
+  {
+    return engine_create (&setup, on_event, this);
+  }
+
+  static void
+  on_event (void *context, uint32_t id, engine_event_t event, cs_time_us_t at)
+  {
+    auto *self = static_cast<Engine *> (context);
+    if (event == ENGINE_DONE)
+      self->done[id] = at;
+    else if (self->tokens[id]++ == 0)
+      self->first[id] = at;
+  }
+
+  void
+  run (engine_t *which, cs_time_us_t until = 100 * SECOND)
+  {
+    cs_time_us_t next;
+    while ((next = engine_advance (which, now)) != 0 && next <= until)
+      now = next;
+  }
+
+  bool
+  submit (const engine_request_t &ask, const engine_t *source = nullptr)
+  {
+    return engine_submit (engine, &ask, source, now);
+  }
+};
+
+TEST_F (Engine, ReadsThePromptInChunksBeforeTheFirstToken)
+{
+  cs_prompt_context_t context = request (1, 7).context;
+  cs_time_us_t predicted = engine_predict (engine, &context);
+  ASSERT_TRUE (submit (request (1, 7)));
+  run (engine);
+  // 500, 500 and 100 tokens in 5, 5 and 1 ms, and a step of 1 ms each.
+  EXPECT_EQ (first[1], SECOND + 15 * MS);
+  EXPECT_EQ (done[1], SECOND + 24 * MS);
+  EXPECT_EQ (tokens[1], 10U);
+  EXPECT_NEAR (predicted, 15 * MS, 1 * MS);
+}
+
+TEST_F (Engine, KeepsSharedPartsForLaterRequests)
+{
+  submit (request (1, 7));
+  run (engine);
+  cs_time_us_t from = now;
+  submit (request (2, 7));
+  run (engine);
+  EXPECT_EQ (first[2], from + 3 * MS) << "only its own 100 tokens are read";
+  EXPECT_EQ (engine_counts (engine)->read_shared, 1000U);
+}
+
+TEST_F (Engine, RequestsThatMeetAPartBeingReadReadItToo)
+{
+  submit (request (1, 7));
+  submit (request (2, 7));
+  run (engine);
+  EXPECT_EQ (engine_counts (engine)->read_shared, 2000U);
+}
+
+TEST_F (Engine, CopiesPartsThatAnotherOneKeeps)
+{
+  engine_t *other = create ();
+  engine_request_t ask = request (1, 7);
+  engine_submit (other, &ask, nullptr, now);
+  run (other);
+  cs_time_us_t from = now;
+  submit (request (2, 7), other);
+  run (engine);
+  EXPECT_EQ (first[2], from + 5 * MS + 3 * MS);
+  EXPECT_EQ (engine_counts (engine)->copied, 1000U);
+  EXPECT_EQ (engine_counts (engine)->read_shared, 0U);
+  engine_destroy (other);
+}
+
+TEST_F (Engine, RefusesWhatItsQueueCannotHold)
+{
+  EXPECT_TRUE (submit (request (1, 1, 1000)));
+  EXPECT_TRUE (submit (request (2, 2, 1000)));
+  run (engine, now + 50 * MS);
+  EXPECT_TRUE (submit (request (3, 3)));
+  EXPECT_TRUE (submit (request (4, 4)));
+  EXPECT_FALSE (submit (request (5, 5)));
+  EXPECT_EQ (engine_running (engine), 2U);
+  EXPECT_EQ (engine_waiting (engine), 2U);
+  run (engine);
+  EXPECT_EQ (done.size (), 4U);
+}
+
+TEST_F (Engine, RefusesWhatItsMemoryCannotHold)
+{
+  EXPECT_FALSE (submit (request (1, 1, 3000)));
+}
+
+TEST_F (Engine, PutsTheNewestBackWhenTheMemoryEnds)
+{
+  // Each grows to 1100 + 1500 tokens; both together need 5200 of 4000.
+  submit (request (1, 1, 1500));
+  submit (request (2, 2, 1500));
+  run (engine);
+  EXPECT_GE (engine_counts (engine)->preemptions, 1U);
+  EXPECT_LT (done[1], done[2]);
+  EXPECT_EQ (tokens[2], 1500U) << "it goes on where it was";
+}
+
+TEST_F (Engine, ACancelledRequestFreesItsPlace)
+{
+  submit (request (1, 1, 1000));
+  submit (request (2, 2, 1000));
+  engine_advance (engine, now);
+  submit (request (3, 3));
+  engine_cancel (engine, 1);
+  run (engine, now + 100 * MS);
+  EXPECT_EQ (done.count (3), 1U);
+  EXPECT_EQ (done.count (1), 0U);
+}
+
+TEST (Parts, TheLeastRecentlyUsedGoFirstAndUsedOnesStay)
+{
+  parts_t parts = {};
+  for (uint64_t number : { 1, 2, 3 })
+    {
+      cs_prompt_context_t context = request (0, number).context;
+      parts_enter (&parts, &context);
+      parts_read (&parts, &context);
+      if (number != 1)
+        parts_leave (&parts, &context);
+    }
+  EXPECT_TRUE (parts_shrink (&parts, 2000));
+  cs_prompt_context_t first = request (0, 1).context;
+  cs_prompt_context_t second = request (0, 2).context;
+  EXPECT_EQ (parts_ready (&parts, &first), 1000U);
+  EXPECT_EQ (parts_ready (&parts, &second), 0U);
+  EXPECT_FALSE (parts_shrink (&parts, 0));
+  EXPECT_EQ (parts_ready (&parts, &first), 1000U);
+  parts_free (&parts);
+}
+
+trial_result_t
+play (pattern_t pattern, way_t way, double scale, uint64_t seed = 1)
+{
+  trial_setup_t setup = {};
+  trial_result_t result;
+  setup.installation = installation_find ("desk");
+  setup.pattern = pattern;
+  setup.way = way;
+  setup.policy = cs_choice_policy_default ();
+  setup.scale = scale;
+  setup.seed = seed;
+  EXPECT_EQ (trial_run (&setup, &result), 0);
+  return result;
+}
+
+TEST (Trial, TheSameSeedHasTheSameResult)
+{
+  trial_result_t a = play (PATTERN_HALF_LOST, WAY_ROUTER, 1);
+  trial_result_t b = play (PATTERN_HALF_LOST, WAY_ROUTER, 1);
+  EXPECT_EQ (a.requests, b.requests);
+  EXPECT_EQ (a.served, b.served);
+  EXPECT_EQ (a.first_p95_ms, b.first_p95_ms);
+  EXPECT_EQ (a.read_again, b.read_again);
+  EXPECT_NE (a.requests, play (PATTERN_HALF_LOST, WAY_ROUTER, 1, 2).requests);
+}
+
+TEST (Trial, EveryRequestOfACalmLoadIsServed)
+{
+  for (int way = 0; way < WAY_COUNT; way++)
+    {
+      trial_result_t result = play (PATTERN_CALM, (way_t)way, 1);
+      // 175.7 a second for 50 s.
+      EXPECT_NEAR (result.requests, 8785, 400) << way_name ((way_t)way);
+      EXPECT_EQ (result.refused + result.failed + result.left, 0U);
+      EXPECT_GE (result.read_again, 1);
+      EXPECT_GE (result.skew_p50, 1);
+    }
+}
+
+TEST (Trial, CrashedEnginesFailWhatTheyHadBegun)
+{
+  trial_result_t result = play (PATTERN_HALF_LOST, WAY_ROUTER, 1);
+  EXPECT_GT (result.failed, 0U);
+  EXPECT_GT (result.repeats, 0U);
+  EXPECT_LT (result.worst_second, 0.9);
+}
+
+TEST (Trial, RefusedCallersComeBackAndPressWhenThePatternSaysSo)
+{
+  trial_result_t result = play (PATTERN_PRESSING, WAY_LEAST_LOADED, 6);
+  EXPECT_GT (result.refused, 0U);
+  EXPECT_GT (result.repeats, result.refused);
+}
+
+TEST (Load, PatternsChangeTheRatesWhileTheyAreOn)
+{
+  const installation_t *desk = installation_find ("desk");
+  for (int pattern = 0; pattern < PATTERN_COUNT; pattern++)
+    {
+      load_t load = { desk, (pattern_t)pattern, 1, { 1, 0 } };
+      double before = 0;
+      double during = 0;
+      for (int i = 0; i < 2000; i++)
+        {
+          before += load_next_us (&load, 1, 0);
+          during += load_next_us (&load, 1, PATTERN_FROM_US);
+        }
+      double factor = before / during;
+      double expected = pattern == PATTERN_BURST              ? 5
+                        : pattern == PATTERN_HOT_ORGANISATION ? 1.9
+                        : pattern == PATTERN_PRESSING         ? 1.5
+                                                              : 1;
+      EXPECT_NEAR (factor, expected, 0.1 * expected)
+          << pattern_name ((pattern_t)pattern);
+    }
+}
+
+TEST (Load, AHotContextTakesHalfOfTheLongestPrompts)
+{
+  load_t load
+      = { installation_find ("desk"), PATTERN_HOT_CONTEXT, 1, { 1, 0 } };
+  std::map<uint64_t, int> contexts;
+  engine_request_t ask;
+  for (int i = 0; i < 2000; i++)
+    {
+      load_draw (&load, 0, PATTERN_FROM_US, &ask);
+      contexts[cs_prompt_context_key (&ask.context)]++;
+    }
+  int most = 0;
+  for (auto &entry : contexts)
+    most = std::max (most, entry.second);
+  EXPECT_GT (most, 1000);
+}
+
+}
