Do not fill a home beyond its slots while others are free

Cause: a home was used up to 1.45 x the mean + 2 calls, however many slots it has. Under a load that fills more than two thirds of all slots that is more than it runs at a time: the calls of a hot organisation queued at their homes while other engines were free.

Ruled out: views that are too old (the plain ways have the same).

Change: a home is used up to 0.9 of its slots, or the mean + 2 where all are as busy.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -37,6 +37,7 @@
     .home_factor = 1.45, /* under the users' cap of 2 x mean + 3, with room for
                            what other routers send at the same time */
     .home_extra = 2,
+    .home_slots = 0.9, /* the last tenth is for calls that are not seen yet */
     .homes = 4,
     .local_extra = 1,
     .risk_once = 8,       /* a lost booking outweighs the wait behind a plain
@@ -204,6 +205,19 @@
   return cost (chooser, ask, b, now) < cost (chooser, ask, a, now) ? b : a;
 }
 
+/* Calls up to which a home with SLOTS (0: not known) is used: beyond its slots
+   a call waits, while another target may be free.  */
+static double
+home_most (const cs_choice_policy_t *policy, uint32_t slots, double mean)
+{
+  double most = mean * policy->home_factor + policy->home_extra;
+  double full = slots * policy->home_slots;
+  double fair = mean + policy->home_extra;
+  if (slots == 0 || most <= full)
+    return most;
+  return full > fair ? full : fair;
+}
+
 /* The first home under the threshold and not at risk, or NULL.  */
 static cs_target_t *
 free_home (cs_chooser_t *chooser, const cs_choice_ask_t *ask, uint64_t key,
@@ -211,8 +225,6 @@
 {
   uint32_t ranked[HOMES_MOST];
   uint32_t homes = chooser->policy.homes;
-  double threshold
-      = mean * chooser->policy.home_factor + chooser->policy.home_extra;
   size_t found = cs_rank (key, chooser->members, count, ranked,
                           homes < HOMES_MOST ? homes : HOMES_MOST);
   for (size_t i = 0; i < found; i++)
@@ -221,7 +233,8 @@
       bool at_risk = ask->once
                      && cs_outcomes_failing_share (&home->outcomes, now)
                             >= chooser->policy.home_risk_most;
-      if (!at_risk && cs_target_estimate (home) < threshold)
+      double most = home_most (&chooser->policy, home->slots, mean);
+      if (!at_risk && cs_target_estimate (home) < most)
         return home;
     }
   return NULL;
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -23,6 +23,8 @@
 {
   double home_factor;   /* a home is used up to this times the mean load */
   double home_extra;    /* plus this many calls */
+  double home_slots;    /* but, unless all are as busy, up to this part of its
+                           slots */
   uint32_t homes;       /* ranked targets that share a context when hot */
   uint32_t local_extra; /* calls by which a target of another data centre must
                            be less loaded to be preferred */
--- a/tests/unit/experiment_test.cc
+++ b/tests/unit/experiment_test.cc
@@ -1,6 +1,8 @@
 // The model of the engines, and ways to choose among them under load.
 
+#include <algorithm>
 #include <map>
+#include <tuple>
 
 #include <gtest/gtest.h>
 
@@ -288,4 +290,13 @@
   EXPECT_GT (most, 1000);
 }
 
+// Homes of a hot organisation must not queue while other engines are free.
+TEST (Homes, AHotOrganisationAtTwiceTheLoadIsServed)
+{
+  trial_result_t ours = play (PATTERN_HOT_ORGANISATION, WAY_ROUTER, 2);
+  trial_result_t plain = play (PATTERN_HOT_ORGANISATION, WAY_TWO_CHOICES, 2);
+  EXPECT_GE (ours.on_time, plain.on_time);
+  EXPECT_EQ (ours.refused, 0U);
+}
+
 }
