Tell engines how urgent a request is

Cause: the configuration ranks routes and organisations, and engines admit the urgent first and put others back for them, but the router never passed the rank on (the header stood in the adapter, never set).

Change: requests with a prompt carry the organisation's rank if it has one, or else the route's, up to 9. A caller's own header is dropped, as before. The model of the engines knows urgency.

Ruled out: setting it for plain services, which have no use for it.

--- a/experiment/engine.c
+++ b/experiment/engine.c
@@ -23,7 +23,7 @@
   void *context;
   run_t *running; /* in order of admission */
   uint32_t running_count;
-  run_t *waiting; /* in order of arrival */
+  run_t *waiting; /* the most urgent first, then in order of arrival */
   uint32_t waiting_count;
   parts_t parts;
   uint64_t own_tokens;    /* of running requests: what they share with none */
@@ -72,6 +72,23 @@
          + request->context.own_tokens;
 }
 
+/* Puts RUN among the waiting ones of its urgency, before or behind them.  */
+static void
+enqueue (engine_t *engine, const run_t *run, bool before)
+{
+  uint32_t at = engine->waiting_count++;
+  uint32_t priority = run->request.priority;
+  while (
+      at > 0
+      && (engine->waiting[at - 1].request.priority > priority
+          || (before && engine->waiting[at - 1].request.priority == priority)))
+    {
+      engine->waiting[at] = engine->waiting[at - 1];
+      at--;
+    }
+  engine->waiting[at] = *run;
+}
+
 bool
 engine_submit (engine_t *engine, const engine_request_t *request,
                const engine_t *source, cs_time_us_t now)
@@ -82,13 +99,13 @@
       engine->counts.refusals++;
       return false;
     }
-  run_t *run = &engine->waiting[engine->waiting_count++];
-  *run = (run_t){ .request = *request };
+  run_t run = { .request = *request };
   if (source != NULL)
     {
-      run->has_source = true;
-      run->source_kept = engine_kept (source, &request->context);
+      run.has_source = true;
+      run.source_kept = engine_kept (source, &request->context);
     }
+  enqueue (engine, &run, false);
   if (engine->step_ends == 0)
     engine->step_ends = now;
   return true;
@@ -169,21 +186,44 @@
   return parts_shrink (&engine->parts, left) && engine->own_tokens <= memory;
 }
 
-/* Puts the newest request back until the others fit.  */
+/* The newest of the least urgent running requests.  */
+static uint32_t
+least_urgent (const engine_t *engine)
+{
+  uint32_t found = 0;
+  for (uint32_t i = 1; i < engine->running_count; i++)
+    if (engine->running[i].request.priority
+        >= engine->running[found].request.priority)
+      found = i;
+  return found;
+}
+
+static void
+put_back (engine_t *engine, uint32_t at)
+{
+  run_t run = engine->running[at];
+  leave_batch (engine, at);
+  enqueue (engine, &run, true);
+  engine->counts.preemptions++;
+}
+
+/* Puts requests back until the others fit.  */
 static void
 make_room (engine_t *engine)
 {
   while (!fits (engine) && engine->running_count > 1)
-    {
-      uint32_t newest = engine->running_count - 1;
-      run_t put_back = engine->running[newest];
-      leave_batch (engine, newest);
-      for (uint32_t i = engine->waiting_count; i > 0; i--)
-        engine->waiting[i] = engine->waiting[i - 1];
-      engine->waiting[0] = put_back;
-      engine->waiting_count++;
-      engine->counts.preemptions++;
-    }
+    put_back (engine, least_urgent (engine));
+}
+
+/* Whether the batch is full and the first waiting request is more urgent than
+   one of it.  */
+static bool
+first_displaces (const engine_t *engine)
+{
+  uint32_t at = least_urgent (engine);
+  return engine->running_count == engine->setup.slots
+         && engine->waiting[0].request.priority
+                < engine->running[at].request.priority;
 }
 
 /* Whether the first waiting request fits beside the running ones.  */
@@ -212,9 +252,14 @@
   uint32_t making = 0;
   uint32_t reading = 0;
   cs_time_us_t copy_ends = 0;
-  while (engine->waiting_count > 0
-         && engine->running_count < engine->setup.slots && first_fits (engine))
-    admit_first (engine, now);
+  while (engine->waiting_count > 0)
+    {
+      if (first_displaces (engine))
+        put_back (engine, least_urgent (engine));
+      if (engine->running_count == engine->setup.slots || !first_fits (engine))
+        break;
+      admit_first (engine, now);
+    }
   make_room (engine);
   for (uint32_t i = 0; i < engine->running_count; i++)
     {
--- a/experiment/engine.h
+++ b/experiment/engine.h
@@ -29,7 +29,8 @@
 {
   uint32_t id;
   cs_prompt_context_t context;
-  uint32_t output; /* tokens to make */
+  uint32_t output;   /* tokens to make */
+  uint32_t priority; /* 0 is the most urgent */
 } engine_request_t;
 
 /* What a request met.  */
--- a/experiment/load.h
+++ b/experiment/load.h
@@ -27,6 +27,7 @@
   uint32_t limit_ms; /* the caller leaves */
   double worth;
   double worth_late;
+  uint32_t priority; /* 0 is the most urgent */
 } kind_t;
 
 typedef struct
@@ -73,7 +74,8 @@
 {
   const installation_t *installation;
   pattern_t pattern;
-  double scale; /* of all rates */
+  double scale;        /* of all rates */
+  bool has_priorities; /* engines are told which kinds are urgent */
   cs_random_t random;
 } load_t;
 
--- a/experiment/main.c
+++ b/experiment/main.c
@@ -103,9 +103,11 @@
       = arg_dbl0 (NULL, "home-extra", "CALLS", "and this many calls");
   struct arg_int *homes
       = arg_int0 (NULL, "homes", "N", "engines that share a hot context");
+  struct arg_lit *flat
+      = arg_lit0 (NULL, "no-priorities", "all kinds are equally urgent");
   struct arg_end *end = arg_end (4);
-  void *table[] = { help,  installation, pattern,    way,   seed,
-                    scale, home_factor,  home_extra, homes, end };
+  void *table[] = { help,        installation, pattern, way,  seed, scale,
+                    home_factor, home_extra,   homes,   flat, end };
   int errors = arg_parse (argc, argv, table);
   int status = EXIT_SUCCESS;
   if (help->count > 0 || errors > 0)
@@ -127,6 +129,7 @@
   set_double (&setup.scale, scale);
   set_double (&setup.policy.home_factor, home_factor);
   set_double (&setup.policy.home_extra, home_extra);
+  setup.has_priorities = flat->count == 0;
   if (homes->count > 0)
     setup.policy.homes = (uint32_t)homes->ival[0];
   int runs = run_all (&setup, &selection);
--- a/experiment/trial.c
+++ b/experiment/trial.c
@@ -373,6 +373,7 @@
   trial->load = (load_t){ .installation = installation,
                           .pattern = setup->pattern,
                           .scale = setup->scale,
+                          .has_priorities = setup->has_priorities,
                           .random = { .seed = setup->seed } };
   trial->told = calloc ((size_t)ENGINES_MOST * installation->routers,
                         sizeof *trial->told);
--- a/experiment/trial.h
+++ b/experiment/trial.h
@@ -17,6 +17,7 @@
   way_t way;
   cs_choice_policy_t policy; /* of WAY_ROUTER */
   double scale;              /* of the load */
+  bool has_priorities;       /* engines are told which kinds are urgent */
   uint64_t seed;
 } trial_setup_t;
 
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -109,6 +109,11 @@
 const cs_organisation_t *cs_routing_find_key (const cs_routing_t *routing,
                                               cs_str_t key);
 
+/* How urgent a request on ROUTE is, 0 the most: the word of ORGANISATION,
+   which may be NULL, goes before the route's.  */
+uint32_t cs_routing_priority (const cs_route_t *route,
+                              const cs_organisation_t *organisation);
+
 /* The service for a request on ROUTE; UNIT in [0, 1) picks among the parts by
    their weights.  NULL when the route has none.  */
 const cs_service_t *cs_routing_pick_service (const cs_routing_t *routing,
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -36,7 +36,8 @@
   uint32_t deadline_ms;
   const struct sockaddr_in *fetch_from; /* the target first copies context from
                                            there; NULL: it does not */
-  int priority;                         /* 0 (first) to 9; below 0: none */
+  bool has_priority;
+  uint32_t priority; /* 0 is the most urgent */
   uint64_t body_len;
   bool has_body;
 } cs_target_request_t;
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -59,7 +59,8 @@
   cs_target_request_t fields = {
     .target_id = cs_name_str (&target->id),
     .deadline_ms = milliseconds_left (forward, now),
-    .priority = -1,
+    .has_priority = forward->route->has_context,
+    .priority = cs_routing_priority (forward->route, forward->organisation),
     .has_body = has_body (forward),
     .body_len = forward->body.len,
   };
--- a/tests/router/documents.h
+++ b/tests/router/documents.h
@@ -19,7 +19,8 @@
 }
 
 // Routes of each kind before two services; key k1 is ORGANISATION's. TALK
-// holds the timeout of streams that may not be resumed.
+// holds the timeout of streams that may not be resumed.  Key k2 is another
+// organisation's, which is less urgent than any route.
 inline std::string
 config (int version, const std::string &organisation,
         const std::string &more_routes = "",
@@ -34,7 +35,8 @@
          + ","
          + route ("chat", "streaming", "engines",
                   ",\"max_attempts\":2,\"timeout_ms\":9000,"
-                  "\"stream_resume\":true,\"session_affinity\":true")
+                  "\"stream_resume\":true,\"session_affinity\":true,"
+                  "\"priority\":2")
          + ","
          + route ("talk", "streaming", "engines",
                   ",\"max_attempts\":1," + talk)
@@ -52,7 +54,9 @@
            "\"limits\":{\"max_header_bytes\":2048,\"max_body_bytes\":100000,"
            "\"header_timeout_ms\":400,\"idle_timeout_ms\":900},"
            "\"tenants\":[{\"name\":\""
-         + organisation + "\",\"api_keys\":[\"k1\"]}]}";
+         + organisation
+         + "\",\"api_keys\":[\"k1\"]},{\"name\":\"later\",\"priority\":12,"
+           "\"api_keys\":[\"k2\"]}]}";
 }
 
 }
--- a/tests/router/edge_test.cc
+++ b/tests/router/edge_test.cc
@@ -33,6 +33,29 @@
   EXPECT_LE (left, 1500) << "the route's timeout is the shorter";
 }
 
+// An engine that is full serves the urgent first.
+TEST_F (Edge, TellsEnginesHowUrgentARequestIs)
+{
+  set_engines (Target::stream (1));
+  ask (request ("POST", "/chat/x", "X-Request-Priority: 0\r\n", "b"));
+  ASSERT_EQ (runs (), 1U);
+  EXPECT_EQ (engine_requests ()[0].field ("x-request-priority"), "2")
+      << "the route's";
+  std::string other = request ("POST", "/chat/x", "", "b");
+  other.replace (other.find ("k1"), 2, "k2");
+  ask (other);
+  ASSERT_EQ (runs (), 2U);
+  std::vector<std::string> seen;
+  for (auto &sent : engine_requests ())
+    seen.push_back (sent.field ("x-request-priority"));
+  EXPECT_NE (std::find (seen.begin (), seen.end (), "9"), seen.end ())
+      << "the organisation's goes first, up to the least that engines know";
+  ask (request ("GET", "/desk/x"));
+  ASSERT_EQ (desk.count (), 1U);
+  EXPECT_EQ (desk.requests ()[0].field ("x-request-priority"), "")
+      << "a plain service has no use for it";
+}
+
 TEST_F (Edge, RefusesWhatNoRouteOrKeyAllows)
 {
   EXPECT_EQ (ask (request ("GET", "/none/x")).status (), 404);
--- a/tests/unit/experiment_test.cc
+++ b/tests/unit/experiment_test.cc
@@ -163,6 +163,26 @@
   EXPECT_EQ (tokens[2], 1500U) << "it goes on where it was";
 }
 
+TEST_F (Engine, ServesTheUrgentFirstAndPutsOthersBackForThem)
+{
+  engine_request_t later = request (1, 1, 1000);
+  later.priority = 2;
+  submit (later);
+  submit (request (2, 2, 1000));
+  run (engine, now + 50 * MS);
+  engine_request_t usual = request (3, 3);
+  usual.priority = 1;
+  submit (usual);
+  submit (request (4, 4));
+  run (engine, now + 100 * MS);
+  EXPECT_EQ (done.count (4), 1U) << "in place of the least urgent";
+  EXPECT_GE (engine_counts (engine)->preemptions, 1U);
+  run (engine);
+  EXPECT_LT (done[4], done[3]);
+  EXPECT_LT (done[3], done[1]);
+  EXPECT_EQ (tokens[1], 1000U);
+}
+
 TEST_F (Engine, ACancelledRequestFreesItsPlace)
 {
   submit (request (1, 1, 1000));
@@ -206,6 +226,7 @@
   setup.way = way;
   setup.policy = cs_choice_policy_default ();
   setup.scale = scale;
+  setup.has_priorities = true;
   setup.seed = seed;
   EXPECT_EQ (trial_run (&setup, &result), 0);
   return result;
@@ -255,7 +276,7 @@
   const installation_t *desk = installation_find ("desk");
   for (int pattern = 0; pattern < PATTERN_COUNT; pattern++)
     {
-      load_t load = { desk, (pattern_t)pattern, 1, { 1, 0 } };
+      load_t load = { desk, (pattern_t)pattern, 1, true, { 1, 0 } };
       double before = 0;
       double during = 0;
       for (int i = 0; i < 2000; i++)
@@ -276,7 +297,7 @@
 TEST (Load, AHotContextTakesHalfOfTheLongestPrompts)
 {
   load_t load
-      = { installation_find ("desk"), PATTERN_HOT_CONTEXT, 1, { 1, 0 } };
+      = { installation_find ("desk"), PATTERN_HOT_CONTEXT, 1, true, { 1, 0 } };
   std::map<uint64_t, int> contexts;
   engine_request_t ask;
   for (int i = 0; i < 2000; i++)
