Let only the most urgent requests wait at full engines

Cause: beyond their slots engines hold a short queue, and the router filled it with whatever came first. Under the model's burst, hot organisation, lost half and pressing callers at 2 to 4 times today's load, a long confirmation was refused as often as a short question, after three tries each.

Change: the library's cs_urgency. Once the mean load of an engine service has reached the slots, only requests as urgent as the most urgent of the last 5 to 10 s are sent; others get 503 at once, not run, with when to come back. A stream that has begun goes on in any case. Log lines carry the priority.

Ruled out: limits of 0.8 to 1.05 of the slots for the others (each lower one has a worse worst kind); the chosen engine's load in place of the mean (within 0.005); the same for plain services (most that wait there are on time).

--- a/experiment/main.c
+++ b/experiment/main.c
@@ -13,23 +13,25 @@
 static void
 print_header (void)
 {
-  printf ("%-8s %-16s %-13s %6s %6s %6s %6s %7s %7s %6s %5s %5s %6s %5s %5s "
-          "%5s %5s\n",
-          "engines", "pattern", "way", "ontime", "served", "second", "kind",
-          "first50", "first95", "again", "skew", "sk99", "asked", "refus",
-          "fail", "left", "rep");
+  printf (
+      "%-8s %-16s %-13s %6s %6s %6s %6s %5s %7s %7s %6s %5s %5s %6s %5s %5s "
+      "%5s %5s\n",
+      "engines", "pattern", "way", "ontime", "served", "second", "kind",
+      "least", "first50", "first95", "again", "skew", "sk99", "asked", "refus",
+      "fail", "left", "rep");
 }
 
 static void
 print_row (const trial_setup_t *setup, const trial_result_t *r)
 {
-  printf ("%-8s %-16s %-13s %6.3f %6.3f %6.3f %6.3f %7.0f %7.0f %6.2f %5.2f "
-          "%5.2f %6u %5u %5u %5u %5u\n",
-          setup->installation->name, pattern_name (setup->pattern),
-          way_name (setup->way), r->on_time, r->served, r->worst_second,
-          r->worst_kind, r->first_p50_ms, r->first_p95_ms, r->read_again,
-          r->skew_p50, r->skew_p99, r->requests, r->refused, r->failed,
-          r->left, r->repeats);
+  printf (
+      "%-8s %-16s %-13s %6.3f %6.3f %6.3f %6.3f %5.2f %7.0f %7.0f %6.2f %5.2f "
+      "%5.2f %6u %5u %5u %5u %5u\n",
+      setup->installation->name, pattern_name (setup->pattern),
+      way_name (setup->way), r->on_time, r->served, r->worst_second,
+      r->worst_kind, r->least_kind, r->first_p50_ms, r->first_p95_ms,
+      r->read_again, r->skew_p50, r->skew_p99, r->requests, r->refused,
+      r->failed, r->left, r->repeats);
   fflush (stdout);
 }
 
--- a/experiment/summary.c
+++ b/experiment/summary.c
@@ -12,6 +12,8 @@
   double asked;
   double on_time;
   double served;
+  uint32_t requests;
+  uint32_t done;
 } worth_t;
 
 static int
@@ -35,6 +37,8 @@
 add (worth_t *worth, const request_t *request, const kind_t *kind)
 {
   worth->asked += kind->worth;
+  worth->requests++;
+  worth->done += request->state == REQUEST_DONE;
   if (request_is_on_time (request, kind))
     {
       worth->on_time += kind->worth;
@@ -62,6 +66,19 @@
   return least;
 }
 
+/* The least share of requests served of LIST, over that of ALL.  */
+static double
+least_served (const worth_t *list, size_t count, const worth_t *all)
+{
+  double least = 1;
+  for (size_t i = 0; i < count; i++)
+    {
+      double value = share (list[i].done, list[i].requests);
+      least = value < least ? value : least;
+    }
+  return share (least, share (all->done, all->requests));
+}
+
 static void
 count_state (trial_result_t *out, const request_t *request)
 {
@@ -102,6 +119,7 @@
   out->on_time = share (all.on_time, all.asked);
   out->served = share (all.served, all.asked);
   out->worst_kind = worst (kinds, installation->kind_count);
+  out->least_kind = least_served (kinds, installation->kind_count, &all);
   out->worst_second = worst (seconds, SECONDS);
   out->first_p50_ms = summary_percentile (firsts, first_count, 0.5);
   out->first_p95_ms = summary_percentile (firsts, first_count, 0.95);
--- a/experiment/trial.c
+++ b/experiment/trial.c
@@ -156,7 +156,7 @@
     {
       uint32_t source;
       uint32_t at
-          = view_choose (view_of (trial, request), &request->ask.context,
+          = view_choose (view_of (trial, request), &request->ask,
                          request->tried, request->tries, trial->now, &source);
       if (at == UINT32_MAX)
         break;
--- a/experiment/trial.h
+++ b/experiment/trial.h
@@ -28,6 +28,8 @@
   double served;       /* late answers at their smaller worth */
   double worst_second; /* on time, of the requests of one second */
   double worst_kind;
+  double least_kind; /* share of requests served, least of the kinds, over the
+                        share of all */
   double first_p50_ms;
   double first_p95_ms;
   double read_again; /* shared tokens read, over the least that any placement
--- a/experiment/view.c
+++ b/experiment/view.c
@@ -5,6 +5,7 @@
 
 #include "common/hash.h"
 #include "cranberrystile/rank.h"
+#include "cranberrystile/urgency.h"
 
 #define ENGINES_MOST 1024
 
@@ -13,6 +14,7 @@
   way_t way;
   cs_fleet_t *fleet;
   cs_chooser_t *chooser;
+  cs_urgency_t urgency;
   cs_random_t random;
   cs_target_t *targets[ENGINES_MOST]; /* by engine; NULL: not known */
   view_engine_fn *engine;
@@ -189,7 +191,7 @@
 }
 
 uint32_t
-view_choose (view_t *view, const cs_prompt_context_t *context,
+view_choose (view_t *view, const engine_request_t *request,
              const uint32_t *avoid, uint32_t avoid_count, cs_time_us_t now,
              uint32_t *source)
 {
@@ -198,18 +200,21 @@
   if (view->way != WAY_ROUTER)
     {
       const cs_target_t *target
-          = choose_plainly (view, context, avoid, avoid_count);
+          = choose_plainly (view, &request->context, avoid, avoid_count);
       return target == NULL ? UINT32_MAX : (uint32_t)target->started_ms;
     }
   cs_choice_ask_t ask = { .service = cs_str ("engines"),
                           .data_centre = cs_str ("a"),
-                          .context = context,
+                          .context = &request->context,
                           .can_fetch = true };
   for (uint32_t i = 0; i < avoid_count && i < CS_CHOICE_AVOID_MOST; i++)
     if (view->targets[avoid[i]] != NULL)
       ask.avoid[ask.avoid_count++] = view->targets[avoid[i]];
   if (cs_chooser_choose (view->chooser, view->fleet, &ask, now, &choice) != 0)
     return UINT32_MAX;
+  cs_urgency_seen (&view->urgency, request->priority, now);
+  if (!cs_urgency_has_room (&view->urgency, request->priority, &choice))
+    return UINT32_MAX;
   if (choice.source != NULL)
     *source = (uint32_t)choice.source->started_ms;
   return (uint32_t)choice.target->started_ms;
--- a/experiment/view.h
+++ b/experiment/view.h
@@ -35,10 +35,11 @@
 void view_add (view_t *view, uint32_t at, uint32_t slots, cs_time_us_t now);
 void view_remove (view_t *view, uint32_t at, cs_time_us_t now);
 
-/* Chooses an engine for CONTEXT, none of the AVOID_COUNT in AVOID if another
+/* Chooses an engine for REQUEST, none of the AVOID_COUNT in AVOID if another
    is left.  *SOURCE is one to copy the context from, or UINT32_MAX.  Returns
-   UINT32_MAX when no engine is known.  */
-uint32_t view_choose (view_t *view, const cs_prompt_context_t *context,
+   UINT32_MAX when no engine is known, or all are full and others are more
+   urgent.  */
+uint32_t view_choose (view_t *view, const engine_request_t *request,
                       const uint32_t *avoid, uint32_t avoid_count,
                       cs_time_us_t now, uint32_t *source);
 
--- a/include/router/services.h
+++ b/include/router/services.h
@@ -1,4 +1,5 @@
-/* What the router keeps for each service: the window of its repeats.  */
+/* What the router keeps for each service: the window of its repeats, and how
+   urgent its requests are.  */
 
 #ifndef CS_ROUTER_SERVICES_H
 #define CS_ROUTER_SERVICES_H
@@ -7,11 +8,13 @@
 
 #include "common/str.h"
 #include "cranberrystile/retry_window.h"
+#include "cranberrystile/urgency.h"
 
 typedef struct
 {
   cs_name_t name;
   cs_retry_window_t repeats;
+  cs_urgency_t urgency; /* of requests with a prompt */
 } cs_service_state_t;
 
 typedef struct
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -28,7 +28,8 @@
   cs_log (
       CS_EV_REQUEST_DONE,
       "id=%.*s route=%.*s organisation=%.*s version=%llu target=%s "
-      "why=%s source=%s load=%u mean=%.1f live=%u tries=%u connects_failed=%u "
+      "why=%s source=%s load=%u mean=%.1f live=%u priority=%u tries=%u "
+      "connects_failed=%u "
       "first_ms=%llu total_ms=%llu status=%d outcome=%s",
       CS_STR_ARG (forward->request.id),
       forward->route == NULL ? 0 : (int)forward->route->name.len,
@@ -41,6 +42,9 @@
       cs_choice_why_name (forward->choice.why),
       forward->source == NULL ? "" : forward->source->id.text,
       forward->choice.load, forward->choice.mean, forward->choice.live,
+      forward->route == NULL
+          ? 0
+          : cs_routing_priority (forward->route, forward->organisation),
       forward->tries, forward->connects,
       (unsigned long long)(first / CS_US_PER_MS),
       (unsigned long long)((now - forward->arrived) / CS_US_PER_MS), status,
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -50,6 +50,12 @@
   return forward->head.has_length || forward->head.chunked;
 }
 
+static uint32_t
+priority_of (const cs_forward_t *forward)
+{
+  return cs_routing_priority (forward->route, forward->organisation);
+}
+
 static int
 send_to_target (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -60,7 +66,7 @@
     .target_id = cs_name_str (&target->id),
     .deadline_ms = milliseconds_left (forward, now),
     .has_priority = forward->route->has_context,
-    .priority = cs_routing_priority (forward->route, forward->organisation),
+    .priority = priority_of (forward),
     .has_body = has_body (forward),
     .body_len = forward->body.len,
   };
@@ -110,6 +116,19 @@
     cs_target_reference (forward->source);
 }
 
+/* Whether the engine that was chosen should get the request.  A stream that
+   has begun goes on in any case.  */
+static bool
+has_room (cs_forward_t *forward, cs_time_us_t now)
+{
+  cs_urgency_t *urgency = &forward->service->urgency;
+  if (!forward->route->has_context || forward->begun)
+    return true;
+  cs_urgency_seen (urgency, priority_of (forward), now);
+  return cs_urgency_has_room (urgency, priority_of (forward),
+                              &forward->choice);
+}
+
 void
 cs_forward_try (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -132,6 +151,11 @@
       cs_forward_fail (forward, rc, now);
       return;
     }
+  if (!has_room (forward, now))
+    {
+      cs_forward_fail (forward, CS_ERR_OVERLOADED, now);
+      return;
+    }
   keep_source (forward);
   forward->target = forward->choice.target;
   forward->tries++;
--- a/tests/unit/experiment_test.cc
+++ b/tests/unit/experiment_test.cc
@@ -311,6 +311,34 @@
   EXPECT_GT (most, 1000);
 }
 
+// The router serves on time at least 0.9 of what a way does that sees the true
+// state of all engines.
+class Patterns : public testing::TestWithParam<std::tuple<int, int>>
+{
+};
+
+TEST_P (Patterns, AreServedNearlyAsWellAsWithFullSight)
+{
+  auto pattern = (pattern_t)std::get<0> (GetParam ());
+  double scale = std::get<1> (GetParam ());
+  trial_result_t ours = play (pattern, WAY_ROUTER, scale);
+  trial_result_t best = play (pattern, WAY_CLAIRVOYANT, scale);
+  EXPECT_GE (ours.on_time, 0.9 * best.on_time);
+  /* The users call a kind starved that is served less than a quarter as often
+     as all.  */
+  EXPECT_GE (ours.least_kind, 0.25);
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Load, Patterns,
+    testing::Combine (testing::Range (0, (int)PATTERN_COUNT),
+                      testing::Values (1, 2, 3, 4)),
+    [] (const auto &info) {
+      std::string name = pattern_name ((pattern_t)std::get<0> (info.param));
+      std::replace (name.begin (), name.end (), '-', '_');
+      return name + "_x" + std::to_string (std::get<1> (info.param));
+    });
+
 // Homes of a hot organisation must not queue while other engines are free.
 TEST (Homes, AHotOrganisationAtTwiceTheLoadIsServed)
 {
