Refuse by degrees and rank organisations before routes

A home with a free slot refused, as the mean was over.

Change: a request's rank is its organisation's priority, then its route's, both counted without gaps; engines get it in their ten steps. A full service refuses the least urgent first and more of them the fuller it is, in place of all but the most urgent at once; the chosen engine has to be full as well.

Ruled out: full at 1.1 or 1.2 of the slots, chance in place of a sharp limit, longer times to come back (docs/design/engine-model.md has the figures).

--- a/cranberrystile/routing/find.c
+++ b/cranberrystile/routing/find.c
@@ -27,15 +27,6 @@
   return NULL;
 }
 
-uint32_t
-cs_routing_priority (const cs_route_t *route,
-                     const cs_organisation_t *organisation)
-{
-  if (organisation != NULL && organisation->has_priority)
-    return organisation->priority;
-  return route->priority;
-}
-
 const cs_service_t *
 cs_routing_pick_service (const cs_routing_t *routing, const cs_route_t *route,
                          double unit)
--- a/cranberrystile/routing/routing.c
+++ b/cranberrystile/routing/routing.c
@@ -80,7 +80,7 @@
   return (left < right) - (left > right);
 }
 
-void
+int
 cs_routing_seal (cs_routing_t *routing)
 {
   if (routing->key_count > 0)
@@ -89,6 +89,7 @@
   if (routing->route_count > 0)
     qsort (routing->routes, routing->route_count, sizeof *routing->routes,
            compare_routes);
+  return cs_routing_set_levels (routing);
 }
 
 const cs_organisation_t *
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -38,6 +38,7 @@
   uint32_t gap_ms;       /* longest pause between events that is on time */
   uint32_t attempts_most;
   uint32_t priority; /* 0 is the highest */
+  uint32_t level;    /* the same, counted without gaps */
   bool is_public;    /* needs no key */
   bool resumable;    /* a stream may go on at another target */
   bool has_context;  /* requests name the parts of their prompts */
@@ -58,6 +59,7 @@
   cs_str_t name;
   bool has_priority;
   uint32_t priority;
+  uint32_t level; /* as a route's */
 } cs_organisation_t;
 
 typedef struct
@@ -85,6 +87,7 @@
   size_t organisation_count;
   cs_api_key_t *keys; /* sorted by text */
   size_t key_count;
+  uint32_t levels; /* different priorities, of routes and organisations */
   cs_caller_limits_t limits;
   uint32_t references;
 } cs_routing_t;
@@ -97,8 +100,12 @@
 /* Drops a reference; the last one frees.  Accepts NULL.  */
 void cs_routing_release (cs_routing_t *routing);
 
-/* Sorts what is searched.  Call once, after filling.  */
-void cs_routing_seal (cs_routing_t *routing);
+/* Sorts what is searched and ranked.  Call once, after filling.  Returns 0 or
+   CS_ERR_NO_MEMORY.  */
+int cs_routing_seal (cs_routing_t *routing);
+
+/* For cs_routing_seal: orders the priorities.  Returns as that does.  */
+int cs_routing_set_levels (cs_routing_t *routing);
 
 /* The route with the longest prefix that begins PATH among those of HOST, or
    NULL.  HOST may carry a port and any case; PATH has no query.  */
@@ -109,10 +116,14 @@
 const cs_organisation_t *cs_routing_find_key (const cs_routing_t *routing,
                                               cs_str_t key);
 
-/* How urgent a request on ROUTE is, 0 the most: the word of ORGANISATION,
-   which may be NULL, goes before the route's.  */
-uint32_t cs_routing_priority (const cs_route_t *route,
-                              const cs_organisation_t *organisation);
+/* How urgent a request on ROUTE is, 0 the most.  The priority of ORGANISATION,
+   which may be NULL, goes before the route's, which decides among equal ones.
+   Without a priority of its own an organisation has the route's.  */
+uint32_t cs_routing_rank (const cs_routing_t *routing, const cs_route_t *route,
+                          const cs_organisation_t *organisation);
+
+/* Ranks are below this.  */
+uint32_t cs_routing_ranks (const cs_routing_t *routing);
 
 /* The service for a request on ROUTE; UNIT in [0, 1) picks among the parts by
    their weights.  NULL when the route has none.  */
--- a/include/cranberrystile/urgency.h
+++ b/include/cranberrystile/urgency.h
@@ -1,11 +1,11 @@
 /* Which requests a service that is full still takes.
 
    Beyond their slots targets hold a short queue.  Filled with whatever comes
-   first, it delays the urgent and refuses them next; so once all slots are
-   taken, only requests as urgent as the most urgent of the last seconds go on
-   to it.  The others are told at once to come back.  Answers the patterns
-   burst, hot organisation, half lost and pressing of docs/design/
-   engine-model.md.  */
+   first, it delays the urgent and refuses them next.  So once all slots are
+   taken, the least urgent requests are told at once to come back, and the
+   fuller the service, the more of them; in the end only the most urgent go on
+   to the queues.  Answers the patterns burst, hot organisation, half lost and
+   pressing of docs/design/engine-model.md.  */
 
 #ifndef CS_URGENCY_H
 #define CS_URGENCY_H
@@ -16,23 +16,22 @@
 #include "common/clock.h"
 #include "cranberrystile/chooser.h"
 
-/* The most urgent requests of a service lately.  Initialise with zeros.  */
+/* Ranks that are told apart; the rest count as the last one.  */
+#define CS_URGENCY_RANKS 16
+
+/* Requests of a service by rank, fading.  Initialise with zeros.  */
 typedef struct
 {
-  bool is_known;
-  uint32_t now_least; /* lowest priority of the period under way: 0 is the most
-                         urgent */
-  uint32_t before_least; /* of the period before */
-  cs_time_us_t began;    /* the period under way */
+  double seen[CS_URGENCY_RANKS];
+  cs_time_us_t at;
 } cs_urgency_t;
 
-/* A request of PRIORITY has come.  */
-void cs_urgency_seen (cs_urgency_t *urgency, uint32_t priority,
-                      cs_time_us_t now);
+/* A request of RANK has come; 0 is the most urgent.  */
+void cs_urgency_seen (cs_urgency_t *urgency, uint32_t rank, cs_time_us_t now);
 
-/* Whether a request of PRIORITY, which has been seen, goes to the target of
-   CHOICE: unless all slots are taken and others are more urgent.  */
-bool cs_urgency_has_room (const cs_urgency_t *urgency, uint32_t priority,
+/* Whether a request of RANK, which has been seen, goes to the target of
+   CHOICE.  */
+bool cs_urgency_has_room (const cs_urgency_t *urgency, uint32_t rank,
                           const cs_choice_t *choice);
 
 #endif
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -36,8 +36,8 @@
   uint32_t deadline_ms;
   const struct sockaddr_in *fetch_from; /* the target first copies context from
                                            there; NULL: it does not */
-  bool has_priority;
-  uint32_t priority; /* 0 is the most urgent */
+  uint32_t rank;                        /* how urgent it is, 0 the most */
+  uint32_t ranks; /* RANK is below this; 0: it is not told */
   uint64_t body_len;
   bool has_body;
 } cs_target_request_t;
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -28,7 +28,7 @@
   cs_log (
       CS_EV_REQUEST_DONE,
       "id=%.*s route=%.*s organisation=%.*s version=%llu target=%s "
-      "why=%s source=%s load=%u mean=%.1f live=%u priority=%u tries=%u "
+      "why=%s source=%s load=%u mean=%.1f live=%u rank=%u tries=%u "
       "connects_failed=%u "
       "first_ms=%llu total_ms=%llu status=%d outcome=%s",
       CS_STR_ARG (forward->request.id),
@@ -42,10 +42,7 @@
       cs_choice_why_name (forward->choice.why),
       forward->source == NULL ? "" : forward->source->id.text,
       forward->choice.load, forward->choice.mean, forward->choice.live,
-      forward->route == NULL
-          ? 0
-          : cs_routing_priority (forward->route, forward->organisation),
-      forward->tries, forward->connects,
+      forward->rank, forward->tries, forward->connects,
       (unsigned long long)(first / CS_US_PER_MS),
       (unsigned long long)((now - forward->arrived) / CS_US_PER_MS), status,
       outcome);
@@ -187,6 +184,8 @@
   if (forward->organisation == NULL && !forward->route->is_public
       && forward->routing->organisation_count > 0)
     return CS_ERR_UNAUTHORISED;
+  forward->rank = cs_routing_rank (forward->routing, forward->route,
+                                   forward->organisation);
   const cs_service_t *service = cs_routing_pick_service (
       forward->routing, forward->route, cs_random_unit (&router->random));
   if (service == NULL)
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -37,6 +37,8 @@
   cs_timer_t watchdog;     /* fires when the target may have fallen silent */
 
   /* The tries.  */
+  uint32_t rank; /* how urgent the request is, 0 the most */
+
   cs_connection_t *connection; /* carries the try under way, or NULL */
   cs_target_t *target;         /* of the last try */
   cs_target_t *tried[CS_CHOICE_AVOID_MOST];
--- a/router/forward/try.c
+++ b/router/forward/try.c
@@ -50,12 +50,6 @@
   return forward->head.has_length || forward->head.chunked;
 }
 
-static uint32_t
-priority_of (const cs_forward_t *forward)
-{
-  return cs_routing_priority (forward->route, forward->organisation);
-}
-
 static int
 send_to_target (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -65,8 +59,9 @@
   cs_target_request_t fields = {
     .target_id = cs_name_str (&target->id),
     .deadline_ms = milliseconds_left (forward, now),
-    .has_priority = forward->route->has_context,
-    .priority = priority_of (forward),
+    .rank = forward->rank,
+    .ranks
+    = forward->route->has_context ? cs_routing_ranks (forward->routing) : 0,
     .has_body = has_body (forward),
     .body_len = forward->body.len,
   };
@@ -124,9 +119,8 @@
   cs_urgency_t *urgency = &forward->service->urgency;
   if (!forward->route->has_context || forward->begun)
     return true;
-  cs_urgency_seen (urgency, priority_of (forward), now);
-  return cs_urgency_has_room (urgency, priority_of (forward),
-                              &forward->choice);
+  cs_urgency_seen (urgency, forward->rank, now);
+  return cs_urgency_has_room (urgency, forward->rank, &forward->choice);
 }
 
 void
