Do not send on a request whose caller has left meanwhile

Traced: front-kei-a-1 was out of processor time and read a request 1.7 s late; its caller had closed before, but the router notices the end of a connection one turn of its loop after its bytes. In between the request went to a target; the log shows it as caller_gone with total_ms=0.

Ruled out: a late close by the router itself (the try was aborted within the same ms), kept bytes in the target's connection.

Change: before a request is served the router looks whether its caller's side has ended (one recv with MSG_PEEK).

Before: Answers.ARequestOfACallerThatHasLeftIsNotSentOn failed (a stopped router, 20 callers that leave, SIGCONT).

--- a/net/channel.c
+++ b/net/channel.c
@@ -340,6 +340,14 @@
     event_add (&channel->readable, NULL);
 }
 
+bool
+cs_channel_has_ended (const cs_channel_t *channel)
+{
+  char byte;
+  ssize_t got = recv (channel->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void
 cs_channel_probe_peer (cs_channel_t *channel, int idle_s, int count)
 {
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -34,7 +34,7 @@
 
 /* Ends the caller; FINISH lets it read what has been sent.  */
 static void
-destroy (cs_caller_t *caller, bool finish)
+disconnect (cs_caller_t *caller, bool finish)
 {
   unlink_caller (caller);
   cs_timer_clear (&caller->timer);
@@ -43,6 +43,12 @@
   else
     cs_channel_close (caller->channel);
   caller->gone = true;
+}
+
+static void
+destroy (cs_caller_t *caller, bool finish)
+{
+  disconnect (caller, finish);
   if (!caller->reading)
     release (caller);
 }
@@ -105,7 +111,8 @@
 static const cs_http_handlers_t reader_handlers
     = { .on_head = on_head, .on_body = cs_caller_take_body };
 
-/* Gives the request that has been read to a forward.  */
+/* Gives the request that has been read to a forward.  Called while reading, so
+   that the caller is released after.  */
 static void
 serve (cs_caller_t *caller)
 {
@@ -113,6 +120,14 @@
   cs_time_us_t now = cs_loop_now (router->loop);
   cs_http_head_t *head = cs_http_reader_head (caller->reader);
   cs_timer_clear (&caller->timer);
+  /* A router that is short of time may come to a request long after its caller
+     has left.  */
+  if (cs_channel_has_ended (caller->channel))
+    {
+      router->counters.callers_gone++;
+      disconnect (caller, false);
+      return;
+    }
   caller->close_after = !head->keep_alive;
   caller->forward
       = cs_forward_create (router, caller, head, &caller->body, now);
--- a/tests/router/answer_test.cc
+++ b/tests/router/answer_test.cc
@@ -221,6 +221,27 @@
   EXPECT_LE (engine.count (), 2U) << "it is ejected at once";
 }
 
+// A router that comes to a request late must not send it on for a caller that
+// has left meanwhile.
+TEST_F (Answers, ARequestOfACallerThatHasLeftIsNotSentOn)
+{
+  ask (request ("GET", "/safe/x"));
+  size_t before = runs ();
+  router->signal (SIGSTOP);
+  for (int i = 0; i < 20; i++)
+    {
+      wire::Socket socket (wire::Socket::connect_to (router->callers ()));
+      socket.send (request ("GET", "/safe/x"));
+    }
+  router->signal (SIGCONT);
+  ASSERT_TRUE (Router::eventually ([this] {
+    return router->metrics ().find ("callers_gone_total 20")
+           != std::string::npos;
+  }));
+  EXPECT_EQ (runs () - before, 0U);
+  EXPECT_EQ (ask (request ("GET", "/safe/x")).status (), 200);
+}
+
 TEST_F (Answers, ACallerThatLeavesEndsItsWork)
 {
   engine.set (engine.silent ());
