--- a/common/str.c
+++ b/common/str.c
@@ -48,6 +48,13 @@
   return 0;
 }
 
+bool
+cs_name_is_good (const char *text)
+{
+  size_t len = strlen (text);
+  return len > 0 && len <= CS_NAME_MAX;
+}
+
 bool
 cs_name_set (cs_name_t *name, cs_str_t s)
 {
--- a/daemon/peer/frame.c
+++ b/daemon/peer/frame.c
@@ -15,20 +15,13 @@
   return cs_frame_append (&frame->base, out);
 }
 
-static bool
-is_good_name (const char *text)
-{
-  size_t len = strlen (text);
-  return len > 0 && len <= CS_NAME_MAX;
-}
-
 static bool
 is_good_host (const Cs__Peer__Host *host)
 {
-  return host != NULL && host->id != 0 && is_good_name (host->name)
-         && is_good_name (host->data_centre)
-         && is_good_name (host->peer_address)
-         && is_good_name (host->caller_address);
+  return host != NULL && host->id != 0 && cs_name_is_good (host->name)
+         && cs_name_is_good (host->data_centre)
+         && cs_name_is_good (host->peer_address)
+         && cs_name_is_good (host->caller_address);
 }
 
 static bool
--- a/experiment/summary.c
+++ b/experiment/summary.c
@@ -126,3 +126,37 @@
   free (firsts);
   return CS_OK;
 }
+
+static int
+compare_parts (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+  return x < y ? -1 : x > y;
+}
+
+uint64_t
+summary_least_read (const request_t *requests, size_t request_count)
+{
+  uint64_t tokens = 0;
+  size_t count = 0;
+  /* Pairs of a part and its tokens.  */
+  uint64_t (*parts)[2] = calloc (request_count * 2 + 1, sizeof *parts);
+  if (parts == NULL)
+    return 0;
+  for (size_t i = 0; i < request_count; i++)
+    {
+      const cs_prompt_context_t *context = &requests[i].ask.context;
+      for (uint32_t j = 0; j < context->count; j++, count++)
+        {
+          parts[count][0] = context->chain[j];
+          parts[count][1] = context->tokens[j];
+        }
+    }
+  qsort (parts, count, sizeof *parts, compare_parts);
+  for (size_t i = 0; i < count; i++)
+    if (i == 0 || parts[i][0] != parts[i - 1][0])
+      tokens += parts[i][1];
+  free (parts);
+  return tokens;
+}
--- a/experiment/summary.h
+++ b/experiment/summary.h
@@ -15,4 +15,8 @@
                          const request_t *requests, size_t count,
                          trial_result_t *out);
 
+/* Tokens of all shared parts that were asked for, each once: no placement
+   reads less, as the engines begin empty.  */
+uint64_t summary_least_read (const request_t *requests, size_t request_count);
+
 #endif
--- a/experiment/trial.c
+++ b/experiment/trial.c
@@ -3,60 +3,16 @@
 #include <stdlib.h>
 
 #include "common/error.h"
-#include "heap.h"
-#include "request.h"
+#include "state.h"
 #include "summary.h"
 
 /* Routers tell each other their calls this often, and act on what was told
    one beat before.  */
 #define BEAT_US (300 * CS_US_PER_MS)
-/* A crash is noticed by broken connections, a new engine by the platform's
-   news.  */
-#define NOTICE_GONE_US (300 * CS_US_PER_MS)
-#define NOTICE_NEW_US (500 * CS_US_PER_MS)
-#define SAMPLE_US (250 * CS_US_PER_MS)
 /* A refused caller comes back once after this, doubled at most by chance.  */
 #define RETRY_AFTER_US (400 * CS_US_PER_MS)
 #define RETURNS_MOST 1
 #define PRESSING_RETURNS_MOST 5
-#define ENGINES_MOST 128
-#define ROUTERS_MOST 128
-#define SAMPLES_MOST (TRIAL_END_US / SAMPLE_US + 1)
-
-enum
-{
-  EV_ARRIVAL, /* of a kind */
-  EV_STEP,    /* of an engine */
-  EV_RETURN,  /* of a refused caller */
-  EV_LEAVE,   /* of a caller that waited too long */
-  EV_BEAT,
-  EV_SAMPLE,
-  EV_CHANGE, /* the pattern begins */
-  EV_RESTORE,
-  EV_NOTICE_GONE, /* of an engine, by all routers */
-  EV_NOTICE_NEW
-};
-
-typedef struct
-{
-  const trial_setup_t *setup;
-  trial_result_t *result;
-  load_t load;
-  heap_t heap;
-  cs_time_us_t now;
-  view_t *views[ROUTERS_MOST];
-  engine_t *engines[ENGINES_MOST];  /* NULL: not there */
-  cs_time_us_t steps[ENGINES_MOST]; /* events that are queued; 0: none */
-  uint32_t engine_count;
-  uint32_t *told; /* calls in flight by router and engine, at the last beat */
-  request_t *requests;
-  size_t request_count;
-  size_t request_capacity;
-  double skews[SAMPLES_MOST];
-  size_t skew_count;
-  uint64_t read_shared;
-  bool out_of_memory;
-} trial_t;
 
 static const engine_t *
 true_engine (void *context, uint32_t at)
@@ -85,9 +41,9 @@
   trial->steps[at] = when;
 }
 
-static void
-on_engine_event (void *context, uint32_t id, engine_event_t event,
-                 cs_time_us_t now)
+void
+trial_on_engine_event (void *context, uint32_t id, engine_event_t event,
+                       cs_time_us_t now)
 {
   trial_t *trial = context;
   request_t *request = &trial->requests[id];
@@ -106,28 +62,6 @@
   request->state = REQUEST_DONE;
 }
 
-static void
-start_engine (trial_t *trial, uint32_t at)
-{
-  trial->engines[at] = engine_create (&trial->setup->installation->engine,
-                                      on_engine_event, trial);
-  if (trial->engines[at] == NULL)
-    trial->out_of_memory = true;
-  if (at >= trial->engine_count)
-    trial->engine_count = at + 1;
-}
-
-static void
-stop_engine (trial_t *trial, uint32_t at)
-{
-  const engine_counts_t *counts = engine_counts (trial->engines[at]);
-  trial->read_shared += counts->read_shared;
-  trial->result->preemptions += counts->preemptions;
-  engine_destroy (trial->engines[at]);
-  trial->engines[at] = NULL;
-  trial->steps[at] = 0;
-}
-
 static void
 refuse (trial_t *trial, request_t *request)
 {
@@ -149,8 +83,8 @@
 }
 
 /* Sends REQUEST to engines until one takes it.  */
-static void
-send_request (trial_t *trial, request_t *request)
+void
+trial_send (trial_t *trial, request_t *request)
 {
   while (request->tries < TRIES_MOST)
     {
@@ -206,7 +140,7 @@
   heap_push (&trial->heap,
              trial->now + load_next_us (&trial->load, kind, trial->now),
              EV_ARRIVAL, kind);
-  send_request (trial, request);
+  trial_send (trial, request);
 }
 
 static void
@@ -222,65 +156,6 @@
   request->engine = UINT32_MAX;
 }
 
-/* Engine AT crashes: what has not begun to answer is tried elsewhere.  */
-static void
-crash (trial_t *trial, uint32_t at)
-{
-  stop_engine (trial, at);
-  heap_push (&trial->heap, trial->now + NOTICE_GONE_US, EV_NOTICE_GONE, at);
-  for (size_t i = 0; i < trial->request_count; i++)
-    {
-      request_t *request = &trial->requests[i];
-      if (request->engine != at || request->state != REQUEST_OPEN)
-        continue;
-      view_end (view_of (trial, request), at);
-      request->engine = UINT32_MAX;
-      if (request->made > 0)
-        request->state = REQUEST_FAILED;
-      else
-        send_request (trial, request);
-    }
-}
-
-static void
-change (trial_t *trial)
-{
-  uint32_t engines = trial->setup->installation->engines;
-  if (trial->setup->pattern == PATTERN_HALF_LOST)
-    for (uint32_t at = 0; at < engines / 2; at++)
-      crash (trial, at);
-  if (trial->setup->pattern == PATTERN_COLD_JOIN)
-    for (uint32_t at = engines; at < engines + engines / 3; at++)
-      {
-        start_engine (trial, at);
-        heap_push (&trial->heap, trial->now + NOTICE_NEW_US, EV_NOTICE_NEW,
-                   at);
-      }
-}
-
-static void
-restore (trial_t *trial)
-{
-  for (uint32_t at = 0; at < trial->engine_count; at++)
-    if (trial->engines[at] == NULL)
-      {
-        start_engine (trial, at);
-        heap_push (&trial->heap, trial->now + NOTICE_NEW_US, EV_NOTICE_NEW,
-                   at);
-      }
-}
-
-static void
-notice (trial_t *trial, uint32_t at, bool is_new)
-{
-  const installation_t *installation = trial->setup->installation;
-  for (uint32_t i = 0; i < installation->routers; i++)
-    if (is_new)
-      view_add (trial->views[i], at, installation->engine.slots, trial->now);
-    else
-      view_remove (trial->views[i], at, trial->now);
-}
-
 /* What was told at the last beat is acted upon, and the next is told.  */
 static void
 beat (trial_t *trial)
@@ -339,7 +214,7 @@
       return;
     case EV_RETURN:
       if (trial->requests[event->index].state == REQUEST_OPEN)
-        send_request (trial, &trial->requests[event->index]);
+        trial_send (trial, &trial->requests[event->index]);
       return;
     case EV_LEAVE:
       leave (trial, &trial->requests[event->index]);
@@ -351,16 +226,16 @@
       sample (trial);
       return;
     case EV_CHANGE:
-      change (trial);
+      changes_begin (trial);
       return;
     case EV_RESTORE:
-      restore (trial);
+      changes_end (trial);
       return;
     case EV_NOTICE_GONE:
-      notice (trial, event->index, false);
+      changes_notice (trial, event->index, false);
       return;
     case EV_NOTICE_NEW:
-      notice (trial, event->index, true);
+      changes_notice (trial, event->index, true);
       return;
     }
 }
@@ -387,8 +262,8 @@
     }
   for (uint32_t at = 0; at < installation->engines; at++)
     {
-      start_engine (trial, at);
-      notice (trial, at, true);
+      changes_start (trial, at);
+      changes_notice (trial, at, true);
     }
   for (uint32_t kind = 0; kind < installation->kind_count; kind++)
     heap_push (&trial->heap, load_next_us (&trial->load, kind, 0), EV_ARRIVAL,
@@ -401,50 +276,14 @@
                                                      : CS_OK;
 }
 
-static int
-compare_parts (const void *a, const void *b)
-{
-  uint64_t x = *(const uint64_t *)a;
-  uint64_t y = *(const uint64_t *)b;
-  return x < y ? -1 : x > y;
-}
-
-/* Tokens of all shared parts that were asked for, each once: no placement
-   reads less, as the engines begin empty.  */
-static uint64_t
-least_read (const trial_t *trial)
-{
-  uint64_t tokens = 0;
-  size_t count = 0;
-  /* Pairs of a part and its tokens.  */
-  uint64_t (*parts)[2] = calloc (trial->request_count * 2 + 1, sizeof *parts);
-  if (parts == NULL)
-    return 0;
-  for (size_t i = 0; i < trial->request_count; i++)
-    {
-      const cs_prompt_context_t *context = &trial->requests[i].ask.context;
-      for (uint32_t j = 0; j < context->count; j++, count++)
-        {
-          parts[count][0] = context->chain[j];
-          parts[count][1] = context->tokens[j];
-        }
-    }
-  qsort (parts, count, sizeof *parts, compare_parts);
-  for (size_t i = 0; i < count; i++)
-    if (i == 0 || parts[i][0] != parts[i - 1][0])
-      tokens += parts[i][1];
-  free (parts);
-  return tokens;
-}
-
 static int
 sum_up (trial_t *trial)
 {
   trial_result_t *out = trial->result;
   for (uint32_t at = 0; at < trial->engine_count; at++)
     if (trial->engines[at] != NULL)
-      stop_engine (trial, at);
-  uint64_t least = least_read (trial);
+      changes_stop (trial, at);
+  uint64_t least = summary_least_read (trial->requests, trial->request_count);
   out->read_again
       = least == 0 ? 0 : (double)trial->read_shared / (double)least;
   out->skew_p50 = summary_percentile (trial->skews, trial->skew_count, 0.5);
--- a/include/common/str.h
+++ b/include/common/str.h
@@ -44,6 +44,9 @@
    Returns 0, or CS_ERR_BAD_REQUEST when S is anything else.  */
 int cs_str_to_u64 (cs_str_t s, uint64_t *value);
 
+/* Whether TEXT may be a name: not empty, and not cut when it becomes one.  */
+bool cs_name_is_good (const char *text);
+
 /* Copies S into NAME, cut to CS_NAME_MAX bytes.  Returns false when cut.  */
 bool cs_name_set (cs_name_t *name, cs_str_t s);
 cs_str_t cs_name_str (const cs_name_t *name);
--- a/include/http/head.h
+++ b/include/http/head.h
@@ -55,4 +55,10 @@
 bool cs_http_is_hop_by_hop (const cs_http_head_t *head,
                             const cs_http_field_t *field);
 
+static inline bool
+cs_http_is_success (int status)
+{
+  return status >= 200 && status < 300;
+}
+
 #endif
--- a/router/forward/answer.c
+++ b/router/forward/answer.c
@@ -13,12 +13,6 @@
 
 #define STATUS_SERVER_ERROR 500
 
-static bool
-is_success (int status)
-{
-  return status >= 200 && status < 300;
-}
-
 static void
 note_load (cs_target_t *target, const cs_target_answer_t *answer,
            cs_time_us_t now)
@@ -57,7 +51,7 @@
     return CS_FORWARD_REFUSED;
   if (head->status >= STATUS_SERVER_ERROR)
     return CS_FORWARD_FAILED;
-  if (answer->is_stream && is_success (head->status))
+  if (answer->is_stream && cs_http_is_success (head->status))
     return CS_FORWARD_EVENTS;
   if (head->has_length && head->length > COLLECT_BYTES)
     return CS_FORWARD_PARTS;
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "http/head.h"
 #include "platform/store.h"
 #include "router/peer/internal.h"
 #include "router/store_client.h"
@@ -47,12 +48,6 @@
   cs_member_t gone; /* whose entry is being removed */
 };
 
-static bool
-is_success (int status)
-{
-  return status >= 200 && status < 300;
-}
-
 static void
 write_entry (cs_directory_t *directory, const char *method, cs_str_t name)
 {
@@ -200,7 +195,7 @@
 {
   const cs_member_t *gone = &directory->gone;
   directory->step = STEP_LIST;
-  if (!is_success (status) && status != STATUS_NOT_FOUND)
+  if (!cs_http_is_success (status) && status != STATUS_NOT_FOUND)
     return;
   cs_log (CS_EV_PEER_GONE, "peer=%016llx name=%s revision=%llu looks=%u",
           (unsigned long long)gone->id, gone->name.text,
@@ -229,21 +224,21 @@
     case STEP_CREATE:
       if (status == STATUS_CONFLICT)
         directory->step = STEP_REPLACE;
-      if (is_success (status))
+      if (cs_http_is_success (status))
         after_write (directory);
       return status == STATUS_CONFLICT;
     case STEP_REPLACE:
       if (status == STATUS_NOT_FOUND)
         directory->step = STEP_CREATE;
-      if (is_success (status))
+      if (cs_http_is_success (status))
         after_write (directory);
       /* A renewal must not take the place of a look.  */
       return status == STATUS_NOT_FOUND
-             || (is_success (status) && directory->lists > 0);
+             || (cs_http_is_success (status) && directory->lists > 0);
     case STEP_LIST:
       if (take_page (directory, body))
         return true;
-      if (is_success (status))
+      if (cs_http_is_success (status))
         after_list (directory);
       return directory->step == STEP_REMOVE;
     case STEP_REMOVE:
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -9,24 +9,17 @@
   return cs_frame_append (&frame->base, out);
 }
 
-static bool
-is_good_name (const char *text)
-{
-  size_t len = strlen (text);
-  return len > 0 && len <= CS_NAME_MAX;
-}
-
 static bool
 are_good_targets (const Cs__Router__Targets *targets)
 {
   for (size_t i = 0; i < targets->n_targets; i++)
-    if (!is_good_name (targets->targets[i]->id)
-        || !is_good_name (targets->targets[i]->service)
+    if (!cs_name_is_good (targets->targets[i]->id)
+        || !cs_name_is_good (targets->targets[i]->service)
         || strlen (targets->targets[i]->data_centre) > CS_NAME_MAX
         || targets->targets[i]->port > UINT16_MAX)
       return false;
   for (size_t i = 0; i < targets->n_removed; i++)
-    if (!is_good_name (targets->removed[i]))
+    if (!cs_name_is_good (targets->removed[i]))
       return false;
   return targets->since <= targets->revision;
 }
@@ -37,9 +30,9 @@
   switch (frame->body_case)
     {
     case CS__ROUTER__FRAME__BODY_HELLO:
-      return is_good_name (frame->hello->name)
-             && is_good_name (frame->hello->data_centre)
-             && is_good_name (frame->hello->address);
+      return cs_name_is_good (frame->hello->name)
+             && cs_name_is_good (frame->hello->data_centre)
+             && cs_name_is_good (frame->hello->address);
     case CS__ROUTER__FRAME__BODY_BEAT:
       return true;
     case CS__ROUTER__FRAME__BODY_ROUTING:
--- a/router/store/client.c
+++ b/router/store/client.c
@@ -34,12 +34,6 @@
   client->channel = NULL;
 }
 
-static bool
-is_success (int status)
-{
-  return status >= 200 && status < 300;
-}
-
 /* Ends the call.  STATUS 0: without an answer, on a connection that is not
    used again.  */
 static void
@@ -50,11 +44,11 @@
     return;
   client->busy = false;
   cs_timer_clear (&client->timer);
-  if (is_success (status) && client->body.len > 0)
+  if (cs_http_is_success (status) && client->body.len > 0)
     root = json_loadb (client->body.data, client->body.len, 0, NULL);
-  if (is_success (status) && root == NULL)
+  if (cs_http_is_success (status) && root == NULL)
     status = 0;
-  if (!is_success (status))
+  if (!cs_http_is_success (status))
     {
       client->router->counters.store_failures++;
       drop_channel (client);
