Do not ask the store for the own entry in a loop; tell 64 ranks apart

Cause, found by reading the diff: a store that answers 409 to the creation and 404 to the renewal of an entry would have been called without a pause; and with five or more priorities the less urgent ranks counted as one.

Change: after a renewal that found no entry, a creation that finds one waits for the next look. 64 ranks in place of 16. Tried first: no call at once after a renewal that found no entry; a router that lives was then without an entry for over 4 s, so that Entries.OfARouterThatLivesComeBack failed.

--- a/include/cranberrystile/urgency.h
+++ b/include/cranberrystile/urgency.h
@@ -16,8 +16,9 @@
 #include "common/clock.h"
 #include "cranberrystile/chooser.h"
 
-/* Ranks that are told apart; the rest count as the last one.  */
-#define CS_URGENCY_RANKS 16
+/* Ranks that are told apart, enough for eight different priorities; the rest
+   count as the last one.  */
+#define CS_URGENCY_RANKS 64
 
 /* Requests of a service by rank, fading.  Initialise with zeros.  */
 typedef struct
--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -73,9 +73,8 @@
 /* Stops or resumes reading.  A paused channel does not notice its end.  */
 void cs_channel_pause (cs_channel_t *channel, bool paused);
 
-/* Whether the peer has closed its side or broken the connection, as far as
-   that has arrived; the channel itself notices it in a later turn of the loop.
- */
+/* Whether the peer has closed its side or broken the connection, as far as is
+   known here; the channel itself notices it in a later turn of the loop.  */
 bool cs_channel_has_ended (const cs_channel_t *channel);
 
 /* Has the kernel probe a silent peer: first after IDLE_S, then COUNT times a
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -41,8 +41,9 @@
   bool leaving;
   bool is_calling;
   size_t looks;
-  size_t lists;    /* read to their end */
-  cs_name_t after; /* last name of the page before */
+  size_t lists;     /* read to their end */
+  cs_name_t after;  /* last name of the page before */
+  bool was_missing; /* the entry, when it was last to be renewed */
   uint32_t renewals;
   cs_time_us_t renew_at;
   cs_member_t gone; /* whose entry is being removed */
@@ -185,6 +186,7 @@
   directory->renew_at
       = cs_loop_now (router->loop) + (cs_time_us_t)(pause_s * CS_US_PER_S);
   directory->renewals++;
+  directory->was_missing = false;
   directory->step = STEP_LIST;
 }
 
@@ -226,14 +228,17 @@
         directory->step = STEP_REPLACE;
       if (cs_http_is_success (status))
         after_write (directory);
-      return status == STATUS_CONFLICT;
+      /* A store that says both "missing" and "there" is not asked in a loop.
+       */
+      return status == STATUS_CONFLICT && !directory->was_missing;
     case STEP_REPLACE:
-      if (status == STATUS_NOT_FOUND)
+      directory->was_missing = status == STATUS_NOT_FOUND;
+      if (directory->was_missing)
         directory->step = STEP_CREATE;
       if (cs_http_is_success (status))
         after_write (directory);
       /* A renewal must not take the place of a look.  */
-      return status == STATUS_NOT_FOUND
+      return directory->was_missing
              || (cs_http_is_success (status) && directory->lists > 0);
     case STEP_LIST:
       if (take_page (directory, body))
