Log the limits of a configuration, and connections closed with a request in them

CS1103 now states the callers' timeouts and how long applying took; CS1505 names each connection of a caller that is closed although it holds a request: idle timeout, or caller gone. No decision changes.

--- a/include/common/event.h
+++ b/include/common/event.h
@@ -42,6 +42,7 @@
   X (STREAM_RESUMED, 1502, 6)                                                 \
   X (REQUEST_DONE, 1503, 6)                                                   \
   X (ATTEMPT_FAILED, 1504, 6)                                                 \
+  X (CALLER_CLOSED, 1505, 5)                                                  \
   X (CLAIM_UNKNOWN, 1601, 4)                                                  \
   X (CLAIM_SWEPT, 1602, 6)                                                    \
   X (LEASE_ACQUIRED, 1701, 5)                                                 \
--- a/router/apply.c
+++ b/router/apply.c
@@ -14,15 +14,18 @@
 
 static void
 log_routing (const cs_routing_t *routing, cs_revision_t revision,
-             const char *source)
+             const char *source, cs_time_us_t took)
 {
   cs_log (CS_EV_ROUTING_APPLIED,
           "version=%llu revision=%llu source=%s routes=%zu services=%zu "
-          "organisations=%zu keys=%zu",
+          "organisations=%zu keys=%zu head_timeout_ms=%u idle_timeout_ms=%u "
+          "took_ms=%llu",
           (unsigned long long)routing->version,
           (unsigned long long)revision.number, source, routing->route_count,
           routing->service_count, routing->organisation_count,
-          routing->key_count);
+          routing->key_count, routing->limits.head_timeout_ms,
+          routing->limits.idle_timeout_ms,
+          (unsigned long long)(took / CS_US_PER_MS));
 }
 
 static void
@@ -40,6 +43,7 @@
 {
   cs_routing_t *routing = NULL;
   cs_buf_t reason = { 0 };
+  cs_time_us_t began = cs_loop_now (router->loop);
   if (cs_store_read_routing (spec, &routing, &reason) != 0)
     {
       reject_routing (revision, source,
@@ -52,7 +56,7 @@
       cs_routing_release (routing);
       return false;
     }
-  log_routing (routing, revision, source);
+  log_routing (routing, revision, source, cs_loop_now (router->loop) - began);
   cs_routing_release (router->routing);
   router->routing = routing;
   if (cs_revision_compare (revision, router->routing_sync.revision) > 0)
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -81,14 +81,26 @@
   destroy (caller, true);
 }
 
+/* Logs that the connection is closed although it holds a request.  */
+static void
+log_unserved (const cs_caller_t *caller, const char *why)
+{
+  cs_log (CS_EV_CALLER_CLOSED, "why=%s idle_timeout_ms=%u", why,
+          cs_caller_limits (caller)->idle_timeout_ms);
+}
+
 static void
 on_timer (void *context, cs_time_us_t now)
 {
   cs_caller_t *caller = context;
   if (cs_http_reader_has_begun (caller->reader))
-    cs_caller_reject (caller, CS_ERR_SLOW_CALLER);
-  else
-    destroy (caller, true);
+    {
+      cs_caller_reject (caller, CS_ERR_SLOW_CALLER);
+      return;
+    }
+  if (cs_channel_has_unread (caller->channel))
+    log_unserved (caller, "idle_timeout");
+  destroy (caller, true);
 }
 
 static void
@@ -134,6 +146,7 @@
   if (cs_channel_has_ended (caller->channel))
     {
       router->counters.callers_gone++;
+      log_unserved (caller, "gone");
       disconnect (caller, false);
       return;
     }
