Read an answer that has come before deciding that its target is silent

What callers saw: on a host that stood still for a second, 504 in place of an answer that was ready, and requests that were sent to a second target although the first had answered; on routes that may not be repeated, lost answers.

A request's deadline and its silence timeout now read what its target has sent, and decide when nothing is left. A target whose reading is paused for a slow caller, or that is still connecting, is judged as before. Left as they are, as they cost no request: timeouts of calls to the platform and of peers' links.

--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -88,8 +88,12 @@
 /* Whether received data waits to be read.  */
 bool cs_channel_has_unread (const cs_channel_t *channel);
 
-/* Reads received data without waiting for the event loop.  May call any
-   handler, which may close the channel.  */
+/* Whether received data, a close or a reset waits to be read.  False while the
+   channel connects and while reading is paused.  */
+bool cs_channel_has_input (const cs_channel_t *channel);
+
+/* Reads input without waiting for the event loop.  May call any handler, which
+   may close the channel.  */
 void cs_channel_read (cs_channel_t *channel);
 
 /* Enables TCP keepalive: the first probe after IDLE_S seconds without traffic,
--- a/include/router/connection.h
+++ b/include/router/connection.h
@@ -63,6 +63,11 @@
    Accepts NULL.  */
 void cs_connection_abort (cs_connection_t *connection);
 
+/* Reads what the target has sent without waiting for the event loop.  Returns
+   false if there is nothing, or reading is paused.  Otherwise handlers may
+   have been called and the connection may be gone.  */
+bool cs_connection_read (cs_connection_t *connection);
+
 /* Pauses or resumes reading the response.  */
 void cs_connection_pause (cs_connection_t *connection, bool paused);
 
--- a/net/channel.c
+++ b/net/channel.c
@@ -356,6 +356,14 @@
   return recv (channel->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool
+cs_channel_has_input (const cs_channel_t *channel)
+{
+  return !channel->connecting && !channel->paused
+         && (cs_channel_has_unread (channel)
+             || cs_channel_has_ended (channel));
+}
+
 bool
 cs_channel_has_ended (const cs_channel_t *channel)
 {
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -212,6 +212,8 @@
       cs_timer_set (&forward->watchdog, deadline - now);
       return;
     }
+  if (cs_forward_read_first (forward, &forward->watchdog))
+    return;
   cs_log (CS_EV_TARGET_SILENT, "id=%.*s target=%s silent_ms=%llu events=%llu",
           CS_STR_ARG (forward->request.id), forward->target->id.text,
           (unsigned long long)((now - forward->target->last_received_at)
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -167,11 +167,24 @@
   cs_caller_abort (caller);
 }
 
+bool
+cs_forward_read_first (cs_forward_t *forward, cs_timer_t *timer)
+{
+  cs_timer_set (timer, 0);
+  if (cs_connection_read (forward->connection))
+    return true;
+  cs_timer_clear (timer);
+  return false;
+}
+
 static void
 on_deadline (void *context, cs_time_us_t now)
 {
   cs_forward_t *forward = context;
   bool attempt_in_flight = forward->connection != NULL;
+  if (attempt_in_flight
+      && cs_forward_read_first (forward, &forward->deadline_timer))
+    return;
   forward->outcome_unknown = forward->outcome_unknown || attempt_in_flight;
   cs_forward_fail (forward,
                    attempt_in_flight ? CS_ERR_SILENT : CS_ERR_DEADLINE, now);
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -69,6 +69,12 @@
   bool paused; /* reading from the target waits for the caller */
 };
 
+/* Call when TIMER has run, before deciding that the target has not responded.
+   After a time without the processor, timers run before the loop has read what
+   arrived meanwhile.  Returns true if there was something: TIMER runs again
+   unless the request has ended, in which case FORWARD is gone.  */
+bool cs_forward_read_first (cs_forward_t *forward, cs_timer_t *timer);
+
 /* Watchdog callback: retries elsewhere if the current target has been silent
    for too long.  */
 void cs_forward_check_silence (void *context, cs_time_us_t now);
--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -319,6 +319,15 @@
   cs_channel_pause (connection->channel, paused);
 }
 
+bool
+cs_connection_read (cs_connection_t *connection)
+{
+  if (!cs_channel_has_input (connection->channel))
+    return false;
+  cs_channel_read (connection->channel);
+  return true;
+}
+
 void
 cs_connections_close_idle (cs_target_t *target, bool all, cs_time_us_t now)
 {
