Log the parts of the prompt with each failed attempt

Part ids are read beside the context, which hashes them together with what stands before. No decision changes.

--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -266,6 +266,25 @@
   return false;
 }
 
+static void
+log_failure (const cs_forward_t *forward, int error, bool was_sent,
+             const char *next, cs_time_us_t now)
+{
+  cs_buf_t parts = { 0 };
+  (void)cs_prompt_parts_print (&forward->request.parts, &parts);
+  cs_log (CS_EV_ATTEMPT_FAILED,
+          "id=%.*s target=%s error=%s sent=%d after_ms=%llu events=%llu "
+          "parts=%.*s next=%s",
+          CS_STR_ARG (forward->request.id), forward->target->id.text,
+          cs_error_name (error), was_sent,
+          (unsigned long long)(was_sent
+                                   ? (now - forward->sent_at) / CS_US_PER_MS
+                                   : 0),
+          (unsigned long long)forward->events.count,
+          CS_STR_ARG (cs_buf_str (&parts)), next);
+  cs_buf_free (&parts);
+}
+
 void
 cs_forward_attempt_failed (cs_forward_t *forward, int error, bool was_sent,
                            cs_time_us_t now)
@@ -283,12 +302,8 @@
     }
   cs_health_record_result (forward->router, forward->target, error, now);
   bool will_retry = take_retry (forward, error, was_sent, now);
-  cs_log (CS_EV_ATTEMPT_FAILED,
-          "id=%.*s target=%s error=%s sent=%d events=%llu next=%s",
-          CS_STR_ARG (forward->request.id), forward->target->id.text,
-          cs_error_name (error), was_sent,
-          (unsigned long long)forward->events.count,
-          will_retry ? "another target" : "give up");
+  log_failure (forward, error, was_sent,
+               will_retry ? "another target" : "give up", now);
   if (!will_retry && error == CS_ERR_TARGET_FAILED)
     {
       cs_forward_send_buffered (forward, now);
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -258,16 +258,36 @@
   EXPECT_EQ (b.count, 0U);
 }
 
+// A part is the same whatever stands before it, unlike in a context.
+TEST (Codec, ReadsTheIdsOfTheSharedParts)
+{
+  cs_prompt_parts_t parts;
+  cs_prompt_parts_parse (cs_str ("5C1e07a2:800,91bd3f06:410,e4402b7d:250"),
+                         &parts);
+  ASSERT_EQ (parts.count, 2U);
+  EXPECT_EQ (parts.ids[0], 0x5c1e07a2U);
+  EXPECT_EQ (parts.ids[1], 0x91bd3f06U);
+  cs_prompt_parts_parse (cs_str ("5c:x,not-hexadecimal,e4"), &parts);
+  ASSERT_EQ (parts.count, 2U);
+  EXPECT_EQ (parts.ids[0], 0x5cU);
+  EXPECT_NE (parts.ids[1], 0U);
+  cs_prompt_parts_parse (cs_str ("e4:250"), &parts);
+  EXPECT_EQ (parts.count, 0U);
+}
+
 TEST (Codec, SurvivesCorruptPrompts)
 {
   cs_random_t random = { 22, 0 };
   cs_prompt_context_t context;
+  cs_prompt_parts_t parts;
   for (int i = 0; i < CORRUPTIONS; i++)
-    cs_prompt_context_parse (
-        view (corrupt ("5c:800,91:410,1:2,3:4,5:6,7:8,9:1,2:3,4:5,"
-                       "6:7,e4:250",
-                       &random)),
-        &context);
+    {
+      std::string text = corrupt ("5c:800,91:410,1:2,3:4,5:6,7:8,9:1,2:3,4:5,"
+                                  "6:7,e4:250",
+                                  &random);
+      cs_prompt_context_parse (view (text), &context);
+      cs_prompt_parts_parse (view (text), &parts);
+    }
 }
 
 const char CONFIG[]
