--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -363,6 +363,13 @@
     script_ = std::move (script);
   }
 
+  // Ends as a process that crashes.
+  void
+  crash ()
+  {
+    server_.crash ();
+  }
+
   std::vector<wire::Message>
   requests ()
   {
--- a/tests/router/wire.h
+++ b/tests/router/wire.h
@@ -340,6 +340,17 @@
       thread.join ();
   }
 
+  // Refuses connections from now on and cuts the open ones.  May be called by
+  // the serving threads.
+  void
+  crash ()
+  {
+    shutdown (fd_, SHUT_RDWR);
+    std::lock_guard<std::mutex> lock (mutex_);
+    for (int fd : open_)
+      shutdown (fd, SHUT_RDWR);
+  }
+
 private:
   void
   accept_all ()
