Tell an answer that was reset from one that ended, also after a standstill

What callers saw, since: after a standstill of the router an answer without a length, reset half way, came as complete: 200 with half of the body, or a stream that ended as whole.

Cause: looking for data with recv took the error of the reset off the socket, so the read that followed saw the end of the connection.

Evidence: two Standstill tests, red without this change and green with it; 504 came before.

poll now looks, and leaves the error to be read.

--- a/net/channel.c
+++ b/net/channel.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -359,9 +360,9 @@
 bool
 cs_channel_has_input (const cs_channel_t *channel)
 {
-  return !channel->connecting && !channel->paused
-         && (cs_channel_has_unread (channel)
-             || cs_channel_has_ended (channel));
+  struct pollfd wait = { channel->fd, POLLIN, 0 };
+  /* Unlike recv, poll leaves the error of a reset to be read.  */
+  return !channel->connecting && !channel->paused && poll (&wait, 1, 0) > 0;
 }
 
 bool
--- a/tests/router/standstill_test.cc
+++ b/tests/router/standstill_test.cc
@@ -56,4 +56,48 @@
   EXPECT_EQ (engine_request_count (), static_cast<size_t> (many));
 }
 
+// An answer that ends with its connection, and was reset while the process
+// stood still, was delivered as if it were complete.
+TEST_F (Standstill, AnswerThatWasResetMeanwhileIsNotComplete)
+{
+  set_engine_scripts ([] (wire::Socket &socket, const wire::Message &message) {
+    socket.send (
+        Target::signed_head (message, "200 OK", "\r\nhalf of the body"));
+    std::this_thread::sleep_for (std::chrono::milliseconds (500));
+    socket.reset ();
+    return false;
+  });
+  wire::Socket socket (wire::Socket::connect_to (router->callers ()));
+  socket.send (request ("POST", "/once/x", "", "b"));
+  ASSERT_TRUE (Router::eventually (
+      [this] { return engine_request_count () == 1; }, 200));
+  std::this_thread::sleep_for (std::chrono::milliseconds (100));
+  router->signal (SIGSTOP);
+  std::this_thread::sleep_for (std::chrono::milliseconds (1700));
+  router->signal (SIGCONT);
+  EXPECT_NE (socket.read (3000).status (), 200);
+}
+
+// The same of a stream.
+TEST_F (Standstill, StreamThatWasResetMeanwhileIsNotComplete)
+{
+  set_engine_scripts ([] (wire::Socket &socket, const wire::Message &message) {
+    socket.send (Target::signed_head (message, "200 OK",
+                                      "Content-Type: text/event-stream\r\n\r\n"
+                                          + Target::event (1)));
+    std::this_thread::sleep_for (std::chrono::milliseconds (500));
+    socket.reset ();
+    return false;
+  });
+  wire::Socket socket (wire::Socket::connect_to (router->callers ()));
+  socket.send (request ("POST", "/talk/x", "", "b"));
+  ASSERT_TRUE (Router::eventually (
+      [this] { return engine_request_count () == 1; }, 200));
+  std::this_thread::sleep_for (std::chrono::milliseconds (100));
+  router->signal (SIGSTOP);
+  std::this_thread::sleep_for (std::chrono::milliseconds (9500));
+  router->signal (SIGCONT);
+  EXPECT_FALSE (socket.read (3000).is_complete);
+}
+
 }
