Add a quarantine for parts of prompts under which targets crash

It takes reports of crashes, each with the target and the parts of the requests that the target was beginning to answer, and blocks a part when three different targets have crashed under it, five if a request with it was answered in the last minute. An answer since the first crash clears a part; crashes that a blocked part explains count against no other. A block lasts ten minutes beyond the latest request with the part.

Weighed: blocking by caller, route or first part, which sound requests share; counting failures by part, which cuts without a crash would fill.

--- /dev/null
+++ b/include/cranberrystile/quarantine.h
@@ -0,0 +1,116 @@
+/* Finds the parts of prompts under which targets crash, and blocks requests
+   with them.
+
+   A crash report names a target that crashed and the parts of the requests
+   that it was beginning to answer.  A part is blocked when enough different
+   targets have crashed under it and no request with it has been answered
+   since.  Reports and answers of all routers count: each sees only some of
+   them.  Not thread-safe.  */
+
+#ifndef CS_QUARANTINE_H
+#define CS_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "common/clock.h"
+#include "cranberrystile/prompt_parts.h"
+
+/* Number of parts that are under suspicion or blocked at a time.  */
+#define CS_QUARANTINE_SUSPECTS 256
+
+typedef struct
+{
+  uint32_t crashes;        /* of different targets, until a part is blocked */
+  uint32_t crashes_served; /* likewise, if a request with the part was answered
+                              less than SERVED_US ago */
+  cs_time_us_t served_us;
+  cs_time_us_t innocent_us; /* a part is not suspected if a request with it was
+                               answered less than this ago */
+  cs_time_us_t evidence_us; /* how long a crash counts after the latest one */
+  cs_time_us_t block_us;    /* how long a part stays blocked after the latest
+                               request with it */
+} cs_quarantine_policy_t;
+
+cs_quarantine_policy_t cs_quarantine_policy_default (void);
+
+typedef struct
+{
+  uint64_t target; /* hash of the incarnation */
+  cs_prompt_parts_t
+      parts; /* of the requests that it was beginning to answer */
+  cs_time_us_t at;
+} cs_crash_t;
+
+/* A request with PART was answered at AT.  */
+typedef struct
+{
+  uint64_t part;
+  cs_time_us_t at;
+} cs_part_served_t;
+
+typedef enum
+{
+  CS_CRASH_KNOWN,  /* nothing new */
+  CS_CRASH_NEWS,   /* peers should hear of it */
+  CS_CRASH_BLOCKED /* likewise; a part of it is now blocked */
+} cs_crash_result_t;
+
+/* Called when PART is blocked after CRASHES, 0 if another router found that,
+   or no longer is.  */
+typedef void cs_part_blocked_fn (void *context, uint64_t part, bool is_blocked,
+                                 uint32_t crashes);
+
+typedef struct cs_quarantine cs_quarantine_t;
+
+/* Returns NULL if memory is exhausted.  */
+cs_quarantine_t *cs_quarantine_create (const cs_quarantine_policy_t *policy,
+                                       cs_part_blocked_fn *on_blocked,
+                                       void *context);
+void cs_quarantine_destroy (cs_quarantine_t *quarantine);
+
+/* Removes from CRASH the parts that are innocent by what this router
+   answered.  */
+void cs_quarantine_drop_innocent (const cs_quarantine_t *quarantine,
+                                  cs_crash_t *crash, cs_time_us_t now);
+
+/* Records a crash that this router or a peer saw.  */
+cs_crash_result_t cs_quarantine_add_crash (cs_quarantine_t *quarantine,
+                                           const cs_crash_t *crash,
+                                           cs_time_us_t now);
+
+/* Stores in OUT which parts of CRASH this router has answered more recently
+   than its peers know, and returns their number.  They are to be told.  */
+size_t cs_quarantine_list_served (cs_quarantine_t *quarantine,
+                                  const cs_crash_t *crash, cs_time_us_t now,
+                                  cs_part_served_t out[CS_MAX_PART_IDS]);
+
+/* Records that this router has answered a request with PARTS.  Stores in OUT
+   those of which peers should hear, and returns their number.  */
+size_t cs_quarantine_served (cs_quarantine_t *quarantine,
+                             const cs_prompt_parts_t *parts, cs_time_us_t now,
+                             cs_part_served_t out[CS_MAX_PART_IDS]);
+
+/* Records that a peer has.  Returns whether that was news.  */
+bool cs_quarantine_add_served (cs_quarantine_t *quarantine,
+                               const cs_part_served_t *served,
+                               cs_time_us_t now);
+
+/* Records that a peer, or the platform's store, has PART as blocked.  Returns
+   whether that was news.  It is not believed of a part that was answered less
+   than SERVED_US ago.  */
+bool cs_quarantine_block (cs_quarantine_t *quarantine, uint64_t part,
+                          cs_time_us_t now);
+
+/* Whether a request with PARTS is blocked, and stores when that ends unless
+   more such requests come in *UNTIL.  */
+bool cs_quarantine_blocks (cs_quarantine_t *quarantine,
+                           const cs_prompt_parts_t *parts, cs_time_us_t now,
+                           cs_time_us_t *until);
+
+/* Stores the blocked parts in OUT and returns their number.  */
+size_t cs_quarantine_list_blocked (const cs_quarantine_t *quarantine,
+                                   cs_time_us_t now,
+                                   uint64_t out[CS_QUARANTINE_SUSPECTS]);
+
+#endif
--- /dev/null
+++ b/tests/unit/quarantine_test.cc
@@ -0,0 +1,274 @@
+// Which parts of prompts are blocked after targets have crashed under them.
+
+#include <map>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/hash.h"
+#include "cranberrystile/quarantine.h"
+}
+
+namespace
+{
+
+const uint64_t shared = 0xa;
+const uint64_t other = 0xb;
+const uint64_t bad = 0xbad;
+
+class Quarantine : public testing::Test
+{
+protected:
+  Quarantine ()
+  {
+    policy = cs_quarantine_policy_default ();
+    quarantine = cs_quarantine_create (&policy, on_blocked, this);
+  }
+
+  ~Quarantine () override { cs_quarantine_destroy (quarantine); }
+
+  static void
+  on_blocked (void *context, uint64_t part, bool is_blocked, uint32_t crashes)
+  {
+    static_cast<Quarantine *> (context)->changes.push_back (
+        { part, is_blocked });
+  }
+
+  static cs_prompt_parts_t
+  parts (const std::vector<uint64_t> &ids)
+  {
+    cs_prompt_parts_t out = {};
+    for (uint64_t id : ids)
+      out.ids[out.count++] = id;
+    return out;
+  }
+
+  cs_crash_result_t
+  crash (uint64_t target, const std::vector<uint64_t> &ids)
+  {
+    cs_crash_t report = { target, parts (ids), now };
+    return cs_quarantine_add_crash (quarantine, &report, now);
+  }
+
+  size_t
+  answer (const std::vector<uint64_t> &ids)
+  {
+    cs_part_served_t out[CS_MAX_PART_IDS];
+    cs_prompt_parts_t answered = parts (ids);
+    return cs_quarantine_served (quarantine, &answered, now, out);
+  }
+
+  bool
+  blocks (uint64_t part)
+  {
+    cs_time_us_t until;
+    cs_prompt_parts_t one = parts ({ part });
+    return cs_quarantine_blocks (quarantine, &one, now, &until);
+  }
+
+  struct Change
+  {
+    uint64_t part;
+    bool is_blocked;
+  };
+
+  cs_quarantine_policy_t policy;
+  cs_quarantine_t *quarantine;
+  cs_time_us_t now = 1000 * CS_US_PER_S;
+  std::vector<Change> changes;
+};
+
+TEST_F (Quarantine, BlocksAPartUnderWhichThreeTargetsCrashed)
+{
+  EXPECT_EQ (crash (1, { bad }), CS_CRASH_NEWS);
+  EXPECT_EQ (crash (2, { bad }), CS_CRASH_NEWS);
+  EXPECT_FALSE (blocks (bad));
+  EXPECT_EQ (crash (3, { bad }), CS_CRASH_BLOCKED);
+  EXPECT_TRUE (blocks (bad));
+  ASSERT_EQ (changes.size (), 1U);
+  EXPECT_EQ (changes[0].part, bad);
+}
+
+// Each router that had requests at a target reports its crash.
+TEST_F (Quarantine, CountsACrashOnceHoweverManyRoutersReportIt)
+{
+  EXPECT_EQ (crash (1, { bad }), CS_CRASH_NEWS);
+  for (int i = 0; i < 10; i++)
+    EXPECT_EQ (crash (1, { bad }), CS_CRASH_KNOWN);
+  EXPECT_FALSE (blocks (bad));
+}
+
+// The parts that sound requests share were blocked with the bad one.
+TEST_F (Quarantine, DoesNotBlockPartsThatWereAnswered)
+{
+  answer ({ shared, other });
+  now += 10 * CS_US_PER_S;
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { shared, other, bad });
+  EXPECT_TRUE (blocks (bad));
+  for (uint64_t target = 4; target <= 20; target++)
+    crash (target, { shared, other, bad });
+  EXPECT_FALSE (blocks (shared));
+  EXPECT_FALSE (blocks (other));
+}
+
+// A part may have been answered until what it holds met a new engine version.
+TEST_F (Quarantine, BlocksAPartThatWasAnsweredAfterFiveCrashes)
+{
+  answer ({ bad });
+  now += 10 * CS_US_PER_S;
+  for (uint64_t target = 1; target <= 4; target++)
+    EXPECT_EQ (crash (target, { bad }), CS_CRASH_NEWS);
+  EXPECT_FALSE (blocks (bad));
+  EXPECT_EQ (crash (5, { bad }), CS_CRASH_BLOCKED);
+}
+
+TEST_F (Quarantine, AnAnswerSinceTheCrashesClearsAPart)
+{
+  crash (1, { other });
+  crash (2, { other });
+  now += CS_US_PER_S;
+  EXPECT_EQ (answer ({ other }), 1U) << "peers should hear of it";
+  EXPECT_EQ (crash (3, { other }), CS_CRASH_NEWS);
+  EXPECT_FALSE (blocks (other));
+}
+
+TEST_F (Quarantine, AnAnswerOfAPeerSinceTheCrashesClearsAPart)
+{
+  crash (1, { other });
+  crash (2, { other });
+  now += CS_US_PER_S;
+  cs_part_served_t served = { other, now };
+  EXPECT_TRUE (cs_quarantine_add_served (quarantine, &served, now));
+  EXPECT_FALSE (cs_quarantine_add_served (quarantine, &served, now));
+  crash (3, { other });
+  EXPECT_FALSE (blocks (other));
+}
+
+TEST_F (Quarantine, TellsPeersWhatItAnsweredOfAReport)
+{
+  cs_part_served_t out[CS_MAX_PART_IDS];
+  cs_crash_t report = { 1, parts ({ other, bad }), now };
+  answer ({ other });
+  now += 3 * CS_US_PER_S;
+  report.at = now;
+  cs_quarantine_add_crash (quarantine, &report, now);
+  ASSERT_EQ (cs_quarantine_list_served (quarantine, &report, now, out), 1U);
+  EXPECT_EQ (out[0].part, other);
+  EXPECT_EQ (cs_quarantine_list_served (quarantine, &report, now, out), 0U);
+}
+
+// The crash of a target under a bad part was counted against the requests that
+// other routers had at the same target.
+TEST_F (Quarantine, DoesNotBlameOthersForCrashesUnderABlockedPart)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { bad });
+  for (uint64_t target = 1; target <= 3; target++)
+    EXPECT_EQ (crash (target, { other }), CS_CRASH_KNOWN);
+  EXPECT_FALSE (blocks (other));
+}
+
+TEST_F (Quarantine, AnAnswerEndsABlock)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { other });
+  EXPECT_TRUE (blocks (other));
+  now += CS_US_PER_S;
+  answer ({ other });
+  EXPECT_FALSE (blocks (other));
+}
+
+TEST_F (Quarantine, StaysBlockedWhileRequestsCome)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { bad });
+  for (int i = 0; i < 5; i++)
+    {
+      now += policy.block_us / 2;
+      EXPECT_TRUE (blocks (bad));
+    }
+  now += policy.block_us + 1;
+  EXPECT_FALSE (blocks (bad));
+  EXPECT_EQ (crash (9, { bad }), CS_CRASH_BLOCKED)
+      << "one more crash is enough";
+}
+
+TEST_F (Quarantine, ForgetsOldCrashes)
+{
+  crash (1, { other });
+  crash (2, { other });
+  now += policy.evidence_us + 1;
+  EXPECT_EQ (crash (3, { other }), CS_CRASH_NEWS);
+}
+
+TEST_F (Quarantine, BelievesAPeerUnlessThePartWasAnswered)
+{
+  answer ({ other });
+  now += CS_US_PER_S;
+  EXPECT_TRUE (cs_quarantine_block (quarantine, bad, now));
+  EXPECT_FALSE (cs_quarantine_block (quarantine, bad, now));
+  EXPECT_FALSE (cs_quarantine_block (quarantine, other, now));
+  EXPECT_TRUE (blocks (bad));
+  EXPECT_FALSE (blocks (other));
+}
+
+TEST_F (Quarantine, KeepsBlockedPartsWhenManyAreSuspected)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { bad });
+  for (uint64_t i = 0; i < 3 * CS_QUARANTINE_SUSPECTS; i++)
+    crash (100 + i, { 1000 + i });
+  EXPECT_TRUE (blocks (bad));
+}
+
+TEST_F (Quarantine, DropsPartsThatWereJustAnswered)
+{
+  cs_crash_t report = { 1, parts ({ shared, bad }), now };
+  answer ({ shared });
+  cs_quarantine_drop_innocent (quarantine, &report, now);
+  ASSERT_EQ (report.parts.count, 1U);
+  EXPECT_EQ (report.parts.ids[0], bad);
+}
+
+// Targets crash under a bad part and for other reasons, each with requests of
+// a few of 300 subjects that are asked for now and then.
+TEST_F (Quarantine, FindsTheBadPartAmongOthers)
+{
+  for (uint64_t seed = 1; seed <= 50; seed++)
+    {
+      cs_quarantine_t *fleet
+          = cs_quarantine_create (&policy, on_blocked, this);
+      cs_random_t random = { seed, 0 };
+      cs_part_served_t out[CS_MAX_PART_IDS];
+      changes.clear ();
+      int crashes_under_bad = 0;
+      for (uint64_t step = 0; step < 2000; step++)
+        {
+          now += 20 * CS_US_PER_MS;
+          cs_prompt_parts_t answered
+              = parts ({ shared, 1000 + cs_random_u64 (&random) % 300 });
+          cs_quarantine_served (fleet, &answered, now, out);
+          if (step % 40 != 0)
+            continue;
+          bool is_bad = step % 80 == 0 && changes.empty ();
+          crashes_under_bad += is_bad;
+          std::vector<uint64_t> ids
+              = { shared, 1000 + cs_random_u64 (&random) % 300,
+                  1000 + cs_random_u64 (&random) % 300 };
+          if (is_bad)
+            ids.push_back (bad);
+          cs_crash_t report = { 10000 + step, parts (ids), now };
+          cs_quarantine_drop_innocent (fleet, &report, now);
+          cs_quarantine_add_crash (fleet, &report, now);
+        }
+      EXPECT_EQ (crashes_under_bad, 3) << "seed " << seed;
+      ASSERT_EQ (changes.size (), 1U) << "seed " << seed;
+      EXPECT_EQ (changes[0].part, bad) << "seed " << seed;
+      cs_quarantine_destroy (fleet);
+    }
+}
+
+}
