Keep requests that would end their target from targets

Cause: outcomes were counted by target alone. The next target in use was sent the next request with that part, and each router saw only its share of the crashes.

Now a connection that breaks when the target has written at most three events of an answer is followed by a connection attempt; if that fails too, the target has crashed, and the parts of the requests that it was beginning to answer are reported. Heartbeats carry reports and answers to all routers, on the way that notices of leaving targets take, so each router decides from the crashes of the fleet. A request with a blocked part is refused, 503 with Retry-After: it has not run, also where a stream would be resumed. The router whose report blocks a part writes it to the platform's store (kind blockedparts); routers read that at their start, so that a block outlasts a loss of all routers.

Ruled out: a count in each router alone (six routers would need thirty crashes), and only not resuming (one crash for each request would remain).

--- a/common/error.c
+++ b/common/error.c
@@ -29,7 +29,8 @@
                                                    "internal",
                                                    "head_too_large",
                                                    "slow_caller",
-                                                   "target_failed" };
+                                                   "target_failed",
+                                                   "blocked_part" };
 
 const char *
 cs_error_name (int error)
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -38,11 +38,14 @@
   X (TARGET_REMOVED, 1408, 5)                                                 \
   X (TARGET_MISSING, 1409, 4)                                                 \
   X (TARGET_PAUSED, 1410, 5)                                                  \
+  X (TARGET_CRASHED, 1411, 4)                                                 \
   X (REQUEST_FAILED, 1501, 6)                                                 \
   X (STREAM_RESUMED, 1502, 6)                                                 \
   X (REQUEST_DONE, 1503, 6)                                                   \
   X (ATTEMPT_FAILED, 1504, 6)                                                 \
   X (CALLER_CLOSED, 1505, 5)                                                  \
+  X (PART_BLOCKED, 1506, 4)                                                   \
+  X (PART_UNBLOCKED, 1507, 5)                                                 \
   X (CLAIM_UNKNOWN, 1601, 4)                                                  \
   X (CLAIM_SWEPT, 1602, 6)                                                    \
   X (LEASE_ACQUIRED, 1701, 5)                                                 \
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -18,7 +18,8 @@
 {
   CS_STORE_ROUTING, /* a single object with the whole configuration */
   CS_STORE_TARGETS, /* one object per target */
-  CS_STORE_ROUTERS  /* one object per router, written by the router itself */
+  CS_STORE_ROUTERS, /* one object per router, written by the router itself */
+  CS_STORE_BLOCKED_PARTS /* one object per blocked part of prompts */
 } cs_store_kind_t;
 
 const char *cs_store_kind_name (cs_store_kind_t kind);
@@ -110,6 +111,26 @@
    CS_ERR_NO_MEMORY.  */
 int cs_store_write_router (const cs_router_entry_t *entry, cs_buf_t *out);
 
+/* A part of prompts under which targets crashed.  */
+typedef struct
+{
+  uint64_t part;
+  uint64_t blocked_ms; /* wall clock */
+} cs_store_blocked_part_t;
+
+/* Appends the path of the object of PART if it EXISTS, or the one at which it
+   is created.  */
+int cs_store_blocked_part_path (uint64_t part, bool exists, cs_buf_t *out);
+
+/* Returns 0, or CS_ERR_BAD_REQUEST if the object is invalid.  */
+int cs_store_read_blocked_part (const cs_store_object_t *object,
+                                cs_store_blocked_part_t *out);
+
+/* Appends PART as a JSON object of the store to OUT.  Returns 0 or
+   CS_ERR_NO_MEMORY.  */
+int cs_store_write_blocked_part (const cs_store_blocked_part_t *part,
+                                 cs_buf_t *out);
+
 /* Decodes a target's entry.  Returns 0, or CS_ERR_BAD_REQUEST if it does not
    describe a usable target.  */
 int cs_store_read_target (const cs_store_object_t *object,
--- /dev/null
+++ b/include/router/crash_check.h
@@ -0,0 +1,16 @@
+/* Finds out whether a target has crashed when its connection breaks as it
+   begins to answer: it then refuses connections.  */
+
+#ifndef CS_ROUTER_CRASH_CHECK_H
+#define CS_ROUTER_CRASH_CHECK_H
+
+#include "router/router.h"
+
+/* Connects to TARGET, and reports a crash under PARTS if that fails.  */
+void cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
+                           const cs_prompt_parts_t *parts, cs_time_us_t now);
+
+/* Ends the checks in progress.  */
+void cs_crash_checks_end (cs_router_t *router);
+
+#endif
--- /dev/null
+++ b/include/router/quarantine.h
@@ -0,0 +1,29 @@
+/* Connects the quarantine of prompt parts to the targets, the peers and the
+   platform's store.  */
+
+#ifndef CS_ROUTER_QUARANTINE_H
+#define CS_ROUTER_QUARANTINE_H
+
+#include "router/router.h"
+
+/* Returns NULL if memory is exhausted.  */
+cs_quarantine_t *cs_router_quarantine_create (cs_router_t *router);
+
+/* A target of this router crashed.  Parts of CRASH that are innocent are
+   removed from it.  */
+void cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash,
+                           cs_time_us_t now);
+
+/* A peer reports a crash.  */
+void cs_router_crash_reported (cs_router_t *router, const cs_crash_t *crash,
+                               cs_time_us_t now);
+
+/* A peer has PART as blocked.  */
+void cs_router_block_reported (cs_router_t *router, uint64_t part,
+                               cs_time_us_t now);
+
+/* A request with PARTS was answered.  */
+void cs_router_parts_served (cs_router_t *router,
+                             const cs_prompt_parts_t *parts, cs_time_us_t now);
+
+#endif
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -8,6 +8,7 @@
 #include "common/hash.h"
 #include "cranberrystile/chooser.h"
 #include "cranberrystile/fleet.h"
+#include "cranberrystile/quarantine.h"
 #include "cranberrystile/routing.h"
 #include "net/loop.h"
 #include "router/connection.h"
@@ -17,6 +18,8 @@
 
 typedef struct cs_caller cs_caller_t;
 typedef struct cs_mesh cs_mesh_t;
+typedef struct cs_crash_check cs_crash_check_t;
+typedef struct cs_blocked_parts cs_blocked_parts_t;
 
 /* How recent the local copy of one kind of platform state is.  It is updated
    by calls to the platform and by peers.  */
@@ -40,6 +43,9 @@
   cs_fleet_t *fleet; /* all known targets */
   bool fleet_synced; /* a complete list of targets has been received */
   cs_chooser_t *chooser;
+  cs_quarantine_t *quarantine;
+  cs_crash_check_t *crash_checks;    /* in progress */
+  cs_blocked_parts_t *blocked_parts; /* in the platform's store */
   cs_service_table_t services;
   cs_connection_env_t connection_env;
   cs_random_t random;
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &cs__router__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__crash__init
+                     (Cs__Router__Crash         *message)
+{
+  static const Cs__Router__Crash init_value = CS__ROUTER__CRASH__INIT;
+  *message = init_value;
+}
+size_t cs__router__crash__get_packed_size
+                     (const Cs__Router__Crash *message)
+{
+  assert(message->base.descriptor == &cs__router__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__crash__pack
+                     (const Cs__Router__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__crash__pack_to_buffer
+                     (const Cs__Router__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Crash *
+       cs__router__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Crash *)
+     protobuf_c_message_unpack (&cs__router__crash__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__crash__free_unpacked
+                     (Cs__Router__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cs__router__served__init
+                     (Cs__Router__Served         *message)
+{
+  static const Cs__Router__Served init_value = CS__ROUTER__SERVED__INIT;
+  *message = init_value;
+}
+size_t cs__router__served__get_packed_size
+                     (const Cs__Router__Served *message)
+{
+  assert(message->base.descriptor == &cs__router__served__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__served__pack
+                     (const Cs__Router__Served *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__served__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__served__pack_to_buffer
+                     (const Cs__Router__Served *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__served__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Served *
+       cs__router__served__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Served *)
+     protobuf_c_message_unpack (&cs__router__served__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__served__free_unpacked
+                     (Cs__Router__Served *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__served__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__leaving__init
                      (Cs__Router__Leaving         *message)
 {
@@ -534,7 +624,7 @@
   (ProtobufCMessageInit) cs__router__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__beat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cs__router__beat__field_descriptors[17] =
 {
   {
     "routing_version",
@@ -704,8 +794,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Beat, n_crashes),
+    offsetof(Cs__Router__Beat, crashes),
+    &cs__router__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Beat, n_served),
+    offsetof(Cs__Router__Beat, served),
+    &cs__router__served__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocked_parts",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Router__Beat, n_blocked_parts),
+    offsetof(Cs__Router__Beat, blocked_parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__beat__field_indices_by_name[] = {
+  16,   /* field[16] = blocked_parts */
+  14,   /* field[14] = crashes */
   11,   /* field[11] = echo */
   9,   /* field[9] = has_others */
   4,   /* field[4] = has_routing_age */
@@ -716,6 +844,7 @@
   7,   /* field[7] = own */
   2,   /* field[2] = routing_age_ms */
   0,   /* field[0] = routing_version */
+  15,   /* field[15] = served */
   6,   /* field[6] = stopping */
   3,   /* field[3] = targets_age_ms */
   13,   /* field[13] = targets_era */
@@ -724,7 +853,7 @@
 static const ProtobufCIntRange cs__router__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor cs__router__beat__descriptor =
 {
@@ -734,13 +863,128 @@
   "Cs__Router__Beat",
   "cs.router",
   sizeof(Cs__Router__Beat),
-  14,
+  17,
   cs__router__beat__field_descriptors,
   cs__router__beat__field_indices_by_name,
   1,  cs__router__beat__number_ranges,
   (ProtobufCMessageInit) cs__router__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__router__crash__field_descriptors[3] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Crash, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Router__Crash, n_parts),
+    offsetof(Cs__Router__Crash, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Crash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = parts */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange cs__router__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cs__router__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Crash",
+  "Crash",
+  "Cs__Router__Crash",
+  "cs.router",
+  sizeof(Cs__Router__Crash),
+  3,
+  cs__router__crash__field_descriptors,
+  cs__router__crash__field_indices_by_name,
+  1,  cs__router__crash__number_ranges,
+  (ProtobufCMessageInit) cs__router__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__served__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Served, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Served, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__served__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange cs__router__served__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cs__router__served__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Served",
+  "Served",
+  "Cs__Router__Served",
+  "cs.router",
+  sizeof(Cs__Router__Served),
+  2,
+  cs__router__served__field_descriptors,
+  cs__router__served__field_indices_by_name,
+  1,  cs__router__served__number_ranges,
+  (ProtobufCMessageInit) cs__router__served__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__router__leaving__field_descriptors[4] =
 {
   {
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -18,6 +18,8 @@
 typedef struct Cs__Router__Hello Cs__Router__Hello;
 typedef struct Cs__Router__Load Cs__Router__Load;
 typedef struct Cs__Router__Beat Cs__Router__Beat;
+typedef struct Cs__Router__Crash Cs__Router__Crash;
+typedef struct Cs__Router__Served Cs__Router__Served;
 typedef struct Cs__Router__Leaving Cs__Router__Leaving;
 typedef struct Cs__Router__Routing Cs__Router__Routing;
 typedef struct Cs__Router__Target Cs__Router__Target;
@@ -122,10 +124,53 @@
    * of targets_revision; 0: not stated
    */
   uint64_t targets_era;
+  /*
+   * What the sender has learnt of parts under which targets crash, each sent
+   * once; the blocked parts as well when the connection is new.
+   */
+  size_t n_crashes;
+  Cs__Router__Crash **crashes;
+  size_t n_served;
+  Cs__Router__Served **served;
+  size_t n_blocked_parts;
+  uint64_t *blocked_parts;
 };
 #define CS__ROUTER__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A target crashed while it began to answer requests with these parts.
+ */
+struct  Cs__Router__Crash
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the incarnation
+   */
+  uint64_t target;
+  size_t n_parts;
+  uint64_t *parts;
+  uint32_t age_ms;
+};
+#define CS__ROUTER__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__crash__descriptor) \
+    , 0, 0,NULL, 0 }
+
+
+/*
+ * A request with this part was answered.
+ */
+struct  Cs__Router__Served
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t age_ms;
+};
+#define CS__ROUTER__SERVED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__served__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -309,6 +354,44 @@
 void   cs__router__beat__free_unpacked
                      (Cs__Router__Beat *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Crash methods */
+void   cs__router__crash__init
+                     (Cs__Router__Crash         *message);
+size_t cs__router__crash__get_packed_size
+                     (const Cs__Router__Crash   *message);
+size_t cs__router__crash__pack
+                     (const Cs__Router__Crash   *message,
+                      uint8_t             *out);
+size_t cs__router__crash__pack_to_buffer
+                     (const Cs__Router__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Crash *
+       cs__router__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__crash__free_unpacked
+                     (Cs__Router__Crash *message,
+                      ProtobufCAllocator *allocator);
+/* Cs__Router__Served methods */
+void   cs__router__served__init
+                     (Cs__Router__Served         *message);
+size_t cs__router__served__get_packed_size
+                     (const Cs__Router__Served   *message);
+size_t cs__router__served__pack
+                     (const Cs__Router__Served   *message,
+                      uint8_t             *out);
+size_t cs__router__served__pack_to_buffer
+                     (const Cs__Router__Served   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Served *
+       cs__router__served__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__served__free_unpacked
+                     (Cs__Router__Served *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Leaving methods */
 void   cs__router__leaving__init
                      (Cs__Router__Leaving         *message);
@@ -415,6 +498,12 @@
 typedef void (*Cs__Router__Beat_Closure)
                  (const Cs__Router__Beat *message,
                   void *closure_data);
+typedef void (*Cs__Router__Crash_Closure)
+                 (const Cs__Router__Crash *message,
+                  void *closure_data);
+typedef void (*Cs__Router__Served_Closure)
+                 (const Cs__Router__Served *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Leaving_Closure)
                  (const Cs__Router__Leaving *message,
                   void *closure_data);
@@ -439,6 +528,8 @@
 extern const ProtobufCMessageDescriptor cs__router__hello__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__load__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__beat__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__crash__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__served__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__leaving__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__routing__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__target__descriptor;
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "cranberrystile/silence.h"
+#include "router/crash_check.h"
 #include "router/forward/internal.h"
 #include "router/health.h"
 #include "router/mesh.h"
@@ -9,6 +10,9 @@
 /* Failed connection attempts per request.  They put no load on targets, but
    each one delays the caller.  */
 #define MAX_FAILED_CONNECTS 4
+/* Whole events that a target may have written of an answer that it has just
+   begun.  */
+#define MAX_EVENTS_BEGUN 3
 /* Fraction of the fleet's retry slack that routers divide among themselves;
    the rest covers routers that joined too recently to be counted.  */
 #define RETRY_SLACK_SHARE 0.75
@@ -149,6 +153,14 @@
   };
   for (uint32_t i = 0; i < forward->tried_count; i++)
     choice_request.avoid[i] = forward->tried_targets[i];
+  cs_time_us_t blocked_until;
+  if (cs_quarantine_blocks (router->quarantine, &forward->request.parts, now,
+                            &blocked_until))
+    {
+      forward->available_at = blocked_until;
+      cs_forward_fail (forward, CS_ERR_BLOCKED_PART, now);
+      return;
+    }
   int rc = cs_chooser_choose (router->chooser, router->fleet, &choice_request,
                               now, &forward->choice);
   if (rc != 0)
@@ -175,6 +187,7 @@
   forward->target->in_flight++;
   forward->sent_at = now;
   forward->last_event_at = 0;
+  forward->events_before = forward->events.count;
   cs_timer_set (&forward->watchdog, silence_deadline (forward) - now);
   router->counters.attempts++;
 }
@@ -285,6 +298,15 @@
   cs_buf_free (&parts);
 }
 
+/* Whether the connection broke when the target had written nothing or little
+   of its answer, so that the request may be what ended it.  */
+static bool
+has_just_begun (const cs_forward_t *forward, int error)
+{
+  return error == CS_ERR_CUT && forward->request.parts.count > 0
+         && forward->events.count - forward->events_before <= MAX_EVENTS_BEGUN;
+}
+
 void
 cs_forward_attempt_failed (cs_forward_t *forward, int error, bool was_sent,
                            cs_time_us_t now)
@@ -299,6 +321,9 @@
       forward->sent_attempts++;
       if (error != CS_ERR_REFUSED)
         forward->outcome_unknown = true;
+      if (has_just_begun (forward, error))
+        cs_crash_check_begin (forward->router, forward->target,
+                              &forward->request.parts, now);
     }
   cs_health_record_result (forward->router, forward->target, error, now);
   bool will_retry = take_retry (forward, error, was_sent, now);
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -44,6 +44,7 @@
   cs_target_t *tried_targets[CS_CHOICE_MAX_AVOIDED];
   uint32_t tried_count;
   uint32_t attempt_count;
+  uint64_t events_before;     /* whole events before the current attempt */
   uint32_t sent_attempts;     /* a byte may have reached the target */
   uint32_t failed_connects;   /* attempts that could not connect */
   bool outcome_unknown;       /* a target may have executed the request */
@@ -64,6 +65,7 @@
   bool is_event_stream; /* the response that was started is an event stream */
   bool chunked;         /* the caller receives chunked encoding */
   bool has_length;      /* the current response states LENGTH */
+  bool is_framed;       /* it does not end with its connection */
   uint64_t length;
   cs_event_stream_t events;
   bool paused; /* reading from the target waits for the caller */
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -6,6 +6,7 @@
 #include "router/caller.h"
 #include "router/forward/internal.h"
 #include "router/health.h"
+#include "router/quarantine.h"
 
 /* A response up to this size is buffered before any of it is sent to the
    caller, so that the request can still be retried if the response breaks
@@ -117,6 +118,7 @@
                       now - forward->received_at);
     }
   forward->has_length = head->has_length;
+  forward->is_framed = !head->ends_at_close;
   forward->length = head->length;
   if (forward->response_started || forward->mode == CS_FORWARD_REFUSED)
     return;
@@ -274,6 +276,16 @@
   cs_forward_complete (forward, close || forward->head.minor == 0, now);
 }
 
+/* Records an answer that shows what its parts do not: they end no target.  A
+   target that ends may seem to have completed an answer without a length.  */
+static void
+record_parts_served (const cs_forward_t *forward, cs_time_us_t now)
+{
+  if (forward->is_framed && cs_http_is_success (forward->status)
+      && forward->request.parts.count > 0)
+    cs_router_parts_served (forward->router, &forward->request.parts, now);
+}
+
 static void
 on_response_complete (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -291,14 +303,17 @@
           cs_forward_attempt_failed (forward, CS_ERR_CUT, true, now);
           return;
         }
+      record_parts_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       finish_response (forward, now);
       return;
     case CS_FORWARD_STREAMED:
+      record_parts_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       finish_response (forward, now);
       return;
     case CS_FORWARD_BUFFERED:
+      record_parts_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       cs_forward_send_buffered (forward, now);
       return;
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -10,10 +10,13 @@
 #include "common/log.h"
 #include "net/channel.h"
 #include "net/listener.h"
+#include "router/blocked_parts.h"
 #include "router/caller.h"
+#include "router/crash_check.h"
 #include "router/follower.h"
 #include "router/mesh.h"
 #include "router/operator.h"
+#include "router/quarantine.h"
 #include "router/router.h"
 
 /* Interval at which idle connections are closed, missing targets expire, the
@@ -202,11 +205,12 @@
     cs_fleet_set_hold (router->fleet,
                        cs_router_settings_expiry_us (&router->settings));
   router->chooser = cs_chooser_create (&policy, router->random.seed);
+  router->quarantine = cs_router_quarantine_create (router);
   router->connection_env.loop = router->loop;
   router->connection_env.settings = &router->settings;
   router->connection_env.counters = &router->counters;
   return router->loop != NULL && router->fleet != NULL
-         && router->chooser != NULL;
+         && router->chooser != NULL && router->quarantine != NULL;
 }
 
 static cs_listener_t *
@@ -260,7 +264,9 @@
   process->target_follower
       = cs_follower_create (router, CS_STORE_TARGETS, &router->targets_sync,
                             &cs_target_follower_handlers);
-  if (process->routing_follower == NULL || process->target_follower == NULL)
+  router->blocked_parts = cs_blocked_parts_create (router);
+  if (process->routing_follower == NULL || process->target_follower == NULL
+      || router->blocked_parts == NULL)
     return false;
   cs_timer_init (&process->tick, router->loop, on_tick, process);
   cs_timer_set (&process->tick, TICK_US);
@@ -274,6 +280,8 @@
   if (router->loop == NULL)
     return;
   cs_callers_close_all (router);
+  cs_crash_checks_end (router);
+  cs_blocked_parts_destroy (router->blocked_parts);
   cs_follower_destroy (process->routing_follower);
   cs_follower_destroy (process->target_follower);
   cs_mesh_destroy (router->mesh);
@@ -282,6 +290,7 @@
   cs_listener_destroy (process->metrics_listener);
   cs_fleet_destroy (router->fleet);
   cs_chooser_destroy (router->chooser);
+  cs_quarantine_destroy (router->quarantine);
   cs_service_table_free (&router->services);
   cs_routing_release (router->routing);
   cs_buf_free (&router->routing_document);
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -72,6 +72,9 @@
     if (!cs_name_is_valid (beat->leaving[i]->target)
         || beat->leaving[i]->port > UINT16_MAX)
       return false;
+  for (size_t i = 0; i < beat->n_crashes; i++)
+    if (beat->crashes[i]->n_parts > CS_MAX_PART_IDS)
+      return false;
   return true;
 }
 
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -42,6 +42,35 @@
   uint64_t count;                   /* of all notices so far */
 } cs_notices_t;
 
+/* Number of crash notices that are kept for links that have not sent them
+   yet.  */
+#define CS_CRASH_NOTICES 128
+
+typedef enum
+{
+  CS_NOTICE_CRASH,
+  CS_NOTICE_SERVED,
+  CS_NOTICE_BLOCKED
+} cs_crash_notice_kind_t;
+
+typedef struct
+{
+  cs_crash_notice_kind_t kind;
+  union
+  {
+    cs_crash_t crash;
+    cs_part_served_t served;
+    uint64_t blocked; /* the part */
+  };
+} cs_crash_notice_t;
+
+/* What was learnt of parts under which targets crash, in a ring.  */
+typedef struct
+{
+  cs_crash_notice_t notices[CS_CRASH_NOTICES];
+  uint64_t count; /* of all notices so far */
+} cs_crash_notices_t;
+
 /* A complete list of targets as a compressed frame.  After a loss of power all
    members of a data centre ask for the same one.  */
 typedef struct
@@ -68,8 +97,9 @@
   cs_link_t *links;
   cs_packed_list_t packed_list;
   cs_notices_t notices;
-  cs_timer_t notice_timer; /* fires when notices are to be sent */
-  bool notice_due;         /* notice_timer is set */
+  cs_crash_notices_t *crash_notices; /* NULL until there are any */
+  cs_timer_t notice_timer;           /* fires when notices are to be sent */
+  bool notice_due;                   /* notice_timer is set */
   cs_load_t *sums; /* two per target: of this router's data centre, and of
                      the other data centres */
   size_t sums_capacity;
@@ -100,7 +130,9 @@
   cs_revision_t targets_revision;
   bool was_behind; /* at the previous heartbeat */
 
-  uint64_t notices_sent;     /* position in the mesh's notices */
+  uint64_t notices_sent; /* position in the mesh's notices */
+  uint64_t crash_notices_sent;
+  bool blocked_sent;         /* the list of blocked parts */
   uint32_t last_sent_number; /* of heartbeats */
   uint32_t last_received_number;
   cs_time_us_t heartbeat_sent_at[CS_HEARTBEAT_HISTORY];
@@ -230,6 +262,18 @@
 void cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat);
 void cs_notices_free (cs_mesh_t *mesh);
 
+/* Sends extra heartbeats soon, which carry the notices.  */
+void cs_mesh_send_notices (cs_mesh_t *mesh);
+
+/* crash_notices.c: spreads what is known of parts under which targets crash,
+   in the same way.  */
+bool cs_crash_notices_are_due (const cs_link_t *link);
+void cs_crash_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat,
+                                      cs_time_us_t now);
+void cs_crash_notices_read_heartbeat (cs_link_t *link,
+                                      const Cs__Router__Beat *beat,
+                                      cs_time_us_t now);
+
 /* directory.c: router entries in the platform's store.  */
 cs_directory_t *cs_directory_create (cs_mesh_t *mesh);
 void cs_directory_destroy (cs_directory_t *directory);
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -90,6 +90,7 @@
   cs_sync_fill_heartbeat (link, &beat, now);
   cs_loads_fill_heartbeat (link, &beat);
   cs_notices_fill_heartbeat (link, &beat);
+  cs_crash_notices_fill_heartbeat (link, &beat, now);
   frame.body_case = CS__ROUTER__FRAME__BODY_BEAT;
   frame.beat = &beat;
   cs_link_send (link, &frame);
@@ -116,7 +117,8 @@
   cs_mesh_t *mesh = context;
   mesh->notice_due = false;
   for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
-    if (link->notices_sent < mesh->notices.count)
+    if (link->notices_sent < mesh->notices.count
+        || cs_crash_notices_are_due (link))
       cs_link_send_heartbeat (link, now);
 }
 
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "router/apply.h"
 #include "router/peer/internal.h"
 
@@ -15,6 +17,12 @@
   cs_target_release (*slot);
   *slot = cs_target_reference ((cs_target_t *)target);
   notices->count++;
+  cs_mesh_send_notices (mesh);
+}
+
+void
+cs_mesh_send_notices (cs_mesh_t *mesh)
+{
   if (mesh->notice_due)
     return;
   mesh->notice_due = true;
@@ -72,4 +80,5 @@
   cs_timer_clear (&mesh->notice_timer);
   for (size_t i = 0; i < CS_NOTICES; i++)
     cs_target_release (mesh->notices.targets[i]);
+  free (mesh->crash_notices);
 }
--- /dev/null
+++ b/router/quarantine.c
@@ -0,0 +1,90 @@
+#include "router/quarantine.h"
+
+#include "common/log.h"
+#include "router/blocked_parts.h"
+#include "router/mesh.h"
+
+static void
+on_blocked (void *context, uint64_t part, bool is_blocked, uint32_t crashes)
+{
+  cs_router_t *router = context;
+  if (!is_blocked)
+    {
+      cs_log (CS_EV_PART_UNBLOCKED, "part=%llx", (unsigned long long)part);
+      return;
+    }
+  cs_log (CS_EV_PART_BLOCKED, "part=%llx crashes=%u", (unsigned long long)part,
+          crashes);
+  cs_mesh_announce_blocked (router->mesh, part);
+}
+
+cs_quarantine_t *
+cs_router_quarantine_create (cs_router_t *router)
+{
+  cs_quarantine_policy_t policy = cs_quarantine_policy_default ();
+  return cs_quarantine_create (&policy, on_blocked, router);
+}
+
+/* Tells peers which parts of CRASH this router has answered.  */
+static void
+announce_served (cs_router_t *router, const cs_crash_t *crash,
+                 cs_time_us_t now)
+{
+  cs_part_served_t served[CS_MAX_PART_IDS];
+  size_t count
+      = cs_quarantine_list_served (router->quarantine, crash, now, served);
+  for (size_t i = 0; i < count; i++)
+    cs_mesh_announce_served (router->mesh, &served[i]);
+}
+
+static cs_crash_result_t
+add_crash (cs_router_t *router, const cs_crash_t *crash, cs_time_us_t now)
+{
+  cs_crash_result_t result
+      = cs_quarantine_add_crash (router->quarantine, crash, now);
+  if (result == CS_CRASH_KNOWN)
+    return result;
+  cs_mesh_announce_crash (router->mesh, crash);
+  announce_served (router, crash, now);
+  return result;
+}
+
+void
+cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash, cs_time_us_t now)
+{
+  cs_time_us_t until;
+  cs_quarantine_drop_innocent (router->quarantine, crash, now);
+  if (add_crash (router, crash, now) != CS_CRASH_BLOCKED)
+    return;
+  for (uint32_t i = 0; i < crash->parts.count; i++)
+    {
+      cs_prompt_parts_t part = { { crash->parts.ids[i] }, 1 };
+      if (cs_quarantine_blocks (router->quarantine, &part, now, &until))
+        cs_blocked_parts_save (router->blocked_parts, part.ids[0]);
+    }
+}
+
+void
+cs_router_crash_reported (cs_router_t *router, const cs_crash_t *crash,
+                          cs_time_us_t now)
+{
+  add_crash (router, crash, now);
+}
+
+void
+cs_router_block_reported (cs_router_t *router, uint64_t part, cs_time_us_t now)
+{
+  cs_crash_t crash = { .parts = { { part }, 1 } };
+  if (!cs_quarantine_block (router->quarantine, part, now))
+    announce_served (router, &crash, now);
+}
+
+void
+cs_router_parts_served (cs_router_t *router, const cs_prompt_parts_t *parts,
+                        cs_time_us_t now)
+{
+  cs_part_served_t served[CS_MAX_PART_IDS];
+  size_t count = cs_quarantine_served (router->quarantine, parts, now, served);
+  for (size_t i = 0; i < count; i++)
+    cs_mesh_announce_served (router->mesh, &served[i]);
+}
--- /dev/null
+++ b/router/store/blocked_parts.c
@@ -0,0 +1,194 @@
+#include "router/blocked_parts.h"
+
+#include <stdlib.h>
+
+#include "http/head.h"
+#include "platform/store.h"
+#include "router/quarantine.h"
+#include "router/store_client.h"
+
+/* Pause before a call that failed is made again.  */
+#define RETRY_PAUSE_US CS_US_PER_S
+/* Changes that wait to be written; more are left to the peers.  */
+#define MAX_CHANGES 16
+
+#define STATUS_NOT_FOUND 404
+#define STATUS_CONFLICT 409
+
+typedef struct
+{
+  uint64_t part;
+  bool remove;  /* the entry has expired */
+  bool replace; /* there is an entry already */
+} change_t;
+
+struct cs_blocked_parts
+{
+  cs_router_t *router;
+  cs_store_client_t *client;
+  cs_timer_t timer;
+  bool is_read;
+  bool call_in_flight;
+  cs_name_t page_after;
+  change_t changes[MAX_CHANGES]; /* the first one is being written */
+  size_t change_count;
+};
+
+/* Builds the call that writes CHANGE.  Returns 0 or CS_ERR_NO_MEMORY.  */
+static int
+build_write (const change_t *change, const char **method, cs_buf_t *path,
+             cs_buf_t *body)
+{
+  cs_store_blocked_part_t entry = { change->part, cs_clock_wall_ms () };
+  *method = change->remove ? "DELETE" : change->replace ? "PUT" : "POST";
+  int rc = cs_store_blocked_part_path (
+      change->part, change->remove || change->replace, path);
+  if (rc == 0 && !change->remove)
+    rc = cs_store_write_blocked_part (&entry, body);
+  return rc;
+}
+
+/* Makes the next call that is due, if none is in flight.  */
+static void
+start_call (void *context, cs_time_us_t now)
+{
+  cs_blocked_parts_t *parts = context;
+  const char *method = "GET";
+  cs_buf_t path = { 0 };
+  cs_buf_t body = { 0 };
+  int rc;
+  if (parts->call_in_flight || (parts->is_read && parts->change_count == 0))
+    return;
+  if (!parts->is_read)
+    rc = cs_store_stale_list_path (CS_STORE_BLOCKED_PARTS,
+                                   cs_name_str (&parts->page_after), &path);
+  else
+    rc = build_write (&parts->changes[0], &method, &path, &body);
+  if (rc == 0)
+    {
+      parts->call_in_flight = true;
+      cs_store_client_call (
+          parts->client, method, cs_buf_str (&path), cs_buf_str (&body),
+          parts->router->settings.call_timeout_ms * CS_US_PER_MS);
+    }
+  else
+    cs_timer_set (&parts->timer, RETRY_PAUSE_US);
+  cs_buf_free (&path);
+  cs_buf_free (&body);
+}
+
+static void
+add_change (cs_blocked_parts_t *parts, const change_t *change)
+{
+  if (parts->change_count == MAX_CHANGES)
+    return;
+  parts->changes[parts->change_count++] = *change;
+  /* Not called from within the handler of another response.  */
+  if (!parts->call_in_flight)
+    cs_timer_set (&parts->timer, 0);
+}
+
+static void
+read_entry (cs_blocked_parts_t *parts, const cs_store_object_t *object,
+            cs_time_us_t now)
+{
+  cs_store_blocked_part_t entry;
+  cs_quarantine_policy_t policy = cs_quarantine_policy_default ();
+  if (cs_store_read_blocked_part (object, &entry) != 0)
+    return;
+  if (entry.blocked_ms + policy.block_us / CS_US_PER_MS < cs_clock_wall_ms ())
+    add_change (parts, &(change_t){ .part = entry.part, .remove = true });
+  else
+    cs_router_block_reported (parts->router, entry.part, now);
+}
+
+/* Reads a page of the list; returns whether it was the last one.  */
+static bool
+read_page (cs_blocked_parts_t *parts, const cs_store_response_t *response,
+           cs_time_us_t now)
+{
+  cs_store_page_t page;
+  cs_store_object_t object = { 0 };
+  size_t index;
+  const json_t *item;
+  if (response->body == NULL
+      || cs_store_read_list (response->body, response->era, &page) != 0)
+    return response->status == STATUS_NOT_FOUND;
+  json_array_foreach (page.items, index, item)
+  {
+    if (cs_store_read_object (item, response->era, false, &object) == 0)
+      read_entry (parts, &object, now);
+  }
+  if (!page.truncated || object.name.len == 0)
+    return true;
+  cs_name_set (&parts->page_after, object.name);
+  return false;
+}
+
+static void
+on_written (cs_blocked_parts_t *parts, int status)
+{
+  change_t *change = &parts->changes[0];
+  if (status == STATUS_CONFLICT && !change->replace && !change->remove)
+    {
+      change->replace = true;
+      return;
+    }
+  if (!cs_http_is_success (status) && status != STATUS_NOT_FOUND)
+    return;
+  parts->change_count--;
+  for (size_t i = 0; i < parts->change_count; i++)
+    parts->changes[i] = parts->changes[i + 1];
+}
+
+static void
+on_response (void *context, const cs_store_response_t *response)
+{
+  cs_blocked_parts_t *parts = context;
+  cs_time_us_t now = cs_loop_now (parts->router->loop);
+  if (parts->is_read)
+    on_written (parts, response->status);
+  else
+    parts->is_read = read_page (parts, response, now);
+  parts->call_in_flight = false;
+  if (!parts->is_read || parts->change_count > 0)
+    cs_timer_set (&parts->timer,
+                  response->status == 0 || response->status >= 500
+                      ? RETRY_PAUSE_US
+                      : CS_US_PER_MS);
+}
+
+cs_blocked_parts_t *
+cs_blocked_parts_create (cs_router_t *router)
+{
+  cs_blocked_parts_t *parts = calloc (1, sizeof *parts);
+  if (parts == NULL)
+    return NULL;
+  parts->router = router;
+  cs_timer_init (&parts->timer, router->loop, start_call, parts);
+  parts->client = cs_store_client_create (router, on_response, parts);
+  if (parts->client == NULL)
+    {
+      free (parts);
+      return NULL;
+    }
+  start_call (parts, cs_loop_now (router->loop));
+  return parts;
+}
+
+void
+cs_blocked_parts_destroy (cs_blocked_parts_t *parts)
+{
+  if (parts == NULL)
+    return;
+  cs_timer_clear (&parts->timer);
+  cs_store_client_destroy (parts->client);
+  free (parts);
+}
+
+void
+cs_blocked_parts_save (cs_blocked_parts_t *parts, uint64_t part)
+{
+  if (parts != NULL)
+    add_change (parts, &(change_t){ .part = part });
+}
--- /dev/null
+++ b/router/target/crash_check.c
@@ -0,0 +1,116 @@
+#include "router/crash_check.h"
+
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "net/channel.h"
+#include "router/quarantine.h"
+
+struct cs_crash_check
+{
+  cs_router_t *router;
+  cs_target_t *target;
+  cs_channel_t *channel;
+  cs_crash_t crash;
+  cs_crash_check_t *next;
+};
+
+static void
+destroy (cs_crash_check_t *check)
+{
+  cs_crash_check_t **link = &check->router->crash_checks;
+  while (*link != check)
+    link = &(*link)->next;
+  *link = check->next;
+  cs_channel_close (check->channel);
+  cs_target_release (check->target);
+  free (check);
+}
+
+static void
+on_open (void *context)
+{
+  destroy (context);
+}
+
+static void
+on_data (void *context, cs_str_t data)
+{
+  destroy (context);
+}
+
+static void
+on_end (void *context, int error)
+{
+  cs_crash_check_t *check = context;
+  cs_buf_t parts = { 0 };
+  (void)cs_prompt_parts_print (&check->crash.parts, &parts);
+  cs_log (CS_EV_TARGET_CRASHED, "target=%s parts=%.*s", check->target->id.text,
+          CS_STR_ARG (cs_buf_str (&parts)));
+  cs_buf_free (&parts);
+  cs_router_crash_seen (check->router, &check->crash,
+                        cs_loop_now (check->router->loop));
+  destroy (check);
+}
+
+static const cs_channel_handlers_t handlers
+    = { .on_open = on_open, .on_data = on_data, .on_end = on_end };
+
+/* Adds PARTS to the check unless there is no room for them.  */
+static bool
+add_parts (cs_crash_check_t *check, const cs_prompt_parts_t *parts)
+{
+  cs_prompt_parts_t merged = check->crash.parts;
+  for (uint32_t i = 0; i < parts->count; i++)
+    {
+      uint32_t at = 0;
+      while (at < merged.count && merged.ids[at] != parts->ids[i])
+        at++;
+      if (at < merged.count)
+        continue;
+      if (merged.count == CS_MAX_PART_IDS)
+        return false;
+      merged.ids[merged.count++] = parts->ids[i];
+    }
+  check->crash.parts = merged;
+  return true;
+}
+
+void
+cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
+                      const cs_prompt_parts_t *parts, cs_time_us_t now)
+{
+  const cs_router_settings_t *settings = &router->settings;
+  cs_crash_check_t *check;
+  for (check = router->crash_checks; check != NULL; check = check->next)
+    if (check->target == target && add_parts (check, parts))
+      return;
+  check = calloc (1, sizeof *check);
+  if (check == NULL)
+    return;
+  check->channel = cs_channel_connect (
+      router->loop, &target->address,
+      settings->connect_timeout_ms * CS_US_PER_MS,
+      settings->unacknowledged_ms * CS_US_PER_MS, &handlers, check);
+  if (check->channel == NULL)
+    {
+      free (check);
+      return;
+    }
+  check->router = router;
+  check->target = cs_target_reference (target);
+  check->crash = (cs_crash_t){
+    .target = cs_hash_pair (target->hash, target->started_ms),
+    .parts = *parts,
+    .at = now,
+  };
+  check->next = router->crash_checks;
+  router->crash_checks = check;
+}
+
+void
+cs_crash_checks_end (cs_router_t *router)
+{
+  while (router->crash_checks != NULL)
+    destroy (router->crash_checks);
+}
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -275,6 +275,26 @@
   EXPECT_EQ (parts.count, 0U);
 }
 
+TEST (Codec, BlockedPartsKeepTheirIdInTheStore)
+{
+  cs_buf_t text = { nullptr, 0, 0 };
+  cs_store_blocked_part_t part = { 0x5c1e07a2ULL << 32U, 1234 };
+  cs_store_blocked_part_t read;
+  cs_store_object_t object;
+  ASSERT_EQ (cs_store_write_blocked_part (&part, &text), 0);
+  json_t *item = json_loadb (text.data, text.len, 0, nullptr);
+  ASSERT_EQ (cs_store_read_object (item, 1, false, &object), 0);
+  ASSERT_EQ (cs_store_read_blocked_part (&object, &read), 0);
+  EXPECT_EQ (read.part, part.part);
+  EXPECT_EQ (read.blocked_ms, part.blocked_ms);
+  object.name = cs_str ("not-a-part");
+  EXPECT_NE (cs_store_read_blocked_part (&object, &read), 0);
+  object.name = cs_str ("12345678901234567");
+  EXPECT_NE (cs_store_read_blocked_part (&object, &read), 0);
+  json_decref (item);
+  cs_buf_free (&text);
+}
+
 TEST (Codec, SurvivesCorruptPrompts)
 {
   cs_random_t random = { 22, 0 };
