Keep the usual homes in a busy service of few targets

Cause: while half of a service's slots are taken, each context uses six homes, so that chance does not give one target several busy contexts. With twelve targets that is half of them, and each of these has some 27 contexts, which evens out by itself.

The six homes now need a service of which a tenth of the targets are more than the usual homes; the large services, for which the rule was made, are as before. Test: KeepsTheHomesOfABusyServiceWithFewTargets, red before.

--- a/cranberrystile/placement/choice_policy.c
+++ b/cranberrystile/placement/choice_policy.c
@@ -22,6 +22,7 @@
     .spread_us = 3 * CS_US_PER_S,
     .busy_slot_share = 0.5,
     .busy_homes = 6,
+    .busy_target_share = 0.1,
     .surge_share = 1.0 / 12,
     .surge_min_recent = 2.5,
     .surge_per_target = 3,
@@ -56,7 +57,8 @@
 is_busy (const cs_choice_policy_t *policy, const cs_choice_service_t *service)
 {
   return service->mean_slots > 0
-         && service->mean >= policy->busy_slot_share * service->mean_slots;
+         && service->mean >= policy->busy_slot_share * service->mean_slots
+         && (double)service->count * policy->busy_target_share > policy->homes;
 }
 
 uint32_t
--- a/include/cranberrystile/choice_policy.h
+++ b/include/cranberrystile/choice_policy.h
@@ -32,9 +32,12 @@
   cs_time_us_t spread_us;
   /* While this share of all slots is taken, each context is spread over
      BUSY_HOMES homes: with single homes, those whose contexts happen to get
-     many calls at a time exceed the mean by far.  */
+     many calls at a time exceed the mean by far.  Where BUSY_TARGET_SHARE of
+     the targets are fewer, each target has so many contexts that this evens
+     out, and the usual homes are kept.  */
   double busy_slot_share;
   uint32_t busy_homes;
+  double busy_target_share;
   /* Requests that surge are spread over this share of the targets, if that is
      more than the usual number of homes.  */
   double surge_share;
--- a/tests/unit/lag_test.cc
+++ b/tests/unit/lag_test.cc
@@ -428,6 +428,21 @@
              policy.homes);
 }
 
+// A busy service of few targets kept each context at half of them: memory of
+// prompts was moved and parts were read again that the engines had no time
+// for.
+TEST (ChoicePolicy, KeepsTheHomesOfABusyServiceWithFewTargets)
+{
+  cs_choice_policy_t policy = cs_choice_policy_default ();
+  for (size_t count : { 6, 12, 18, 40 })
+    {
+      cs_choice_service_t service = { count, 20, 24, 0 };
+      EXPECT_EQ (cs_choice_homes_needed (&policy, &service, 0, false),
+                 policy.homes)
+          << count;
+    }
+}
+
 TEST (StaleLoad, FillsUpToACommonLevel)
 {
   const double loads[] = { 2, 10, 4, 6 };
