--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -2,13 +2,13 @@
 
 #include <stdlib.h>
 
+#include "quarantine/served.h"
 #include "quarantine/suspect.h"
 
-/* Parts of which the latest answer is known.  Of those that share an entry the
-   latest is kept.  */
-#define SERVED_PARTS 2048
 /* Peers hear of the answers to requests with a part this often.  */
 #define ANNOUNCE_INTERVAL_US CS_US_PER_S
+/* A block is at most 64 times as long as the first one.  */
+#define MAX_DOUBLINGS 6
 
 struct cs_quarantine
 {
@@ -17,7 +17,7 @@
   void *context;
   cs_suspect_t *suspects; /* allocated with the first crash */
   size_t suspect_count;
-  cs_part_served_t served[SERVED_PARTS];
+  cs_served_t served;
 };
 
 cs_quarantine_policy_t
@@ -102,11 +102,16 @@
   return suspect;
 }
 
+/* Blocks SUSPECT from AT on.  */
 static void
 set_blocked (cs_quarantine_t *quarantine, cs_suspect_t *suspect,
-             uint32_t crashes, cs_time_us_t now)
+             uint32_t crashes, cs_time_us_t at, cs_time_us_t now)
 {
-  suspect->blocked_until = now + quarantine->policy.block_us;
+  uint32_t doublings
+      = suspect->blocks < MAX_DOUBLINGS ? suspect->blocks : MAX_DOUBLINGS;
+  suspect->blocks++;
+  suspect->blocked_at = at;
+  suspect->blocked_until = at + (quarantine->policy.block_us << doublings);
   suspect->changed_at = now;
   quarantine->on_blocked (quarantine->context, suspect->part, true, crashes);
 }
@@ -118,19 +123,11 @@
   bool blocked = cs_suspect_is_blocked (suspect, now);
   suspect->crash_count = 0;
   suspect->blocked_until = 0;
-  suspect->was_blocked = false;
+  suspect->blocks = 0;
   if (blocked)
     quarantine->on_blocked (quarantine->context, suspect->part, false, 0);
 }
 
-/* When this router last answered a request with PART; 0: not known.  */
-static cs_time_us_t
-own_served_at (const cs_quarantine_t *quarantine, uint64_t part)
-{
-  const cs_part_served_t *entry = &quarantine->served[part % SERVED_PARTS];
-  return entry->part == part ? entry->at : 0;
-}
-
 static bool
 is_within (cs_time_us_t at, cs_time_us_t limit, cs_time_us_t now)
 {
@@ -142,14 +139,15 @@
            cs_time_us_t limit, cs_time_us_t now)
 {
   return is_within (suspect->served_at, limit, now)
-         || is_within (own_served_at (quarantine, suspect->part), limit, now);
+         || is_within (cs_served_at (&quarantine->served, suspect->part),
+                       limit, now);
 }
 
 static uint32_t
 crashes_to_block (const cs_quarantine_t *quarantine,
                   const cs_suspect_t *suspect, cs_time_us_t now)
 {
-  if (suspect->was_blocked)
+  if (suspect->blocks > 0)
     return 1;
   if (is_served (quarantine, suspect, quarantine->policy.served_us, now))
     return quarantine->policy.crashes_served;
@@ -200,31 +198,26 @@
                 >= crashes_to_block (quarantine, suspect, now);
 }
 
-/* Blocks those parts of CRASH under which most targets crashed, if these are
-   enough.  Returns whether there are any.  */
+/* Blocks the part of CRASH under which most targets crashed, if these are
+   enough: the last one of several, as fewer requests share it.  Returns
+   whether there is one.  */
 static bool
-block_candidates (cs_quarantine_t *quarantine, const cs_crash_t *crash,
-                  cs_time_us_t now)
+block_candidate (cs_quarantine_t *quarantine, const cs_crash_t *crash,
+                 cs_time_us_t now)
 {
-  uint32_t most = 0;
-  cs_suspect_t *candidates[CS_MAX_PART_IDS];
-  uint32_t count = 0;
+  cs_suspect_t *cause = NULL;
   for (uint32_t i = 0; i < crash->parts.count; i++)
     {
       cs_suspect_t *suspect = find (quarantine, crash->parts.ids[i]);
-      if (!is_candidate (quarantine, suspect, now)
-          || suspect->crash_count < most)
-        continue;
-      if (suspect->crash_count > most)
-        count = 0;
-      most = suspect->crash_count;
-      candidates[count++] = suspect;
+      if (is_candidate (quarantine, suspect, now)
+          && (cause == NULL || suspect->crash_count >= cause->crash_count))
+        cause = suspect;
     }
-  for (uint32_t i = 0; i < count; i++)
-    set_blocked (quarantine, candidates[i], candidates[i]->crash_count, now);
-  for (uint32_t i = 0; i < count; i++)
-    explain_crashes (quarantine, candidates[i], now);
-  return count > 0;
+  if (cause == NULL)
+    return false;
+  set_blocked (quarantine, cause, cause->crash_count, now, now);
+  explain_crashes (quarantine, cause, now);
+  return true;
 }
 
 void
@@ -233,7 +226,7 @@
 {
   uint32_t kept = 0;
   for (uint32_t i = 0; i < crash->parts.count; i++)
-    if (!is_within (own_served_at (quarantine, crash->parts.ids[i]),
+    if (!is_within (cs_served_at (&quarantine->served, crash->parts.ids[i]),
                     quarantine->policy.innocent_us, now))
       crash->parts.ids[kept++] = crash->parts.ids[i];
   crash->parts.count = kept;
@@ -245,6 +238,8 @@
 {
   bool is_news = false;
   bool explained = is_explained (quarantine, crash, now);
+  if (crash->at + quarantine->policy.evidence_us < now)
+    return CS_CRASH_KNOWN;
   for (uint32_t i = 0; i < crash->parts.count; i++)
     {
       cs_suspect_t *suspect
@@ -257,7 +252,7 @@
                                 quarantine->policy.evidence_us))
         is_news = true;
     }
-  if (is_news && !explained && block_candidates (quarantine, crash, now))
+  if (is_news && !explained && block_candidate (quarantine, crash, now))
     return CS_CRASH_BLOCKED;
   return is_news ? CS_CRASH_NEWS : CS_CRASH_KNOWN;
 }
@@ -265,19 +260,19 @@
 size_t
 cs_quarantine_list_served (cs_quarantine_t *quarantine,
                            const cs_crash_t *crash, cs_time_us_t now,
-                           cs_part_served_t out[CS_MAX_PART_IDS])
+                           cs_part_time_t out[CS_MAX_PART_IDS])
 {
   size_t count = 0;
   for (uint32_t i = 0; i < crash->parts.count; i++)
     {
       uint64_t part = crash->parts.ids[i];
       cs_suspect_t *suspect = find (quarantine, part);
-      cs_time_us_t at = own_served_at (quarantine, part);
+      cs_time_us_t at = cs_served_at (&quarantine->served, part);
       if (suspect == NULL || !is_within (at, quarantine->policy.served_us, now)
           || at < suspect->served_at + ANNOUNCE_INTERVAL_US)
         continue;
       suspect->served_at = at;
-      out[count++] = (cs_part_served_t){ part, at };
+      out[count++] = (cs_part_time_t){ part, at };
     }
   return count;
 }
@@ -285,13 +280,13 @@
 size_t
 cs_quarantine_served (cs_quarantine_t *quarantine,
                       const cs_prompt_parts_t *parts, cs_time_us_t now,
-                      cs_part_served_t out[CS_MAX_PART_IDS])
+                      cs_part_time_t out[CS_MAX_PART_IDS])
 {
   size_t count = 0;
   for (uint32_t i = 0; i < parts->count; i++)
     {
-      cs_part_served_t served = { parts->ids[i], now };
-      quarantine->served[served.part % SERVED_PARTS] = served;
+      cs_part_time_t served = { parts->ids[i], now };
+      cs_served_record (&quarantine->served, served.part, now);
       cs_suspect_t *suspect = find (quarantine, served.part);
       if (suspect == NULL)
         continue;
@@ -308,7 +303,7 @@
 
 bool
 cs_quarantine_add_served (cs_quarantine_t *quarantine,
-                          const cs_part_served_t *served, cs_time_us_t now)
+                          const cs_part_time_t *served, cs_time_us_t now)
 {
   cs_suspect_t *suspect = find (quarantine, served->part);
   if (suspect == NULL || served->at <= suspect->served_at)
@@ -321,16 +316,17 @@
 }
 
 bool
-cs_quarantine_block (cs_quarantine_t *quarantine, uint64_t part,
-                     cs_time_us_t now)
+cs_quarantine_block (cs_quarantine_t *quarantine,
+                     const cs_part_time_t *blocked, cs_time_us_t now)
 {
-  cs_suspect_t *suspect = find_or_add (quarantine, part, now);
+  cs_suspect_t *suspect = find_or_add (quarantine, blocked->part, now);
   if (suspect == NULL || cs_suspect_is_blocked (suspect, now)
+      || blocked->at + quarantine->policy.block_us <= now
       || is_served (quarantine, suspect, quarantine->policy.served_us, now))
     return false;
   if (suspect->crash_count == 0)
-    suspect->first_crash_at = now;
-  set_blocked (quarantine, suspect, 0, now);
+    suspect->first_crash_at = blocked->at;
+  set_blocked (quarantine, suspect, 0, blocked->at, now);
   explain_crashes (quarantine, suspect, now);
   return true;
 }
@@ -345,10 +341,17 @@
     return;
   suspect->blocked_until = 0;
   suspect->crash_count = 0;
-  suspect->was_blocked = true;
   quarantine->on_blocked (quarantine->context, suspect->part, false, 0);
 }
 
+bool
+cs_quarantine_is_blocked (const cs_quarantine_t *quarantine, uint64_t part,
+                          cs_time_us_t now)
+{
+  const cs_suspect_t *suspect = find (quarantine, part);
+  return suspect != NULL && cs_suspect_is_blocked (suspect, now);
+}
+
 bool
 cs_quarantine_blocks (cs_quarantine_t *quarantine,
                       const cs_prompt_parts_t *parts, cs_time_us_t now,
@@ -362,7 +365,6 @@
       end_block (quarantine, suspect, now);
       if (!cs_suspect_is_blocked (suspect, now))
         continue;
-      suspect->blocked_until = now + quarantine->policy.block_us;
       *until = suspect->blocked_until;
       return true;
     }
@@ -372,11 +374,12 @@
 size_t
 cs_quarantine_list_blocked (const cs_quarantine_t *quarantine,
                             cs_time_us_t now,
-                            uint64_t out[CS_QUARANTINE_SUSPECTS])
+                            cs_part_time_t out[CS_QUARANTINE_SUSPECTS])
 {
   size_t count = 0;
   for (size_t i = 0; i < quarantine->suspect_count; i++)
     if (cs_suspect_is_blocked (&quarantine->suspects[i], now))
-      out[count++] = quarantine->suspects[i].part;
+      out[count++] = (cs_part_time_t){ quarantine->suspects[i].part,
+                                       quarantine->suspects[i].blocked_at };
   return count;
 }
--- a/cranberrystile/quarantine/suspect.c
+++ b/cranberrystile/quarantine/suspect.c
@@ -32,7 +32,8 @@
 {
   if (suspect->changed_at + evidence_us < crash->at)
     suspect->crash_count = 0;
-  if (cs_suspect_has_crash (suspect, crash->target))
+  if (cs_suspect_has_crash (suspect, crash->target)
+      || (suspect->served_at != 0 && crash->at < suspect->served_at))
     return false;
   if (suspect->crash_count == CS_SUSPECT_CRASHES)
     cs_suspect_remove_crash (suspect, suspect->crashed[0]);
--- a/cranberrystile/quarantine/suspect.h
+++ b/cranberrystile/quarantine/suspect.h
@@ -14,18 +14,19 @@
   uint64_t crashed[CS_SUSPECT_CRASHES]; /* different targets */
   uint32_t crash_count;
   cs_time_us_t first_crash_at;
-  cs_time_us_t changed_at;    /* latest crash */
-  cs_time_us_t served_at;     /* as peers know; 0: not known */
+  cs_time_us_t changed_at; /* latest crash */
+  cs_time_us_t served_at;  /* as peers know; 0: not known */
+  cs_time_us_t blocked_at;
   cs_time_us_t blocked_until; /* 0: not blocked */
-  bool was_blocked;           /* until a while ago */
+  uint32_t blocks;            /* so far, without an answer since */
 } cs_suspect_t;
 
 bool cs_suspect_is_blocked (const cs_suspect_t *suspect, cs_time_us_t now);
 bool cs_suspect_has_crash (const cs_suspect_t *suspect, uint64_t target);
 void cs_suspect_remove_crash (cs_suspect_t *suspect, uint64_t target);
 
-/* Returns whether the crash is news.  Earlier ones are forgotten if the latest
-   of them is older than EVIDENCE_US.  */
+/* Returns whether the crash is news: it is not if the part was answered since.
+   Earlier crashes are forgotten if the latest of them is EVIDENCE_US older. */
 bool cs_suspect_add_crash (cs_suspect_t *suspect, const cs_crash_t *crash,
                            cs_time_us_t evidence_us);
 
--- a/include/cranberrystile/quarantine.h
+++ b/include/cranberrystile/quarantine.h
@@ -27,9 +27,9 @@
   cs_time_us_t served_us;
   cs_time_us_t innocent_us; /* a part is not suspected if a request with it was
                                answered less than this ago */
-  cs_time_us_t evidence_us; /* how long a crash counts after the latest one */
-  cs_time_us_t block_us;    /* how long a part stays blocked after the latest
-                               request with it */
+  cs_time_us_t evidence_us; /* how long a crash counts */
+  cs_time_us_t block_us; /* length of the first block of a part; each one that
+                            follows is twice as long */
 } cs_quarantine_policy_t;
 
 cs_quarantine_policy_t cs_quarantine_policy_default (void);
@@ -42,12 +42,12 @@
   cs_time_us_t at;
 } cs_crash_t;
 
-/* A request with PART was answered at AT.  */
+/* When a request with PART was answered, or when PART was blocked.  */
 typedef struct
 {
   uint64_t part;
   cs_time_us_t at;
-} cs_part_served_t;
+} cs_part_time_t;
 
 typedef enum
 {
@@ -83,27 +83,29 @@
    than its peers know, and returns their number.  They are to be told.  */
 size_t cs_quarantine_list_served (cs_quarantine_t *quarantine,
                                   const cs_crash_t *crash, cs_time_us_t now,
-                                  cs_part_served_t out[CS_MAX_PART_IDS]);
+                                  cs_part_time_t out[CS_MAX_PART_IDS]);
 
 /* Records that this router has answered a request with PARTS.  Stores in OUT
    those of which peers should hear, and returns their number.  */
 size_t cs_quarantine_served (cs_quarantine_t *quarantine,
                              const cs_prompt_parts_t *parts, cs_time_us_t now,
-                             cs_part_served_t out[CS_MAX_PART_IDS]);
+                             cs_part_time_t out[CS_MAX_PART_IDS]);
 
 /* Records that a peer has.  Returns whether that was news.  */
 bool cs_quarantine_add_served (cs_quarantine_t *quarantine,
-                               const cs_part_served_t *served,
-                               cs_time_us_t now);
+                               const cs_part_time_t *served, cs_time_us_t now);
 
-/* Records that a peer, or the platform's store, has PART as blocked.  Returns
+/* Records that a peer, or the platform's store, has a part as blocked. Returns
    whether that was news.  It is not believed of a part that was answered less
-   than SERVED_US ago.  */
-bool cs_quarantine_block (cs_quarantine_t *quarantine, uint64_t part,
-                          cs_time_us_t now);
+   than SERVED_US ago, or if the block has ended.  */
+bool cs_quarantine_block (cs_quarantine_t *quarantine,
+                          const cs_part_time_t *blocked, cs_time_us_t now);
 
-/* Whether a request with PARTS is blocked, and stores when that ends unless
-   more such requests come in *UNTIL.  */
+bool cs_quarantine_is_blocked (const cs_quarantine_t *quarantine,
+                               uint64_t part, cs_time_us_t now);
+
+/* Whether a request with PARTS is blocked, and stores when that ends in
+ *UNTIL.  */
 bool cs_quarantine_blocks (cs_quarantine_t *quarantine,
                            const cs_prompt_parts_t *parts, cs_time_us_t now,
                            cs_time_us_t *until);
@@ -111,6 +113,6 @@
 /* Stores the blocked parts in OUT and returns their number.  */
 size_t cs_quarantine_list_blocked (const cs_quarantine_t *quarantine,
                                    cs_time_us_t now,
-                                   uint64_t out[CS_QUARANTINE_SUSPECTS]);
+                                   cs_part_time_t out[CS_QUARANTINE_SUSPECTS]);
 
 #endif
--- a/include/router/blocked_parts.h
+++ b/include/router/blocked_parts.h
@@ -14,4 +14,7 @@
 /* Adds PART to the store, or renews it there.  Accepts NULL.  */
 void cs_blocked_parts_save (cs_blocked_parts_t *parts, uint64_t part);
 
+/* Removes PART from the store.  Accepts NULL.  */
+void cs_blocked_parts_remove (cs_blocked_parts_t *parts, uint64_t part);
+
 #endif
--- a/include/router/crash_check.h
+++ b/include/router/crash_check.h
@@ -6,7 +6,7 @@
 
 #include "router/router.h"
 
-/* Connects to TARGET, and reports a crash under PARTS if that fails.  */
+/* Connects to TARGET, and reports a crash under PARTS if it refuses.  */
 void cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
                            const cs_prompt_parts_t *parts, cs_time_us_t now);
 
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -50,10 +50,13 @@
 void cs_mesh_announce_leaving (cs_mesh_t *mesh, const cs_target_t *target);
 
 /* Report to all routers that a target crashed, that a request with a part was
-   answered, or that a part is blocked.  */
-void cs_mesh_announce_crash (cs_mesh_t *mesh, const cs_crash_t *crash);
-void cs_mesh_announce_served (cs_mesh_t *mesh, const cs_part_served_t *served);
-void cs_mesh_announce_blocked (cs_mesh_t *mesh, uint64_t part);
+   answered, or that a part is blocked.  HOPS routers have passed the report
+   on; those beyond a number that no sound mesh needs are dropped.  */
+void cs_mesh_announce_crash (cs_mesh_t *mesh, const cs_crash_t *crash,
+                             uint32_t hops);
+void cs_mesh_announce_served (cs_mesh_t *mesh, const cs_part_time_t *served,
+                              uint32_t hops);
+void cs_mesh_announce_blocked (cs_mesh_t *mesh, const cs_part_time_t *blocked);
 
 /* Removes this router's entry from the platform's store, before shutdown.  */
 void cs_mesh_leave (cs_mesh_t *mesh);
--- a/include/router/quarantine.h
+++ b/include/router/quarantine.h
@@ -14,15 +14,17 @@
 void cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash,
                            cs_time_us_t now);
 
-/* A peer reports a crash.  */
+/* A peer reports a crash, which HOPS routers have passed on.  */
 void cs_router_crash_reported (cs_router_t *router, const cs_crash_t *crash,
-                               cs_time_us_t now);
+                               uint32_t hops, cs_time_us_t now);
 
-/* A peer has PART as blocked.  */
-void cs_router_block_reported (cs_router_t *router, uint64_t part,
+/* A peer, or the platform's store, has a part as blocked.  */
+void cs_router_block_reported (cs_router_t *router,
+                               const cs_part_time_t *blocked,
                                cs_time_us_t now);
 
-/* A request with PARTS was answered.  */
+/* A target has written some of an answer to a request with PARTS, and has not
+   crashed.  */
 void cs_router_parts_served (cs_router_t *router,
                              const cs_prompt_parts_t *parts, cs_time_us_t now);
 
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &cs__router__served__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__blocked__init
+                     (Cs__Router__Blocked         *message)
+{
+  static const Cs__Router__Blocked init_value = CS__ROUTER__BLOCKED__INIT;
+  *message = init_value;
+}
+size_t cs__router__blocked__get_packed_size
+                     (const Cs__Router__Blocked *message)
+{
+  assert(message->base.descriptor == &cs__router__blocked__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__blocked__pack
+                     (const Cs__Router__Blocked *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__blocked__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__blocked__pack_to_buffer
+                     (const Cs__Router__Blocked *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__blocked__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Blocked *
+       cs__router__blocked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Blocked *)
+     protobuf_c_message_unpack (&cs__router__blocked__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__blocked__free_unpacked
+                     (Cs__Router__Blocked *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__blocked__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__leaving__init
                      (Cs__Router__Leaving         *message)
 {
@@ -819,20 +864,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "blocked_parts",
+    "blocked",
     17,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Cs__Router__Beat, n_blocked_parts),
-    offsetof(Cs__Router__Beat, blocked_parts),
-    NULL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Beat, n_blocked),
+    offsetof(Cs__Router__Beat, blocked),
+    &cs__router__blocked__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned cs__router__beat__field_indices_by_name[] = {
-  16,   /* field[16] = blocked_parts */
+  16,   /* field[16] = blocked */
   14,   /* field[14] = crashes */
   11,   /* field[11] = echo */
   9,   /* field[9] = has_others */
@@ -870,7 +915,7 @@
   (ProtobufCMessageInit) cs__router__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__crash__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cs__router__crash__field_descriptors[4] =
 {
   {
     "target",
@@ -908,16 +953,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hops",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Crash, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__crash__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  3,   /* field[3] = hops */
   1,   /* field[1] = parts */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange cs__router__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cs__router__crash__descriptor =
 {
@@ -927,14 +985,14 @@
   "Cs__Router__Crash",
   "cs.router",
   sizeof(Cs__Router__Crash),
-  3,
+  4,
   cs__router__crash__field_descriptors,
   cs__router__crash__field_indices_by_name,
   1,  cs__router__crash__number_ranges,
   (ProtobufCMessageInit) cs__router__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__served__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cs__router__served__field_descriptors[3] =
 {
   {
     "part",
@@ -960,15 +1018,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hops",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Served, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__served__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = hops */
   0,   /* field[0] = part */
 };
 static const ProtobufCIntRange cs__router__served__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cs__router__served__descriptor =
 {
@@ -978,13 +1049,64 @@
   "Cs__Router__Served",
   "cs.router",
   sizeof(Cs__Router__Served),
-  2,
+  3,
   cs__router__served__field_descriptors,
   cs__router__served__field_indices_by_name,
   1,  cs__router__served__number_ranges,
   (ProtobufCMessageInit) cs__router__served__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__router__blocked__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Blocked, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Blocked, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__blocked__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange cs__router__blocked__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cs__router__blocked__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Blocked",
+  "Blocked",
+  "Cs__Router__Blocked",
+  "cs.router",
+  sizeof(Cs__Router__Blocked),
+  2,
+  cs__router__blocked__field_descriptors,
+  cs__router__blocked__field_indices_by_name,
+  1,  cs__router__blocked__number_ranges,
+  (ProtobufCMessageInit) cs__router__blocked__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__router__leaving__field_descriptors[4] =
 {
   {
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Cs__Router__Beat Cs__Router__Beat;
 typedef struct Cs__Router__Crash Cs__Router__Crash;
 typedef struct Cs__Router__Served Cs__Router__Served;
+typedef struct Cs__Router__Blocked Cs__Router__Blocked;
 typedef struct Cs__Router__Leaving Cs__Router__Leaving;
 typedef struct Cs__Router__Routing Cs__Router__Routing;
 typedef struct Cs__Router__Target Cs__Router__Target;
@@ -132,8 +133,8 @@
   Cs__Router__Crash **crashes;
   size_t n_served;
   Cs__Router__Served **served;
-  size_t n_blocked_parts;
-  uint64_t *blocked_parts;
+  size_t n_blocked;
+  Cs__Router__Blocked **blocked;
 };
 #define CS__ROUTER__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__beat__descriptor) \
@@ -153,10 +154,14 @@
   size_t n_parts;
   uint64_t *parts;
   uint32_t age_ms;
+  /*
+   * routers that have passed it on
+   */
+  uint32_t hops;
 };
 #define CS__ROUTER__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__crash__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -167,9 +172,24 @@
   ProtobufCMessage base;
   uint64_t part;
   uint32_t age_ms;
+  uint32_t hops;
 };
 #define CS__ROUTER__SERVED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__served__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * A part is blocked, since this long ago.
+ */
+struct  Cs__Router__Blocked
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t age_ms;
+};
+#define CS__ROUTER__BLOCKED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__blocked__descriptor) \
     , 0, 0 }
 
 
@@ -392,6 +412,25 @@
 void   cs__router__served__free_unpacked
                      (Cs__Router__Served *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Blocked methods */
+void   cs__router__blocked__init
+                     (Cs__Router__Blocked         *message);
+size_t cs__router__blocked__get_packed_size
+                     (const Cs__Router__Blocked   *message);
+size_t cs__router__blocked__pack
+                     (const Cs__Router__Blocked   *message,
+                      uint8_t             *out);
+size_t cs__router__blocked__pack_to_buffer
+                     (const Cs__Router__Blocked   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Blocked *
+       cs__router__blocked__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__blocked__free_unpacked
+                     (Cs__Router__Blocked *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Leaving methods */
 void   cs__router__leaving__init
                      (Cs__Router__Leaving         *message);
@@ -504,6 +543,9 @@
 typedef void (*Cs__Router__Served_Closure)
                  (const Cs__Router__Served *message,
                   void *closure_data);
+typedef void (*Cs__Router__Blocked_Closure)
+                 (const Cs__Router__Blocked *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Leaving_Closure)
                  (const Cs__Router__Leaving *message,
                   void *closure_data);
@@ -530,6 +572,7 @@
 extern const ProtobufCMessageDescriptor cs__router__beat__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__crash__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__served__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__blocked__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__leaving__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__routing__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__target__descriptor;
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -10,9 +10,6 @@
 /* Failed connection attempts per request.  They put no load on targets, but
    each one delays the caller.  */
 #define MAX_FAILED_CONNECTS 4
-/* Whole events that a target may have written of an answer that it has just
-   begun.  */
-#define MAX_EVENTS_BEGUN 3
 /* Fraction of the fleet's retry slack that routers divide among themselves;
    the rest covers routers that joined too recently to be counted.  */
 #define RETRY_SLACK_SHARE 0.75
@@ -304,7 +301,8 @@
 has_just_begun (const cs_forward_t *forward, int error)
 {
   return error == CS_ERR_CUT && forward->request.parts.count > 0
-         && forward->events.count - forward->events_before <= MAX_EVENTS_BEGUN;
+         && forward->events.count - forward->events_before
+                <= CS_FORWARD_EVENTS_BEGUN;
 }
 
 void
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -7,6 +7,10 @@
 #include "platform/headers.h"
 #include "router/forward.h"
 
+/* Whole events that a target may have written of an answer that it has just
+   begun.  */
+#define CS_FORWARD_EVENTS_BEGUN 3
+
 /* How the current response from the target is handled.  */
 typedef enum
 {
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -176,6 +176,15 @@
     }
 }
 
+/* Records that the target has written so much of the answer, without crashing,
+   that the parts of its prompt don't end targets.  */
+static void
+record_parts_served (const cs_forward_t *forward, cs_time_us_t now)
+{
+  if (cs_http_is_success (forward->status) && forward->request.parts.count > 0)
+    cs_router_parts_served (forward->router, &forward->request.parts, now);
+}
+
 /* Forwards the events that PART completes.  Only they show that the target is
    alive: one that is stalled may still send bytes.  */
 static void
@@ -193,6 +202,9 @@
     {
       forward->last_event_at = cs_loop_now (forward->router->loop);
       forward->target->last_received_at = forward->last_event_at;
+      uint64_t limit = forward->events_before + CS_FORWARD_EVENTS_BEGUN;
+      if (count <= limit && forward->events.count > limit)
+        record_parts_served (forward, forward->last_event_at);
     }
   flush_body (forward);
 }
@@ -276,14 +288,13 @@
   cs_forward_complete (forward, close || forward->head.minor == 0, now);
 }
 
-/* Records an answer that shows what its parts do not: they end no target.  A
-   target that ends may seem to have completed an answer without a length.  */
-static void
-record_parts_served (const cs_forward_t *forward, cs_time_us_t now)
+/* Whether the stream ended with its connection before its first event: the
+   target may have crashed.  */
+static bool
+is_empty_stream (const cs_forward_t *forward)
 {
-  if (forward->is_framed && cs_http_is_success (forward->status)
-      && forward->request.parts.count > 0)
-    cs_router_parts_served (forward->router, &forward->request.parts, now);
+  return !forward->is_framed
+         && forward->events.count == forward->events_before;
 }
 
 static void
@@ -298,7 +309,8 @@
       cs_forward_attempt_failed (forward, CS_ERR_TARGET_FAILED, true, now);
       return;
     case CS_FORWARD_EVENTS:
-      if (!cs_event_stream_is_at_boundary (&forward->events))
+      if (!cs_event_stream_is_at_boundary (&forward->events)
+          || is_empty_stream (forward))
         {
           cs_forward_attempt_failed (forward, CS_ERR_CUT, true, now);
           return;
@@ -308,12 +320,14 @@
       finish_response (forward, now);
       return;
     case CS_FORWARD_STREAMED:
-      record_parts_served (forward, now);
+      if (forward->is_framed)
+        record_parts_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       finish_response (forward, now);
       return;
     case CS_FORWARD_BUFFERED:
-      record_parts_served (forward, now);
+      if (forward->is_framed)
+        record_parts_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       cs_forward_send_buffered (forward, now);
       return;
--- a/router/peer/crash_notices.c
+++ b/router/peer/crash_notices.c
@@ -3,42 +3,65 @@
 #include "router/peer/internal.h"
 #include "router/quarantine.h"
 
-/* Older information is of no use.  */
-#define MAX_AGE_MS UINT32_MAX
+/* Older notices are not sent: the peer's other links have brought them.  */
+#define MAX_AGE_US (30 * CS_US_PER_S)
+/* Routers that pass a notice on: two hubs in each of two data centres, and the
+   member that reports it.  */
+#define MAX_HOPS 6
+/* More are dropped: where hundreds of targets crash in a second, no prompt is
+   the cause.  */
+#define MAX_NOTICES_PER_S 100
+
+/* Whether another notice may be added in this second.  */
+static bool
+is_within_rate (cs_crash_notices_t *ring, cs_time_us_t now)
+{
+  if (now - ring->second_began_at >= CS_US_PER_S)
+    {
+      ring->second_began_at = now;
+      ring->count_in_second = 0;
+    }
+  return ring->count_in_second++ < MAX_NOTICES_PER_S;
+}
 
 static void
 announce (cs_mesh_t *mesh, const cs_crash_notice_t *notice)
 {
-  if (mesh == NULL)
+  if (mesh == NULL || notice->hops > MAX_HOPS)
     return;
   if (mesh->crash_notices == NULL)
     mesh->crash_notices = calloc (1, sizeof *mesh->crash_notices);
-  if (mesh->crash_notices == NULL)
-    return;
   cs_crash_notices_t *ring = mesh->crash_notices;
+  if (ring == NULL || !is_within_rate (ring, cs_loop_now (mesh->router->loop)))
+    return;
   ring->notices[ring->count++ % CS_CRASH_NOTICES] = *notice;
   cs_mesh_send_notices (mesh);
 }
 
 void
-cs_mesh_announce_crash (cs_mesh_t *mesh, const cs_crash_t *crash)
+cs_mesh_announce_crash (cs_mesh_t *mesh, const cs_crash_t *crash,
+                        uint32_t hops)
 {
-  announce (mesh,
-            &(cs_crash_notice_t){ .kind = CS_NOTICE_CRASH, .crash = *crash });
+  cs_crash_notice_t notice = { .kind = CS_NOTICE_CRASH, .hops = hops };
+  notice.crash = *crash;
+  announce (mesh, &notice);
 }
 
 void
-cs_mesh_announce_served (cs_mesh_t *mesh, const cs_part_served_t *served)
+cs_mesh_announce_served (cs_mesh_t *mesh, const cs_part_time_t *served,
+                         uint32_t hops)
 {
-  announce (mesh, &(cs_crash_notice_t){ .kind = CS_NOTICE_SERVED,
-                                        .served = *served });
+  cs_crash_notice_t notice = { .kind = CS_NOTICE_SERVED, .hops = hops };
+  notice.part = *served;
+  announce (mesh, &notice);
 }
 
 void
-cs_mesh_announce_blocked (cs_mesh_t *mesh, uint64_t part)
+cs_mesh_announce_blocked (cs_mesh_t *mesh, const cs_part_time_t *blocked)
 {
-  announce (mesh, &(cs_crash_notice_t){ .kind = CS_NOTICE_BLOCKED,
-                                        .blocked = part });
+  cs_crash_notice_t notice = { .kind = CS_NOTICE_BLOCKED };
+  notice.part = *blocked;
+  announce (mesh, &notice);
 }
 
 bool
@@ -52,7 +75,7 @@
 age_ms (cs_time_us_t at, cs_time_us_t now)
 {
   cs_time_us_t age = at < now ? (now - at) / CS_US_PER_MS : 0;
-  return age > MAX_AGE_MS ? MAX_AGE_MS : (uint32_t)age;
+  return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
 }
 
 static cs_time_us_t
@@ -62,46 +85,87 @@
   return age_us < now ? now - age_us : 0;
 }
 
-/* Frames of the notices of one heartbeat, in static memory.  */
+/* The notices of one heartbeat, in static memory.  */
 typedef struct
 {
   Cs__Router__Crash crashes[CS_CRASH_NOTICES];
   Cs__Router__Crash *crash_list[CS_CRASH_NOTICES];
   Cs__Router__Served served[CS_CRASH_NOTICES];
   Cs__Router__Served *served_list[CS_CRASH_NOTICES];
-  uint64_t blocked[CS_QUARANTINE_SUSPECTS + CS_CRASH_NOTICES];
+  Cs__Router__Blocked blocked[CS_QUARANTINE_SUSPECTS + CS_CRASH_NOTICES];
+  Cs__Router__Blocked *blocked_list[CS_QUARANTINE_SUSPECTS + CS_CRASH_NOTICES];
 } frames_t;
 
+static void
+add_crash (frames_t *frames, cs_crash_notice_t *notice, Cs__Router__Beat *beat,
+           cs_time_us_t now)
+{
+  Cs__Router__Crash *crash = &frames->crashes[beat->n_crashes];
+  cs__router__crash__init (crash);
+  crash->target = notice->crash.target;
+  crash->parts = notice->crash.parts.ids;
+  crash->n_parts = notice->crash.parts.count;
+  crash->age_ms = age_ms (notice->crash.at, now);
+  crash->hops = notice->hops;
+  frames->crash_list[beat->n_crashes++] = crash;
+}
+
+static void
+add_served (frames_t *frames, const cs_crash_notice_t *notice,
+            Cs__Router__Beat *beat, cs_time_us_t now)
+{
+  Cs__Router__Served *served = &frames->served[beat->n_served];
+  cs__router__served__init (served);
+  served->part = notice->part.part;
+  served->age_ms = age_ms (notice->part.at, now);
+  served->hops = notice->hops;
+  frames->served_list[beat->n_served++] = served;
+}
+
+static void
+add_blocked (frames_t *frames, const cs_part_time_t *part,
+             Cs__Router__Beat *beat, cs_time_us_t now)
+{
+  Cs__Router__Blocked *blocked = &frames->blocked[beat->n_blocked];
+  cs__router__blocked__init (blocked);
+  blocked->part = part->part;
+  blocked->age_ms = age_ms (part->at, now);
+  frames->blocked_list[beat->n_blocked++] = blocked;
+}
+
 static void
 add_notice (frames_t *frames, cs_crash_notice_t *notice,
             Cs__Router__Beat *beat, cs_time_us_t now)
 {
-  Cs__Router__Crash *crash;
-  Cs__Router__Served *served;
   switch (notice->kind)
     {
     case CS_NOTICE_CRASH:
-      crash = &frames->crashes[beat->n_crashes];
-      cs__router__crash__init (crash);
-      crash->target = notice->crash.target;
-      crash->parts = notice->crash.parts.ids;
-      crash->n_parts = notice->crash.parts.count;
-      crash->age_ms = age_ms (notice->crash.at, now);
-      frames->crash_list[beat->n_crashes++] = crash;
+      if (now < notice->crash.at + MAX_AGE_US)
+        add_crash (frames, notice, beat, now);
       return;
     case CS_NOTICE_SERVED:
-      served = &frames->served[beat->n_served];
-      cs__router__served__init (served);
-      served->part = notice->served.part;
-      served->age_ms = age_ms (notice->served.at, now);
-      frames->served_list[beat->n_served++] = served;
+      if (now < notice->part.at + MAX_AGE_US)
+        add_served (frames, notice, beat, now);
       return;
     case CS_NOTICE_BLOCKED:
-      frames->blocked[beat->n_blocked_parts++] = notice->blocked;
+      add_blocked (frames, &notice->part, beat, now);
       return;
     }
 }
 
+/* The blocked parts, for a new link.  */
+static void
+add_all_blocked (cs_link_t *link, frames_t *frames, Cs__Router__Beat *beat,
+                 cs_time_us_t now)
+{
+  cs_part_time_t parts[CS_QUARANTINE_SUSPECTS];
+  size_t count = cs_quarantine_list_blocked (link->mesh->router->quarantine,
+                                             now, parts);
+  for (size_t i = 0; i < count; i++)
+    add_blocked (frames, &parts[i], beat, now);
+  link->blocked_sent = true;
+}
+
 void
 cs_crash_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat,
                                  cs_time_us_t now)
@@ -110,11 +174,9 @@
   cs_crash_notices_t *ring = link->mesh->crash_notices;
   beat->crashes = frames.crash_list;
   beat->served = frames.served_list;
-  beat->blocked_parts = frames.blocked;
+  beat->blocked = frames.blocked_list;
   if (!link->blocked_sent)
-    beat->n_blocked_parts = cs_quarantine_list_blocked (
-        link->mesh->router->quarantine, now, frames.blocked);
-  link->blocked_sent = true;
+    add_all_blocked (link, &frames, beat, now);
   if (ring == NULL)
     return;
   if (ring->count - link->crash_notices_sent > CS_CRASH_NOTICES)
@@ -125,28 +187,38 @@
                 beat, now);
 }
 
+static void
+read_crash (cs_router_t *router, const Cs__Router__Crash *entry,
+            cs_time_us_t now)
+{
+  cs_crash_t crash = { .target = entry->target,
+                       .parts.count = (uint32_t)entry->n_parts,
+                       .at = time_of_age (entry->age_ms, now) };
+  for (size_t i = 0; i < entry->n_parts; i++)
+    crash.parts.ids[i] = entry->parts[i];
+  cs_router_crash_reported (router, &crash, entry->hops + 1, now);
+}
+
 void
 cs_crash_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat,
                                  cs_time_us_t now)
 {
   cs_router_t *router = link->mesh->router;
   for (size_t i = 0; i < beat->n_crashes; i++)
-    {
-      const Cs__Router__Crash *entry = beat->crashes[i];
-      cs_crash_t crash = { .target = entry->target,
-                           .parts.count = (uint32_t)entry->n_parts,
-                           .at = time_of_age (entry->age_ms, now) };
-      for (size_t j = 0; j < entry->n_parts; j++)
-        crash.parts.ids[j] = entry->parts[j];
-      cs_router_crash_reported (router, &crash, now);
-    }
+    read_crash (router, beat->crashes[i], now);
   for (size_t i = 0; i < beat->n_served; i++)
     {
-      cs_part_served_t served = { beat->served[i]->part,
-                                  time_of_age (beat->served[i]->age_ms, now) };
+      const Cs__Router__Served *entry = beat->served[i];
+      cs_part_time_t served
+          = { entry->part, time_of_age (entry->age_ms, now) };
       if (cs_quarantine_add_served (router->quarantine, &served, now))
-        cs_mesh_announce_served (link->mesh, &served);
+        cs_mesh_announce_served (link->mesh, &served, entry->hops + 1);
+    }
+  for (size_t i = 0; i < beat->n_blocked; i++)
+    {
+      const Cs__Router__Blocked *entry = beat->blocked[i];
+      cs_part_time_t blocked
+          = { entry->part, time_of_age (entry->age_ms, now) };
+      cs_router_block_reported (router, &blocked, now);
     }
-  for (size_t i = 0; i < beat->n_blocked_parts; i++)
-    cs_router_block_reported (router, beat->blocked_parts[i], now);
 }
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -56,11 +56,11 @@
 typedef struct
 {
   cs_crash_notice_kind_t kind;
+  uint32_t hops;
   union
   {
     cs_crash_t crash;
-    cs_part_served_t served;
-    uint64_t blocked; /* the part */
+    cs_part_time_t part; /* served or blocked */
   };
 } cs_crash_notice_t;
 
@@ -69,6 +69,8 @@
 {
   cs_crash_notice_t notices[CS_CRASH_NOTICES];
   uint64_t count; /* of all notices so far */
+  cs_time_us_t second_began_at;
+  uint32_t count_in_second;
 } cs_crash_notices_t;
 
 /* A complete list of targets as a compressed frame.  After a loss of power all
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -8,6 +8,7 @@
 on_blocked (void *context, uint64_t part, bool is_blocked, uint32_t crashes)
 {
   cs_router_t *router = context;
+  cs_part_time_t blocked = { part, cs_loop_now (router->loop) };
   if (!is_blocked)
     {
       cs_log (CS_EV_PART_UNBLOCKED, "part=%llx", (unsigned long long)part);
@@ -15,7 +16,7 @@
     }
   cs_log (CS_EV_PART_BLOCKED, "part=%llx crashes=%u", (unsigned long long)part,
           crashes);
-  cs_mesh_announce_blocked (router->mesh, part);
+  cs_mesh_announce_blocked (router->mesh, &blocked);
 }
 
 cs_quarantine_t *
@@ -30,21 +31,22 @@
 announce_served (cs_router_t *router, const cs_crash_t *crash,
                  cs_time_us_t now)
 {
-  cs_part_served_t served[CS_MAX_PART_IDS];
+  cs_part_time_t served[CS_MAX_PART_IDS];
   size_t count
       = cs_quarantine_list_served (router->quarantine, crash, now, served);
   for (size_t i = 0; i < count; i++)
-    cs_mesh_announce_served (router->mesh, &served[i]);
+    cs_mesh_announce_served (router->mesh, &served[i], 0);
 }
 
 static cs_crash_result_t
-add_crash (cs_router_t *router, const cs_crash_t *crash, cs_time_us_t now)
+add_crash (cs_router_t *router, const cs_crash_t *crash, uint32_t hops,
+           cs_time_us_t now)
 {
   cs_crash_result_t result
       = cs_quarantine_add_crash (router->quarantine, crash, now);
   if (result == CS_CRASH_KNOWN)
     return result;
-  cs_mesh_announce_crash (router->mesh, crash);
+  cs_mesh_announce_crash (router->mesh, crash, hops);
   announce_served (router, crash, now);
   return result;
 }
@@ -52,30 +54,28 @@
 void
 cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash, cs_time_us_t now)
 {
-  cs_time_us_t until;
   cs_quarantine_drop_innocent (router->quarantine, crash, now);
-  if (add_crash (router, crash, now) != CS_CRASH_BLOCKED)
+  if (add_crash (router, crash, 0, now) != CS_CRASH_BLOCKED)
     return;
   for (uint32_t i = 0; i < crash->parts.count; i++)
-    {
-      cs_prompt_parts_t part = { { crash->parts.ids[i] }, 1 };
-      if (cs_quarantine_blocks (router->quarantine, &part, now, &until))
-        cs_blocked_parts_save (router->blocked_parts, part.ids[0]);
-    }
+    if (cs_quarantine_is_blocked (router->quarantine, crash->parts.ids[i],
+                                  now))
+      cs_blocked_parts_save (router->blocked_parts, crash->parts.ids[i]);
 }
 
 void
 cs_router_crash_reported (cs_router_t *router, const cs_crash_t *crash,
-                          cs_time_us_t now)
+                          uint32_t hops, cs_time_us_t now)
 {
-  add_crash (router, crash, now);
+  add_crash (router, crash, hops, now);
 }
 
 void
-cs_router_block_reported (cs_router_t *router, uint64_t part, cs_time_us_t now)
+cs_router_block_reported (cs_router_t *router, const cs_part_time_t *blocked,
+                          cs_time_us_t now)
 {
-  cs_crash_t crash = { .parts = { { part }, 1 } };
-  if (!cs_quarantine_block (router->quarantine, part, now))
+  cs_crash_t crash = { .parts = { { blocked->part }, 1 } };
+  if (!cs_quarantine_block (router->quarantine, blocked, now))
     announce_served (router, &crash, now);
 }
 
@@ -83,8 +83,11 @@
 cs_router_parts_served (cs_router_t *router, const cs_prompt_parts_t *parts,
                         cs_time_us_t now)
 {
-  cs_part_served_t served[CS_MAX_PART_IDS];
+  cs_part_time_t served[CS_MAX_PART_IDS];
+  for (uint32_t i = 0; i < parts->count; i++)
+    if (cs_quarantine_is_blocked (router->quarantine, parts->ids[i], now))
+      cs_blocked_parts_remove (router->blocked_parts, parts->ids[i]);
   size_t count = cs_quarantine_served (router->quarantine, parts, now, served);
   for (size_t i = 0; i < count; i++)
-    cs_mesh_announce_served (router->mesh, &served[i]);
+    cs_mesh_announce_served (router->mesh, &served[i], 0);
 }
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -7,8 +7,11 @@
 #include "router/quarantine.h"
 #include "router/store_client.h"
 
-/* Pause before a call that failed is made again.  */
-#define RETRY_PAUSE_US CS_US_PER_S
+/* Exponential backoff of a call that failed, with jitter.  */
+#define MIN_BACKOFF_MS 500
+#define MAX_BACKOFF_DOUBLINGS 5
+/* A change that fails more often is left to the peers.  */
+#define MAX_FAILURES 8
 /* Changes that wait to be written; more are left to the peers.  */
 #define MAX_CHANGES 16
 
@@ -18,7 +21,7 @@
 typedef struct
 {
   uint64_t part;
-  bool remove;  /* the entry has expired */
+  bool remove;  /* the part is no longer blocked */
   bool replace; /* there is an entry already */
 } change_t;
 
@@ -29,6 +32,7 @@
   cs_timer_t timer;
   bool is_read;
   bool call_in_flight;
+  uint32_t failures; /* consecutive */
   cs_name_t page_after;
   change_t changes[MAX_CHANGES]; /* the first one is being written */
   size_t change_count;
@@ -72,7 +76,7 @@
           parts->router->settings.call_timeout_ms * CS_US_PER_MS);
     }
   else
-    cs_timer_set (&parts->timer, RETRY_PAUSE_US);
+    cs_timer_set (&parts->timer, MIN_BACKOFF_MS * CS_US_PER_MS);
   cs_buf_free (&path);
   cs_buf_free (&body);
 }
@@ -94,12 +98,17 @@
 {
   cs_store_blocked_part_t entry;
   cs_quarantine_policy_t policy = cs_quarantine_policy_default ();
+  uint64_t wall_ms = cs_clock_wall_ms ();
+  cs_time_us_t age = 0;
   if (cs_store_read_blocked_part (object, &entry) != 0)
     return;
-  if (entry.blocked_ms + policy.block_us / CS_US_PER_MS < cs_clock_wall_ms ())
+  if (entry.blocked_ms < wall_ms)
+    age = (wall_ms - entry.blocked_ms) * CS_US_PER_MS;
+  cs_part_time_t blocked = { entry.part, age < now ? now - age : 0 };
+  if (age >= policy.block_us)
     add_change (parts, &(change_t){ .part = entry.part, .remove = true });
   else
-    cs_router_block_reported (parts->router, entry.part, now);
+    cs_router_block_reported (parts->router, &blocked, now);
 }
 
 /* Reads a page of the list; returns whether it was the last one.  */
@@ -126,36 +135,61 @@
 }
 
 static void
+remove_first_change (cs_blocked_parts_t *parts)
+{
+  parts->change_count--;
+  for (size_t i = 0; i < parts->change_count; i++)
+    parts->changes[i] = parts->changes[i + 1];
+}
+
+/* Returns whether the next call need not wait.  */
+static bool
 on_written (cs_blocked_parts_t *parts, int status)
 {
   change_t *change = &parts->changes[0];
+  bool is_done = cs_http_is_success (status)
+                 || (status == STATUS_NOT_FOUND && change->remove);
   if (status == STATUS_CONFLICT && !change->replace && !change->remove)
     {
       change->replace = true;
-      return;
+      return true;
     }
-  if (!cs_http_is_success (status) && status != STATUS_NOT_FOUND)
-    return;
-  parts->change_count--;
-  for (size_t i = 0; i < parts->change_count; i++)
-    parts->changes[i] = parts->changes[i + 1];
+  if (is_done || parts->failures >= MAX_FAILURES)
+    remove_first_change (parts);
+  return is_done;
+}
+
+static double
+pause_ms (cs_blocked_parts_t *parts)
+{
+  uint32_t doublings = parts->failures < MAX_BACKOFF_DOUBLINGS
+                           ? parts->failures
+                           : MAX_BACKOFF_DOUBLINGS;
+  if (parts->failures == 0)
+    return 1;
+  return (MIN_BACKOFF_MS << doublings)
+         * (0.5 + cs_random_unit (&parts->router->random));
 }
 
 static void
 on_response (void *context, const cs_store_response_t *response)
 {
   cs_blocked_parts_t *parts = context;
-  cs_time_us_t now = cs_loop_now (parts->router->loop);
+  bool is_ok;
+  parts->call_in_flight = false;
   if (parts->is_read)
-    on_written (parts, response->status);
+    is_ok = on_written (parts, response->status);
   else
-    parts->is_read = read_page (parts, response, now);
-  parts->call_in_flight = false;
+    {
+      cs_name_t last = parts->page_after;
+      parts->is_read
+          = read_page (parts, response, cs_loop_now (parts->router->loop));
+      is_ok = parts->is_read || !cs_name_equal (&last, &parts->page_after);
+    }
+  parts->failures = is_ok ? 0 : parts->failures + 1;
   if (!parts->is_read || parts->change_count > 0)
     cs_timer_set (&parts->timer,
-                  response->status == 0 || response->status >= 500
-                      ? RETRY_PAUSE_US
-                      : CS_US_PER_MS);
+                  (cs_time_us_t)(pause_ms (parts) * CS_US_PER_MS));
 }
 
 cs_blocked_parts_t *
@@ -192,3 +226,10 @@
   if (parts != NULL)
     add_change (parts, &(change_t){ .part = part });
 }
+
+void
+cs_blocked_parts_remove (cs_blocked_parts_t *parts, uint64_t part)
+{
+  if (parts != NULL)
+    add_change (parts, &(change_t){ .part = part, .remove = true });
+}
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -39,17 +39,25 @@
   destroy (context);
 }
 
+/* A target that is cut off does not answer; one that has crashed refuses at
+   once.  */
 static void
 on_end (void *context, int error)
 {
   cs_crash_check_t *check = context;
+  cs_time_us_t now = cs_loop_now (check->router->loop);
   cs_buf_t parts = { 0 };
+  if (now - check->crash.at
+      >= check->router->settings.connect_timeout_ms * CS_US_PER_MS)
+    {
+      destroy (check);
+      return;
+    }
   (void)cs_prompt_parts_print (&check->crash.parts, &parts);
   cs_log (CS_EV_TARGET_CRASHED, "target=%s parts=%.*s", check->target->id.text,
           CS_STR_ARG (cs_buf_str (&parts)));
   cs_buf_free (&parts);
-  cs_router_crash_seen (check->router, &check->crash,
-                        cs_loop_now (check->router->loop));
+  cs_router_crash_seen (check->router, &check->crash, now);
   destroy (check);
 }
 
@@ -82,6 +90,8 @@
 {
   const cs_router_settings_t *settings = &router->settings;
   cs_crash_check_t *check;
+  if (target->leaving)
+    return;
   for (check = router->crash_checks; check != NULL; check = check->next)
     if (check->target == target && add_parts (check, parts))
       return;
