--- a/net/channel.c
+++ b/net/channel.c
@@ -1,4 +1,4 @@
-#include "net/channel.h"
+#include "internal.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -10,39 +10,6 @@
 
 #include <event2/buffer.h>
 
-/* How long a lingering close waits for the peer to close.  */
-#define LINGER_US (2 * CS_US_PER_S)
-
-struct cs_channel
-{
-  cs_loop_t *loop;
-  int fd;
-  struct event readable;
-  struct event writable;
-  struct evbuffer *queue; /* created when output is first queued */
-  cs_channel_handlers_t handlers;
-  void *context;
-  cs_timer_t timer; /* connect timeout, later the linger timeout */
-  bool connecting;
-  bool has_sent;
-  bool lingering;
-  bool paused;
-  bool in_callback;
-  bool closed;
-  cs_channel_t *next_lingering; /* in the loop's list */
-};
-
-static void
-remove_lingering (cs_channel_t *channel)
-{
-  cs_channel_t **at
-      = (cs_channel_t **)cs_loop_lingering_channels (channel->loop);
-  while (*at != NULL && *at != channel)
-    at = &(*at)->next_lingering;
-  if (*at != NULL)
-    *at = channel->next_lingering;
-}
-
 static void
 free_channel (cs_channel_t *channel)
 {
@@ -58,7 +25,7 @@
     return;
   channel->closed = true;
   if (channel->lingering)
-    remove_lingering (channel);
+    cs_channel_end_linger (channel);
   event_del (&channel->readable);
   event_del (&channel->writable);
   cs_timer_clear (&channel->timer);
@@ -268,30 +235,6 @@
   channel->has_sent = false;
 }
 
-void
-cs_channel_close_gracefully (cs_channel_t *channel)
-{
-  if (channel->closed || channel->lingering)
-    return;
-  channel->lingering = true;
-  cs_channel_t **list
-      = (cs_channel_t **)cs_loop_lingering_channels (channel->loop);
-  channel->next_lingering = *list;
-  *list = channel;
-  cs_channel_pause (channel, false);
-  cs_timer_set (&channel->timer, LINGER_US);
-  if (cs_channel_queued (channel) == 0)
-    shutdown (channel->fd, SHUT_WR);
-}
-
-void
-cs_channels_close_lingering (cs_loop_t *loop)
-{
-  cs_channel_t **list = (cs_channel_t **)cs_loop_lingering_channels (loop);
-  while (*list != NULL)
-    cs_channel_close (*list);
-}
-
 static int
 queue_output (cs_channel_t *channel, cs_str_t data)
 {
--- /dev/null
+++ b/net/internal.h
@@ -0,0 +1,32 @@
+/* Internals of channels, shared by channel.c and linger.c.  */
+
+#ifndef CS_NET_INTERNAL_H
+#define CS_NET_INTERNAL_H
+
+#include "net/channel.h"
+
+struct evbuffer;
+
+struct cs_channel
+{
+  cs_loop_t *loop;
+  int fd;
+  struct event readable;
+  struct event writable;
+  struct evbuffer *queue; /* created when output is first queued */
+  cs_channel_handlers_t handlers;
+  void *context;
+  cs_timer_t timer; /* connect timeout, later the linger timeout */
+  bool connecting;
+  bool has_sent;
+  bool lingering;
+  bool paused;
+  bool in_callback;
+  bool closed;
+  cs_channel_t *next_lingering; /* in the loop's list */
+};
+
+/* Removes the channel, which is closed, from the loop's list.  */
+void cs_channel_end_linger (cs_channel_t *channel);
+
+#endif
--- /dev/null
+++ b/net/linger.c
@@ -0,0 +1,47 @@
+/* Channels without an owner: closed, but the connection is not yet.  */
+
+#include <sys/socket.h>
+
+#include "internal.h"
+
+/* How long a lingering close waits for the peer to close.  */
+#define LINGER_US (2 * CS_US_PER_S)
+
+static cs_channel_t **
+lingering_channels (cs_loop_t *loop)
+{
+  return (cs_channel_t **)cs_loop_lingering_channels (loop);
+}
+
+void
+cs_channel_end_linger (cs_channel_t *channel)
+{
+  cs_channel_t **at = lingering_channels (channel->loop);
+  while (*at != NULL && *at != channel)
+    at = &(*at)->next_lingering;
+  if (*at != NULL)
+    *at = channel->next_lingering;
+}
+
+void
+cs_channel_close_gracefully (cs_channel_t *channel)
+{
+  if (channel->closed || channel->lingering)
+    return;
+  channel->lingering = true;
+  cs_channel_t **list = lingering_channels (channel->loop);
+  channel->next_lingering = *list;
+  *list = channel;
+  cs_channel_pause (channel, false);
+  cs_timer_set (&channel->timer, LINGER_US);
+  if (cs_channel_queued (channel) == 0)
+    shutdown (channel->fd, SHUT_WR);
+}
+
+void
+cs_channels_close_lingering (cs_loop_t *loop)
+{
+  cs_channel_t **list = lingering_channels (loop);
+  while (*list != NULL)
+    cs_channel_close (*list);
+}
