Let a stop wait for answers that are still queued

What callers saw: a slow reader's answer was cut by a planned stop. The target had sent it whole, the router held the rest in its queue, and the process ended. Found in review.

Cause: the stop ended the loop once no caller was linked, but a caller is unlinked when its connection is closed gracefully, with output still queued; cleanup then threw the queue away.

Evidence: UnreadAnswer.OutlastsAStop finds by halving how large an answer may be so that the router reads it whole while the kernel does not take all of it, and then stops the router.

The loop now also goes on while a lingering channel has queued output, within the same part of the grace period as for requests. Lingering channels without output do not delay the stop.

--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -63,6 +63,9 @@
    connection before the peer has read the last output.  */
 void cs_channel_close_gracefully (cs_channel_t *channel);
 
+/* Whether a channel in a lingering close has queued output.  */
+bool cs_channels_have_lingering_output (cs_loop_t *loop);
+
 /* Closes all channels in a lingering close.  Must be called before the loop is
    destroyed.  */
 void cs_channels_close_lingering (cs_loop_t *loop);
--- a/net/linger.c
+++ b/net/linger.c
@@ -38,6 +38,15 @@
     shutdown (channel->fd, SHUT_WR);
 }
 
+bool
+cs_channels_have_lingering_output (cs_loop_t *loop)
+{
+  const cs_channel_t *channel = *lingering_channels (loop);
+  while (channel != NULL && cs_channel_queued (channel) == 0)
+    channel = channel->next_lingering;
+  return channel != NULL;
+}
+
 void
 cs_channels_close_lingering (cs_loop_t *loop)
 {
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -128,7 +128,8 @@
 
 /* Advances a stop: first the load balancer gets time to notice that the router
    is not ready, then the listener and idle caller connections are closed, then
-   the requests in flight finish or are aborted.  */
+   the requests in flight finish and their answers are written, or they are
+   aborted.  */
 static void
 continue_stop (process_t *process, cs_time_us_t now)
 {
@@ -146,7 +147,9 @@
   cs_listener_destroy (process->caller_listener);
   process->caller_listener = NULL;
   cs_callers_close_idle (router, now);
-  if (router->callers == NULL || (double)elapsed > grace_us * GRACE_SHARE)
+  bool finished = router->callers == NULL
+                  && !cs_channels_have_lingering_output (router->loop);
+  if (finished || (double)elapsed > grace_us * GRACE_SHARE)
     cs_loop_stop (router->loop);
 }
 
--- /dev/null
+++ b/tests/router/linger_test.cc
@@ -0,0 +1,98 @@
+// Answers that a caller has not yet read when its connection is closed.
+
+#include "fixture.h"
+
+namespace
+{
+
+// A caller with a small receive buffer, and the body that it is sent.
+struct SlowCaller
+{
+  wire::Socket socket;
+  size_t size;
+
+  SlowCaller (int port, size_t bytes)
+      : socket (wire::Socket::connect_to (port, 16 * 1024)), size (bytes)
+  {
+  }
+
+  // Whether the whole answer can be read within MS.
+  bool
+  reads_all (int ms)
+  {
+    wire::Message response = socket.read (ms);
+    return response.is_complete && response.body.size () == size;
+  }
+};
+
+class UnreadAnswer : public RouterTest
+{
+protected:
+  static constexpr int lame_duck_ms = 100;
+  // Less than the router queues for a caller before it pauses the target.
+  static constexpr size_t step_bytes = 32 * 1024;
+  static constexpr size_t max_bytes = 8 * 1024 * 1024;
+
+  std::string
+  extra_settings () override
+  {
+    return "[stop]\nlame_duck_ms = " + std::to_string (lame_duck_ms)
+           + "\ngrace_s = 8\n";
+  }
+
+  bool
+  has_no_request ()
+  {
+    return router->metrics ().find (
+               "\ncranberrystile_router_requests_in_flight 0\n")
+           != std::string::npos;
+  }
+
+  // A caller of which the router is sent an answer of SIZE bytes.
+  std::unique_ptr<SlowCaller>
+  ask_for (size_t size, const std::string &fields)
+  {
+    set_engine_scripts (Target::respond_with (std::string (size, 'x')));
+    auto caller = std::make_unique<SlowCaller> (router->callers (), size);
+    caller->socket.send (request ("POST", "/talk/x", fields, "b"));
+    return caller;
+  }
+
+  // A caller whose answer the router has whole, and part of it only in its own
+  // queue: the kernel takes no more.  An answer a step larger would not be
+  // read from its target.
+  std::unique_ptr<SlowCaller>
+  caller_with_queued_answer (const std::string &fields)
+  {
+    size_t fits = step_bytes;
+    size_t excess = max_bytes;
+    while (excess - fits > step_bytes)
+      {
+        size_t size = (fits + excess) / 2 / 1024 * 1024;
+        auto caller = ask_for (size, fields);
+        (Router::eventually ([this] { return has_no_request (); }, 400)
+             ? fits
+             : excess)
+            = size;
+        caller->socket.reset ();
+        EXPECT_TRUE (
+            Router::eventually ([this] { return has_no_request (); }));
+      }
+    auto caller = ask_for (fits, fields);
+    EXPECT_TRUE (Router::eventually ([this] { return has_no_request (); }));
+    return caller;
+  }
+};
+
+// A stop ended the process while answers were queued, as their callers had
+// been closed already, though gracefully.
+TEST_F (UnreadAnswer, OutlastsAStop)
+{
+  auto caller = caller_with_queued_answer ("Connection: close\r\n");
+  router->signal (SIGTERM);
+  EXPECT_EQ (router->exit_within (lame_duck_ms + 1000), -1);
+  EXPECT_TRUE (caller->reads_all (5000));
+  EXPECT_EQ (router->exit_within (1000), 0);
+}
+
+}
--- a/tests/router/wire.h
+++ b/tests/router/wire.h
@@ -70,12 +70,16 @@
   Socket &operator= (const Socket &) = delete;
   ~Socket () { close (); }
 
-  // Connects to PORT of the loopback interface.  Returns the descriptor, which
-  // the caller owns, or -1.
+  // Connects to PORT of the loopback interface, with a receive buffer of
+  // RECEIVE_BYTES unless 0.  Returns the descriptor, which the caller owns, or
+  // -1.
   static int
-  connect_to (int port)
+  connect_to (int port, int receive_bytes = 0)
   {
     int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receive_bytes > 0)
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                  sizeof receive_bytes);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
