Run the limit of a lingering close from the last progress

What callers saw: an answer was cut 2 s after the router had read it whole, though its caller was reading it, slowly. Found in review.

Cause: the limit ran from the close.

Evidence: UnreadAnswer.IsNotCutWhileItsCallerReads reads at most 40 KB a second for 5 s and then the rest.

The limit starts again whenever queued output is written. So the limit first tries to write, and closes only if the kernel takes nothing.

--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -60,7 +60,8 @@
 /* Sends the queued output, then closes the connection; the callbacks are not
    called any more.  Input is read and discarded for a short time (a lingering
    close), because closing a socket with unread input would reset the
-   connection before the peer has read the last output.  */
+   connection before the peer has read the last output.  The time starts again
+   whenever queued output is written.  */
 void cs_channel_close_gracefully (cs_channel_t *channel);
 
 /* Whether a channel in a lingering close has queued output.  */
--- a/net/channel.c
+++ b/net/channel.c
@@ -107,24 +107,28 @@
   leave_callback (channel);
 }
 
-static void
-flush_queue (cs_channel_t *channel)
+int
+cs_channel_flush (cs_channel_t *channel)
 {
+  int sent = 0;
   if (evbuffer_get_length (channel->queue) > 0)
     {
-      int sent = evbuffer_write (channel->queue, channel->fd);
+      sent = evbuffer_write (channel->queue, channel->fd);
       if (sent < 0 && errno != EAGAIN && errno != EINTR)
         {
           handle_end (channel, CS_ERR_CUT);
-          return;
+          return -1;
         }
       if (sent > 0)
         channel->has_sent = true;
+      if (sent > 0 && channel->lingering)
+        cs_channel_extend_linger (channel);
     }
   if (evbuffer_get_length (channel->queue) > 0)
     event_add (&channel->writable, NULL);
   else
     output_drained (channel);
+  return sent > 0 ? sent : 0;
 }
 
 static bool
@@ -156,7 +160,7 @@
   if (channel->connecting && !complete_connect (channel))
     return;
   if (channel->queue != NULL)
-    flush_queue (channel);
+    cs_channel_flush (channel);
 }
 
 static void
--- a/net/internal.h
+++ b/net/internal.h
@@ -26,6 +26,14 @@
   cs_channel_t *next_lingering; /* in the loop's list */
 };
 
+/* Writes queued output.  Returns the number of bytes written, or -1 if the
+   connection is lost; then on_end has been called, or a lingering channel is
+   closed.  */
+int cs_channel_flush (cs_channel_t *channel);
+
+/* Gives the peer the whole time of a lingering close again.  */
+void cs_channel_extend_linger (cs_channel_t *channel);
+
 /* Removes the channel, which is closed, from the loop's list.  */
 void cs_channel_end_linger (cs_channel_t *channel);
 
--- a/net/linger.c
+++ b/net/linger.c
@@ -4,7 +4,8 @@
 
 #include "internal.h"
 
-/* How long a lingering close waits for the peer to close.  */
+/* How long a lingering close waits for the peer to read queued output, and
+   then to close.  */
 #define LINGER_US (2 * CS_US_PER_S)
 
 static cs_channel_t **
@@ -23,6 +24,22 @@
     *at = channel->next_lingering;
 }
 
+void
+cs_channel_extend_linger (cs_channel_t *channel)
+{
+  cs_timer_set (&channel->timer, LINGER_US);
+}
+
+/* The kernel reports a socket as writable only once a good part of its buffer
+   is free.  A peer that reads less than that in LINGER_US still reads.  */
+static void
+on_timer (void *context, cs_time_us_t now)
+{
+  cs_channel_t *channel = context;
+  if (cs_channel_queued (channel) == 0 || cs_channel_flush (channel) == 0)
+    cs_channel_close (channel);
+}
+
 void
 cs_channel_close_gracefully (cs_channel_t *channel)
 {
@@ -33,7 +50,9 @@
   channel->next_lingering = *list;
   *list = channel;
   cs_channel_pause (channel, false);
-  cs_timer_set (&channel->timer, LINGER_US);
+  cs_timer_clear (&channel->timer);
+  cs_timer_init (&channel->timer, channel->loop, on_timer, channel);
+  cs_channel_extend_linger (channel);
   if (cs_channel_queued (channel) == 0)
     shutdown (channel->fd, SHUT_WR);
 }
--- a/tests/router/linger_test.cc
+++ b/tests/router/linger_test.cc
@@ -23,6 +23,17 @@
     wire::Message response = socket.read (ms);
     return response.is_complete && response.body.size () == size;
   }
+
+  // Reads at most 40 KB a second for MS.
+  void
+  read_slowly (int ms)
+  {
+    for (int64_t until = wire::now_ms () + ms; wire::now_ms () < until;)
+      {
+        socket.fill (0);
+        std::this_thread::sleep_for (std::chrono::milliseconds (400));
+      }
+  }
 };
 
 class UnreadAnswer : public RouterTest
@@ -95,4 +106,13 @@
   EXPECT_EQ (router->exit_within (1000), 0);
 }
 
+// The time of a lingering close ran from the close, so that a caller that read
+// for longer was cut.
+TEST_F (UnreadAnswer, IsNotCutWhileItsCallerReads)
+{
+  auto caller = caller_with_queued_answer ("Connection: close\r\n");
+  caller->read_slowly (5000);
+  EXPECT_TRUE (caller->reads_all (5000));
+}
+
 }
