Never read after an idle close, and let unread answers outlast it

What callers saw: (1) with output still queued at the idle timeout, a request that crossed the close was read and dropped, so that its caller could not know that it had not run. (2) Without queued output the connection was closed at once: a caller that had not yet read the rest of its answer and sent a request lost that rest to the reset. Found in review.

Cause: the idle close had a choice of two closes, and each does one half of what is needed: the lingering one reads, the immediate one lets any input destroy the output.

cs_channel_close_unread writes queued output, then ends the output, reads nothing, and closes at the limit of a lingering close. Input that came makes the kernel reset the connection then.

A closed idle connection holds its descriptor for up to 2 s.

--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -64,6 +64,11 @@
    whenever queued output is written.  */
 void cs_channel_close_gracefully (cs_channel_t *channel);
 
+/* Like cs_channel_close_gracefully, but reads nothing any more: when the time
+   is over, the kernel resets the connection if input came, so that the peer
+   knows that it was not read.  Until then the peer can read its output.  */
+void cs_channel_close_unread (cs_channel_t *channel);
+
 /* Whether a channel in a lingering close has queued output.  */
 bool cs_channels_have_lingering_output (cs_loop_t *loop);
 
--- a/net/linger.c
+++ b/net/linger.c
@@ -40,8 +40,8 @@
     cs_channel_close (channel);
 }
 
-void
-cs_channel_close_gracefully (cs_channel_t *channel)
+static void
+linger (cs_channel_t *channel, bool read)
 {
   if (channel->closed || channel->lingering)
     return;
@@ -49,7 +49,7 @@
   cs_channel_t **list = lingering_channels (channel->loop);
   channel->next_lingering = *list;
   *list = channel;
-  cs_channel_pause (channel, false);
+  cs_channel_pause (channel, !read);
   cs_timer_clear (&channel->timer);
   cs_timer_init (&channel->timer, channel->loop, on_timer, channel);
   cs_channel_extend_linger (channel);
@@ -57,6 +57,18 @@
     shutdown (channel->fd, SHUT_WR);
 }
 
+void
+cs_channel_close_gracefully (cs_channel_t *channel)
+{
+  linger (channel, true);
+}
+
+void
+cs_channel_close_unread (cs_channel_t *channel)
+{
+  linger (channel, false);
+}
+
 bool
 cs_channels_have_lingering_output (cs_loop_t *loop)
 {
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -39,23 +39,20 @@
   free (caller);
 }
 
-/* Closes the connection; if GRACEFUL, after queued output has been sent.  */
+/* Closes the connection with CLOSE_CHANNEL.  */
 static void
-disconnect (cs_caller_t *caller, bool graceful)
+disconnect (cs_caller_t *caller, void (*close_channel) (cs_channel_t *))
 {
   unlink_caller (caller);
   cs_timer_clear (&caller->timer);
-  if (graceful)
-    cs_channel_close_gracefully (caller->channel);
-  else
-    cs_channel_close (caller->channel);
+  close_channel (caller->channel);
   caller->destroyed = true;
 }
 
 static void
-destroy (cs_caller_t *caller, bool graceful)
+destroy (cs_caller_t *caller, void (*close_channel) (cs_channel_t *))
 {
-  disconnect (caller, graceful);
+  disconnect (caller, close_channel);
   if (!caller->reading)
     release (caller);
 }
@@ -78,16 +75,15 @@
     cs_channel_send (caller->channel, cs_buf_str (&response));
   cs_buf_free (&body);
   cs_buf_free (&response);
-  destroy (caller, true);
+  destroy (caller, cs_channel_close_gracefully);
 }
 
-/* Closes a connection without a request.  If no output is left, it does not
-   linger: a request that crosses the close is reset rather than read, so that
-   its caller knows that it has not run.  */
+/* Closes a connection without a request.  A request that crosses the close is
+   not read, so that its caller knows that it has not run.  */
 static void
 close_idle (cs_caller_t *caller)
 {
-  destroy (caller, cs_channel_queued (caller->channel) > 0);
+  destroy (caller, cs_channel_close_unread);
 }
 
 static void
@@ -151,7 +147,7 @@
     {
       router->counters.callers_gone++;
       cs_log (CS_EV_CALLER_CLOSED, "why=gone");
-      disconnect (caller, false);
+      disconnect (caller, cs_channel_close);
       return;
     }
   caller->close_after = !head->keep_alive;
@@ -237,7 +233,7 @@
   cs_caller_t *caller = context;
   if (caller->forward != NULL)
     cs_forward_abandon (caller->forward);
-  destroy (caller, false);
+  destroy (caller, cs_channel_close);
 }
 
 static void
@@ -333,7 +329,7 @@
   caller->forward = NULL;
   if (close)
     {
-      destroy (caller, true);
+      destroy (caller, cs_channel_close_gracefully);
       return;
     }
   set_idle_timer (caller);
@@ -344,7 +340,7 @@
 void
 cs_caller_abort (cs_caller_t *caller)
 {
-  destroy (caller, false);
+  destroy (caller, cs_channel_close);
 }
 
 void
@@ -369,6 +365,6 @@
       cs_caller_t *caller = router->callers;
       if (caller->forward != NULL)
         cs_forward_abandon (caller->forward);
-      destroy (caller, false);
+      destroy (caller, cs_channel_close);
     }
 }
--- a/tests/router/fixture.h
+++ b/tests/router/fixture.h
@@ -98,6 +98,20 @@
     return socket.read (ms, text.compare (0, 5, "HEAD ") == 0);
   }
 
+  // Whether the router resets the connection within MS.
+  static bool
+  is_reset_within (const wire::Socket &socket, int ms)
+  {
+    return Router::eventually (
+        [&] {
+          int error = 0;
+          socklen_t len = sizeof error;
+          getsockopt (socket.fd (), SOL_SOCKET, SO_ERROR, &error, &len);
+          return error == EPIPE || error == ECONNRESET;
+        },
+        ms);
+  }
+
   void
   set_engine_scripts (const Target::Script &script)
   {
--- a/tests/router/linger_test.cc
+++ b/tests/router/linger_test.cc
@@ -40,6 +40,12 @@
 {
 protected:
   static constexpr int lame_duck_ms = 100;
+  // The limit of a lingering close, LINGER_US of net/linger.c.
+  static constexpr int linger_ms = 2000;
+  // Longer than the idle timeout of the configuration.
+  static constexpr int past_idle_timeout_ms = 1200;
+  // More than a caller's receive buffer, but all taken by the kernel.
+  static constexpr size_t kernel_bytes = 128 * 1024;
   // Less than the router queues for a caller before it pauses the target.
   static constexpr size_t step_bytes = 32 * 1024;
   static constexpr size_t max_bytes = 8 * 1024 * 1024;
@@ -93,6 +99,25 @@
     EXPECT_TRUE (Router::eventually ([this] { return has_no_request (); }));
     return caller;
   }
+
+  // Sends a request on the connection after the router has closed it as idle.
+  void
+  ask_after_idle_close (SlowCaller &caller)
+  {
+    std::this_thread::sleep_for (
+        std::chrono::milliseconds (past_idle_timeout_ms));
+    count_at_idle_close_ = engine_request_count ();
+    caller.socket.send (request ("POST", "/once/x", "", "b"));
+  }
+
+  size_t
+  asked_since_idle_close ()
+  {
+    return engine_request_count () - count_at_idle_close_;
+  }
+
+private:
+  size_t count_at_idle_close_ = 0;
 };
 
 // A stop ended the process while answers were queued, as their callers had
@@ -115,4 +140,38 @@
   EXPECT_TRUE (caller->reads_all (5000));
 }
 
+// The idle close read a request that came after it, and dropped it.
+TEST_F (UnreadAnswer, OutlastsAnIdleCloseThatItsCallerCrosses)
+{
+  auto caller = caller_with_queued_answer ("");
+  ask_after_idle_close (*caller);
+  EXPECT_TRUE (caller->reads_all (1000));
+  EXPECT_TRUE (is_reset_within (caller->socket, linger_ms + 1000));
+  EXPECT_EQ (asked_since_idle_close (), 0U);
+}
+
+// The request that came after the idle close reset the connection, with the
+// rest of the answer.
+TEST_F (UnreadAnswer, InTheKernelOutlastsAnIdleCloseThatItsCallerCrosses)
+{
+  auto caller = ask_for (kernel_bytes, "");
+  EXPECT_TRUE (Router::eventually ([this] { return has_no_request (); }));
+  ask_after_idle_close (*caller);
+  EXPECT_TRUE (caller->reads_all (1000));
+  EXPECT_TRUE (is_reset_within (caller->socket, linger_ms + 1000));
+  EXPECT_EQ (asked_since_idle_close (), 0U);
+}
+
+// Connections that wait only for their callers to close do not delay a stop.
+TEST_F (UnreadAnswer, InTheKernelDoesNotDelayAStop)
+{
+  auto caller = ask_for (kernel_bytes, "");
+  EXPECT_TRUE (Router::eventually ([this] { return has_no_request (); }));
+  std::this_thread::sleep_for (
+      std::chrono::milliseconds (past_idle_timeout_ms));
+  router->signal (SIGTERM);
+  EXPECT_EQ (router->exit_within (lame_duck_ms + 700), 0);
+  EXPECT_TRUE (caller->reads_all (1000));
+}
+
 }
