--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -60,9 +60,18 @@
 /* Sends the queued output, then closes the connection; the callbacks are not
    called any more.  Input is read and discarded for a short time (a lingering
    close), because closing a socket with unread input would reset the
-   connection before the peer has read the last output.  */
+   connection before the peer has read the last output.  The time starts again
+   whenever queued output is written.  */
 void cs_channel_close_gracefully (cs_channel_t *channel);
 
+/* Like cs_channel_close_gracefully, but reads nothing any more: when the time
+   is over, the kernel resets the connection if input came, so that the peer
+   knows that it was not read.  Until then the peer can read its output.  */
+void cs_channel_close_unread (cs_channel_t *channel);
+
+/* Whether a channel in a lingering close has queued output.  */
+bool cs_channels_have_lingering_output (cs_loop_t *loop);
+
 /* Closes all channels in a lingering close.  Must be called before the loop is
    destroyed.  */
 void cs_channels_close_lingering (cs_loop_t *loop);
