Use no pooled connection to a target that has closed it or sent bytes on it

What callers saw: after a short standstill of the router, 502 "target_cut, may have run" for requests that may not be repeated, although none had run. Found in review.

Cause: a pooled connection was taken by its age alone. Where a request and the close of the target's idle connection come before the loop looks again, the request is read first and goes out on the connection that is closed. Where the target had sent bytes that answer nothing, they were taken for the answer of the next request.

Evidence: two Standstill tests.

Now a connection with input waiting is discarded when the pool is asked for one, and the next is used or a new one opened. It is looked at with poll just before the request is sent. A close that crosses the request on the link still cuts it, as before. Data is counted in stale_answers, as where the loop reports it.

Ruled out: reading the connection there; the call may come from within a callback of the same channel or while another uses the loop's read buffer.

--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -255,10 +255,28 @@
   return limit > IDLE_MARGIN_US * 2 ? limit - IDLE_MARGIN_US : limit / 2;
 }
 
+/* Discards pooled connections until the first is one without input: the event
+   loop may not have reported yet that the target has closed them or sent data.
+   They are not read, as a callback may be using the loop's read buffer.  */
+static void
+discard_with_input (cs_target_t *target)
+{
+  cs_connection_t *connection;
+  while ((connection = target->user_data) != NULL
+         && cs_channel_has_input (connection->channel))
+    {
+      if (cs_channel_has_unread (connection->channel))
+        connection->env.counters->stale_answers++;
+      remove_from_pool (connection);
+      destroy (connection);
+    }
+}
+
 static cs_connection_t *
 take_pooled (const cs_connection_env_t *env, cs_target_t *target,
              bool require_fresh)
 {
+  discard_with_input (target);
   cs_connection_t *connection = target->user_data;
   if (connection == NULL)
     return NULL;
--- a/tests/router/standstill_test.cc
+++ b/tests/router/standstill_test.cc
@@ -9,9 +9,14 @@
 class Standstill : public RouterTest
 {
 protected:
+  using Sockets = std::vector<std::unique_ptr<wire::Socket>>;
+
   // More answers than the event loop reads of at once.
   static constexpr int many = 100;
 
+  // As many as the targets have slots for, or fewer.
+  static constexpr size_t few = 10;
+
   // Sends requests that the targets answer after 300 ms, and stops the process
   // before that and for STOPPED_MS.  Returns how many got the answer.
   int
@@ -22,7 +27,7 @@
           std::this_thread::sleep_for (std::chrono::milliseconds (300));
           return Target::respond_with ("hello") (socket, message);
         });
-    std::vector<std::unique_ptr<wire::Socket>> sockets;
+    Sockets sockets;
     for (int i = 0; i < many; i++)
       {
         sockets.push_back (std::make_unique<wire::Socket> (
@@ -39,6 +44,69 @@
       served += socket->read (3000).status () == 200;
     return served;
   }
+
+  // Shared with scripts, which may run longer than a test.
+  struct End
+  {
+    std::function<void (wire::Socket &)> run;
+    std::atomic<bool> is_due{ false };
+    std::atomic<size_t> count{ 0 };
+  };
+
+  // Lets the targets answer when all of the first requests have come, and run
+  // END with the connections that are idle then when it is due.
+  void
+  set_ending_scripts (const std::shared_ptr<End> &end)
+  {
+    set_engine_scripts ([=, this] (wire::Socket &socket,
+                                   const wire::Message &message) {
+      Router::eventually ([this] { return engine_request_count () >= few; });
+      Target::respond_with ("hello") (socket, message);
+      if (end->is_due)
+        return true;
+      Router::eventually ([&] { return end->is_due.load (); });
+      end->run (socket);
+      end->count++;
+      return socket.is_open ();
+    });
+  }
+
+  // Sends a request that may not be repeated on each of SOCKETS.
+  void
+  send_unsafe_requests (const Sockets &sockets)
+  {
+    for (auto &socket : sockets)
+      socket->send (request ("POST", "/once/x", "", "b"));
+  }
+
+  // Stops the process while requests come on connections that have carried one
+  // each, and meanwhile the targets call RUN with their idle connections.
+  // Returns how many requests were served.
+  size_t
+  count_served_after (const std::function<void (wire::Socket &)> &run)
+  {
+    auto end = std::make_shared<End> ();
+    Sockets sockets;
+    size_t served = 0;
+    end->run = run;
+    set_ending_scripts (end);
+    for (size_t i = 0; i < few; i++)
+      sockets.push_back (std::make_unique<wire::Socket> (
+          wire::Socket::connect_to (router->callers ())));
+    send_unsafe_requests (sockets);
+    for (auto &socket : sockets)
+      EXPECT_EQ (socket->read (3000).status (), 200);
+    router->signal (SIGSTOP);
+    waitpid (router->pid (), nullptr, WUNTRACED);
+    send_unsafe_requests (sockets);
+    end->is_due = true;
+    EXPECT_TRUE (Router::eventually ([&] { return end->count == few; }));
+    router->signal (SIGCONT);
+    for (auto &socket : sockets)
+      served += socket->read (3000).status () == 200;
+    EXPECT_EQ (engine_request_count (), 2 * few);
+    return served;
+  }
 };
 
 // Answers that were ready were replaced by 504: their deadline passed before
@@ -100,4 +168,22 @@
   EXPECT_FALSE (socket.read (3000).is_complete);
 }
 
+// Requests went out on connections that their targets had just closed, and
+// failed as if they might have run.
+TEST_F (Standstill, RequestsAvoidConnectionsThatTargetsHaveClosed)
+{
+  EXPECT_EQ (
+      count_served_after ([] (wire::Socket &socket) { socket.close (); }),
+      few);
+}
+
+// The same of connections with bytes that answer nothing.
+TEST_F (Standstill, RequestsAvoidConnectionsWithStrayBytes)
+{
+  EXPECT_EQ (count_served_after (
+                 [] (wire::Socket &socket) { socket.send ("stray"); }),
+             few);
+  EXPECT_EQ (router->counter ("stale_answers"), static_cast<int> (few));
+}
+
 }
