Read a request that has come before the daemon's idle timeout closes it

What callers saw: after a standstill of the daemon that was longer than the idle timeout, kept connections were closed with the requests that had come on them meanwhile; a request whose first part had been read was closed at its timeout although the rest had come. Found in review.

Cause: the web server closed a connection on EV_TIMEOUT without reading.

A timeout now reads first, like any other event of the connection, and closes it if nothing has come. Two tests that were green before guard that: a connection that is idle is closed after its second, and those that are idle over a standstill after it. Both fail in a trial that leaves a connection open when nothing has come.

--- a/daemon/web/connection.c
+++ b/daemon/web/connection.c
@@ -154,13 +154,11 @@
 {
   cs_web_request_t *request = argument;
   char buffer[READ_BYTES];
-  if ((what & EV_TIMEOUT) != 0)
-    {
-      cs_web_close_connection (request);
-      return;
-    }
+  bool timed_out = (what & EV_TIMEOUT) != 0;
+  /* After a standstill of the process, timeouts that are due are reported
+     before input that has arrived, or in its place.  */
   ssize_t received = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
-  if (received < 0 && (errno == EAGAIN || errno == EINTR))
+  if (received < 0 && ((errno == EAGAIN && !timed_out) || errno == EINTR))
     await_input (request);
   else if (received <= 0
            || (request->lingering && cs_clock_now () >= request->linger_until))
