End a request at its deadline although its target sends without end

What callers saw, since: while a target sent faster than the router's loop turned, there was always something to read before the deadline decided, so the request did not end. Under load the endless body of EndlessAnswer took 2,652 and 3,052 ms of 2,500; that rare failure led here.

Cause: putting the decision off had no limit.

A timeout now puts its decision off for 50 ms at most, from the first time it was due; what had arrived by then is read in a few milliseconds. The timeouts of callers have the same limit: a caller that sent empty lines without end was never closed as idle.

--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -90,9 +90,8 @@
 on_timer (void *context, cs_time_us_t now)
 {
   cs_caller_t *caller = context;
-  /* After a time without the processor, timers run before the loop has read
-     what arrived meanwhile.  */
-  if (cs_channel_has_unread (caller->channel))
+  if (cs_channel_has_unread (caller->channel)
+      && cs_overdue_may_read (&caller->overdue, now))
     {
       cs_timer_set (&caller->timer, 0);
       cs_channel_read (caller->channel);
@@ -106,6 +105,7 @@
 static void
 set_idle_timer (cs_caller_t *caller)
 {
+  caller->overdue.since = 0;
   cs_timer_set (&caller->timer,
                 cs_caller_limits (caller)->idle_timeout_ms * CS_US_PER_MS);
 }
@@ -191,9 +191,12 @@
       return;
     case CS_HTTP_IN_HEAD:
       if (!had_begun && cs_http_reader_has_begun (caller->reader))
-        cs_timer_set (&caller->timer,
-                      cs_caller_limits (caller)->head_timeout_ms
-                          * CS_US_PER_MS);
+        {
+          caller->overdue.since = 0;
+          cs_timer_set (&caller->timer,
+                        cs_caller_limits (caller)->head_timeout_ms
+                            * CS_US_PER_MS);
+        }
       return;
     case CS_HTTP_IN_BODY:
       set_idle_timer (caller);
--- a/router/caller/internal.h
+++ b/router/caller/internal.h
@@ -5,6 +5,7 @@
 
 #include "http/reader.h"
 #include "net/channel.h"
+#include "net/overdue.h"
 #include "router/caller.h"
 #include "router/forward.h"
 
@@ -19,6 +20,7 @@
   cs_forward_t *forward; /* the request being served, or NULL */
   cs_buf_t body;         /* of the request being read */
   cs_buf_t pipelined;    /* data received while a request is being served */
+  cs_overdue_t overdue;  /* of TIMER */
   cs_timer_t timer; /* idle timeout, or timeout of the request being read */
   bool too_large;   /* the body exceeds the configured limit */
   bool body_memory_full; /* the rest of the body does not fit into memory */
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -185,6 +185,7 @@
   forward->sent_at = now;
   forward->last_event_at = 0;
   forward->events_before = forward->events.count;
+  forward->watchdog_overdue.since = 0;
   cs_timer_set (&forward->watchdog, silence_deadline (forward) - now);
   router->counters.attempts++;
 }
@@ -219,10 +220,12 @@
     return;
   if (now < deadline)
     {
+      forward->watchdog_overdue.since = 0;
       cs_timer_set (&forward->watchdog, deadline - now);
       return;
     }
-  if (cs_forward_read_first (forward, &forward->watchdog))
+  if (cs_forward_read_first (forward, &forward->watchdog,
+                             &forward->watchdog_overdue, now))
     return;
   cs_log (CS_EV_TARGET_SILENT, "id=%.*s target=%s silent_ms=%llu events=%llu",
           CS_STR_ARG (forward->request.id), forward->target->id.text,
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -168,8 +168,11 @@
 }
 
 bool
-cs_forward_read_first (cs_forward_t *forward, cs_timer_t *timer)
+cs_forward_read_first (cs_forward_t *forward, cs_timer_t *timer,
+                       cs_overdue_t *overdue, cs_time_us_t now)
 {
+  if (!cs_overdue_may_read (overdue, now))
+    return false;
   cs_timer_set (timer, 0);
   if (cs_connection_read (forward->connection))
     return true;
@@ -183,7 +186,8 @@
   cs_forward_t *forward = context;
   bool attempt_in_flight = forward->connection != NULL;
   if (attempt_in_flight
-      && cs_forward_read_first (forward, &forward->deadline_timer))
+      && cs_forward_read_first (forward, &forward->deadline_timer,
+                                &forward->deadline_overdue, now))
     return;
   forward->outcome_unknown = forward->outcome_unknown || attempt_in_flight;
   cs_forward_fail (forward,
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -4,6 +4,7 @@
 #define CS_ROUTER_FORWARD_INTERNAL_H
 
 #include "cranberrystile/event_stream.h"
+#include "net/overdue.h"
 #include "platform/headers.h"
 #include "router/forward.h"
 
@@ -39,6 +40,8 @@
   cs_time_us_t deadline;
   cs_time_us_t first_byte_at; /* when a target's response began; 0: not yet */
   cs_timer_t deadline_timer;  /* fires at DEADLINE */
+  cs_overdue_t deadline_overdue;
+  cs_overdue_t watchdog_overdue;
   cs_timer_t watchdog; /* fires when the target may have stopped responding */
 
   /* Attempts.  */
@@ -76,10 +79,11 @@
 };
 
 /* Call when TIMER has run, before deciding that the target has not responded.
-   After a time without the processor, timers run before the loop has read what
-   arrived meanwhile.  Returns true if there was something: TIMER runs again
-   unless the request has ended, in which case FORWARD is gone.  */
-bool cs_forward_read_first (cs_forward_t *forward, cs_timer_t *timer);
+   Reads what has arrived, within the limit of OVERDUE.  Returns true if there
+   was something: TIMER runs again unless the request has ended, in which case
+   FORWARD is gone.  */
+bool cs_forward_read_first (cs_forward_t *forward, cs_timer_t *timer,
+                            cs_overdue_t *overdue, cs_time_us_t now);
 
 /* Watchdog callback: retries elsewhere if the current target has been silent
    for too long.  */
--- a/tests/router/standstill_test.cc
+++ b/tests/router/standstill_test.cc
@@ -186,4 +186,39 @@
   EXPECT_EQ (router->counter ("stale_answers"), static_cast<int> (few));
 }
 
+// Targets that sent without end kept their requests beyond the deadline, since
+// there was always something to read first.
+TEST_F (Standstill, EndlessAnswersEndAtTheDeadline)
+{
+  set_engine_scripts ([] (wire::Socket &socket, const wire::Message &message) {
+    std::string part = Target::chunk (std::string (30000, 'x'));
+    socket.send (Target::signed_head (message, "200 OK",
+                                      "Transfer-Encoding: chunked\r\n\r\n"));
+    while (socket.send (part))
+      ;
+    return false;
+  });
+  Sockets sockets;
+  for (size_t i = 0; i < few; i++)
+    {
+      sockets.push_back (std::make_unique<wire::Socket> (
+          wire::Socket::connect_to (router->callers ())));
+      sockets.back ()->send (request ("GET", "/safe/x"));
+    }
+  std::vector<std::thread> readers;
+  for (auto &socket : sockets)
+    readers.emplace_back ([&socket] {
+      while (socket->fill (4000))
+        socket->drop_buffered ();
+    });
+  // The route's timeout, and the time in which its end is owed.
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500 + 500));
+  EXPECT_NE (router->metrics ().find (
+                 "\ncranberrystile_router_requests_in_flight 0\n"),
+             std::string::npos);
+  router->signal (SIGKILL);
+  for (auto &reader : readers)
+    reader.join ();
+}
+
 }
