Let the tests of unread answers not depend on what the kernel takes

OutlastsAnIdleCloseThatItsCallerCrosses failed in 8 of 26 runs: the search for the largest answer that the router reads whole ended at the edge, where the kernel may take 32 KB less the next time; then the target was paused and the request ended at its deadline (CS1503 outcome=silent, total_ms=3999), before the idle close that the test is about.

The tests now ask for 32 KB less, the middle of what the router queues, and see that the request has ended well before its deadline. Eight of eight runs of the suite pass, four at a time; with the close or the stop as before the changes they guard they are red, two runs of two each.

--- a/tests/router/linger_test.cc
+++ b/tests/router/linger_test.cc
@@ -95,8 +95,10 @@
         EXPECT_TRUE (
             Router::eventually ([this] { return has_no_request (); }));
       }
-    auto caller = ask_for (fits, fields);
-    EXPECT_TRUE (Router::eventually ([this] { return has_no_request (); }));
+    /* How much the kernel takes varies a little.  */
+    auto caller = ask_for (fits - step_bytes, fields);
+    EXPECT_TRUE (
+        Router::eventually ([this] { return has_no_request (); }, 1000));
     return caller;
   }
 
