Count no crash from before an answer that this router gave

A router that had answered a request with a part, and then heard for the first time of an older crash under it, counted that crash; it now does as after later answers. Test: IgnoresCrashesFromBeforeAnAnswerOfItsOwn, red before.

--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -242,9 +242,11 @@
     return CS_CRASH_KNOWN;
   for (uint32_t i = 0; i < crash->parts.count; i++)
     {
-      cs_suspect_t *suspect
-          = explained ? find (quarantine, crash->parts.ids[i])
-                      : find_or_add (quarantine, crash->parts.ids[i], now);
+      uint64_t part = crash->parts.ids[i];
+      if (cs_served_at (&quarantine->served, part) > crash->at)
+        continue;
+      cs_suspect_t *suspect = explained ? find (quarantine, part)
+                                        : find_or_add (quarantine, part, now);
       if (suspect == NULL
           || (explained && !cs_suspect_is_blocked (suspect, now)))
         continue;
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -229,6 +229,16 @@
   EXPECT_FALSE (blocks (other));
 }
 
+// The answer came before this router had heard of any crash.
+TEST_F (Quarantine, IgnoresCrashesFromBeforeAnAnswerOfItsOwn)
+{
+  cs_crash_t report = { 1, parts ({ other }), now };
+  now += CS_US_PER_S;
+  answer ({ other });
+  EXPECT_EQ (cs_quarantine_add_crash (quarantine, &report, now),
+             CS_CRASH_KNOWN);
+}
+
 TEST_F (Quarantine, IgnoresCrashesOfLongAgo)
 {
   for (uint64_t target = 1; target <= 3; target++)
