--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -243,6 +243,15 @@
   return is_same ? target : NULL;
 }
 
+cs_target_t *
+cs_fleet_find_by_hash (const cs_fleet_t *fleet, uint64_t incarnation)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    if (cs_target_incarnation (fleet->targets[i]) == incarnation)
+      return fleet->targets[i];
+  return NULL;
+}
+
 static void
 remove_or_retain (cs_fleet_t *fleet, size_t at, cs_time_us_t kept_until,
                   cs_time_us_t now)
@@ -355,39 +364,3 @@
   *count = fleet->count;
   return fleet->targets;
 }
-
-cs_target_t *
-cs_target_reference (cs_target_t *target)
-{
-  target->references++;
-  return target;
-}
-
-void
-cs_target_release (cs_target_t *target)
-{
-  if (target != NULL && --target->references == 0)
-    free (target);
-}
-
-/* Calls of other routers, from the newer report: that of the routers or that
-   of the target.  */
-static uint32_t
-other_routers_calls (const cs_target_t *target)
-{
-  if (target->peer_calls_at != 0
-      && (!target->load.valid || target->peer_calls_at >= target->load.at))
-    return target->peer_calls;
-  if (!target->load.valid)
-    return 0;
-  uint32_t reported = target->load.running + target->load.waiting;
-  return reported > target->load.own_in_flight
-             ? reported - target->load.own_in_flight
-             : 0;
-}
-
-uint32_t
-cs_target_estimated_calls (const cs_target_t *target)
-{
-  return other_routers_calls (target) + target->in_flight;
-}
--- /dev/null
+++ b/cranberrystile/fleet/target.c
@@ -0,0 +1,46 @@
+#include <stdlib.h>
+
+#include "common/hash.h"
+#include "cranberrystile/fleet.h"
+
+cs_target_t *
+cs_target_reference (cs_target_t *target)
+{
+  target->references++;
+  return target;
+}
+
+void
+cs_target_release (cs_target_t *target)
+{
+  if (target != NULL && --target->references == 0)
+    free (target);
+}
+
+uint64_t
+cs_target_incarnation (const cs_target_t *target)
+{
+  return cs_hash_pair (target->hash, target->started_ms);
+}
+
+/* Calls of other routers, from the newer report: that of the routers or that
+   of the target.  */
+static uint32_t
+other_routers_calls (const cs_target_t *target)
+{
+  if (target->peer_calls_at != 0
+      && (!target->load.valid || target->peer_calls_at >= target->load.at))
+    return target->peer_calls;
+  if (!target->load.valid)
+    return 0;
+  uint32_t reported = target->load.running + target->load.waiting;
+  return reported > target->load.own_in_flight
+             ? reported - target->load.own_in_flight
+             : 0;
+}
+
+uint32_t
+cs_target_estimated_calls (const cs_target_t *target)
+{
+  return other_routers_calls (target) + target->in_flight;
+}
--- a/cranberrystile/load/load_table.c
+++ b/cranberrystile/load/load_table.c
@@ -79,6 +79,7 @@
   sum->calls += more->calls;
   sum->ended += more->ended;
   sum->failed += more->failed;
+  sum->sent += more->sent;
 }
 
 /* A change of the calls in flight is reported if it is more than 1/8 of their
@@ -99,6 +100,8 @@
   uint32_t too_small = reported->calls / CALLS_CHANGE_DIVISOR;
   if (slots >= MANY_SLOTS && too_small == 0)
     too_small = 1;
+  if (load->sent != reported->sent)
+    return true;
   if (change > too_small || (load->calls == 0 && reported->calls > 0))
     return true;
   return load->failed != reported->failed
--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -60,6 +60,26 @@
          && cs_str_equal (cs_name_str (&target->service), request->service);
 }
 
+/* Whether TARGET wants no requests now: it asked for a pause, or has been sent
+   as many as it takes.   */
+static bool
+declines (const cs_choice_request_t *request, const cs_target_t *target,
+          cs_time_us_t now)
+{
+  return now < target->paused_until
+         || !cs_named_limit_allows (&target->named_limit, request->routers,
+                                    now);
+}
+
+static cs_time_us_t
+accepts_at (const cs_choice_request_t *request, const cs_target_t *target,
+            cs_time_us_t now)
+{
+  cs_time_us_t at
+      = cs_named_limit_allows_at (&target->named_limit, request->routers, now);
+  return at > target->paused_until ? at : target->paused_until;
+}
+
 static void
 add (candidates_t *candidates, cs_target_t *target)
 {
@@ -79,7 +99,7 @@
   for (size_t i = 0; i < total; i++)
     {
       cs_target_t *target = targets[i];
-      if (!is_usable (request, target, now) || now < target->paused_until)
+      if (!is_usable (request, target, now) || declines (request, target, now))
         continue;
       if (filter != CANDIDATES_ALL
           && cs_eject_is_ejected (&target->eject, now))
@@ -104,17 +124,22 @@
 }
 
 cs_time_us_t
-candidates_first_pause_end (const cs_fleet_t *fleet,
-                            const cs_choice_request_t *request,
-                            cs_time_us_t now)
+candidates_first_accepts_at (const cs_fleet_t *fleet,
+                             const cs_choice_request_t *request,
+                             cs_time_us_t now)
 {
   size_t total;
   cs_time_us_t first = 0;
   cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
   for (size_t i = 0; i < total; i++)
-    if (is_usable (request, targets[i], now) && now < targets[i]->paused_until
-        && (first == 0 || targets[i]->paused_until < first))
-      first = targets[i]->paused_until;
+    {
+      if (!is_usable (request, targets[i], now)
+          || !declines (request, targets[i], now))
+        continue;
+      cs_time_us_t at = accepts_at (request, targets[i], now);
+      if (first == 0 || at < first)
+        first = at;
+    }
   return first;
 }
 
--- a/cranberrystile/placement/candidates.h
+++ b/cranberrystile/placement/candidates.h
@@ -41,11 +41,11 @@
 void candidates_add_leaving (candidates_t *candidates, const cs_fleet_t *fleet,
                              const cs_choice_request_t *request);
 
-/* Returns when the first of the pauses that the usable targets asked for ends;
-   0 if there are none.  */
-cs_time_us_t candidates_first_pause_end (const cs_fleet_t *fleet,
-                                         const cs_choice_request_t *request,
-                                         cs_time_us_t now);
+/* Returns when the first of the usable targets that want no requests now takes
+   one; 0 if there are none.  */
+cs_time_us_t candidates_first_accepts_at (const cs_fleet_t *fleet,
+                                          const cs_choice_request_t *request,
+                                          cs_time_us_t now);
 
 /* Requires at least one candidate.  */
 cs_choice_service_t candidates_sum_up (const candidates_t *candidates);
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -236,7 +236,7 @@
     }
   if (count == 0)
     {
-      out->available_at = candidates_first_pause_end (fleet, request, now);
+      out->available_at = candidates_first_accepts_at (fleet, request, now);
       return out->available_at != 0 ? CS_ERR_OVERLOADED : CS_ERR_NO_TARGET;
     }
   cs_choice_service_t service = candidates_sum_up (candidates);
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -39,6 +39,8 @@
   X (TARGET_MISSING, 1409, 4)                                                 \
   X (TARGET_PAUSED, 1410, 5)                                                  \
   X (TARGET_CRASHED, 1411, 4)                                                 \
+  X (TARGET_LIMITED, 1412, 5)                                                 \
+  X (TARGET_LIMIT_ENDED, 1413, 5)                                             \
   X (REQUEST_FAILED, 1501, 6)                                                 \
   X (STREAM_RESUMED, 1502, 6)                                                 \
   X (REQUEST_DONE, 1503, 6)                                                   \
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -36,6 +36,8 @@
   uint64_t route;        /* hash of its name; 0: none */
   bool can_fetch;        /* targets can copy cached context from each other */
   size_t peers;          /* other routers, assumed to have as many callers */
+  double routers;        /* all of them, by whom the limits that targets name
+                            are shared */
   const cs_target_t *avoid[CS_CHOICE_MAX_AVOIDED];
   uint32_t avoid_count;
 } cs_choice_request_t;
@@ -50,8 +52,8 @@
   double mean;               /* estimated mean load of the eligible targets */
   uint32_t live;             /* number of eligible targets */
   uint32_t own;              /* calls of this router at these targets */
-  cs_time_us_t available_at; /* with CS_ERR_OVERLOADED: when the first pause
-                                that a target asked for ends */
+  cs_time_us_t available_at; /* with CS_ERR_OVERLOADED: when the first target
+                                takes a request */
 } cs_choice_t;
 
 typedef struct cs_chooser cs_chooser_t;
@@ -64,7 +66,7 @@
 /* Selects a target for REQUEST and writes the choice to OUT.  The call is not
    counted at the target; the caller does that.  Returns 0, CS_ERR_NO_TARGET,
    CS_ERR_NO_MEMORY, or CS_ERR_OVERLOADED if all usable targets have asked for
-   a pause.  */
+   a pause or got as many requests as they take.  */
 int cs_chooser_choose (cs_chooser_t *chooser, const cs_fleet_t *fleet,
                        const cs_choice_request_t *request, cs_time_us_t now,
                        cs_choice_t *out);
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -12,6 +12,7 @@
 #include "common/clock.h"
 #include "common/str.h"
 #include "cranberrystile/eject.h"
+#include "cranberrystile/named_limit.h"
 #include "cranberrystile/outcomes.h"
 #include "cranberrystile/revision.h"
 
@@ -60,6 +61,7 @@
                                 asked for none until then; 0: never */
   cs_time_us_t held_until;   /* not used before: it was gone before the store
                                 was restored, whose copy lists it; 0: never */
+  cs_named_limit_t named_limit;
   cs_target_load_t load;
   uint32_t in_flight;         /* calls of this router */
   uint32_t peer_calls;        /* other routers' calls in flight, as reported */
@@ -106,6 +108,11 @@
                                         uint64_t started_ms,
                                         const struct sockaddr_in *address);
 
+/* Returns the target whose present incarnation has the hash INCARNATION, or
+   NULL.  */
+cs_target_t *cs_fleet_find_by_hash (const cs_fleet_t *fleet,
+                                    uint64_t incarnation);
+
 /* The entry ID was removed from the platform.  Entries of live targets that
    lapsed in an outage of the platform may be registered again until
    KEPT_UNTIL, so the target stays in use until then.  If that time has passed,
@@ -152,6 +159,9 @@
 cs_target_t *cs_target_reference (cs_target_t *target);
 void cs_target_release (cs_target_t *target);
 
+/* Hash that tells the incarnations of all targets apart.  */
+uint64_t cs_target_incarnation (const cs_target_t *target);
+
 /* Estimated number of calls at the target: this router's own, plus those of
    other routers as last reported by the target or by the routers.  */
 uint32_t cs_target_estimated_calls (const cs_target_t *target);
--- a/include/cranberrystile/load_table.h
+++ b/include/cranberrystile/load_table.h
@@ -13,6 +13,7 @@
   uint32_t calls;  /* in flight */
   uint32_t ended;  /* total */
   uint32_t failed; /* of the ended calls */
+  uint32_t sent;   /* total since the target names a limit */
 } cs_load_t;
 
 /* Initialise with zeros; release with cs_load_table_free.  Entries are sorted
@@ -37,9 +38,10 @@
 
 /* Returns whether LOAD differs enough from REPORTED, the last report of the
    same target, to be reported again.  Small changes at busy targets are not,
-   which keeps heartbeats short.  Neither are single calls at a target with
-   many SLOTS, nearly all of which are free or taken all the same.  SLOTS is 0
-   if the receiver adds up reports, where single calls count.  */
+   which keeps heartbeats short, unless the target names a limit.  Neither are
+   single calls at a target with many SLOTS, nearly all of which are free or
+   taken all the same.  SLOTS is 0 if the receiver adds up reports, where
+   single calls count.  */
 bool cs_load_should_report (const cs_load_t *load, const cs_load_t *reported,
                             uint32_t slots);
 
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -73,6 +73,8 @@
   bool is_leaving;       /* the target says that it is leaving */
   cs_time_us_t pause_us; /* the target wants no requests for this long, at most
                             CS_TARGET_MAX_PAUSE_US; 0: not stated */
+  bool is_limited;       /* the target names a limit */
+  double limit_per_s;    /* requests that it takes from all routers together */
 } cs_target_response_t;
 
 void cs_headers_read_response (const cs_http_head_t *head,
--- a/include/router/apply.h
+++ b/include/router/apply.h
@@ -27,4 +27,14 @@
 void cs_apply_target_leaving (cs_router_t *router, cs_target_t *target,
                               const char *source);
 
+/* TARGET itself, or a peer, states which limit the target names.  */
+void cs_apply_target_limit (cs_router_t *router, cs_target_t *target,
+                            const cs_limit_statement_t *statement,
+                            cs_time_us_t now);
+
+/* Counts a request that this router sends to TARGET, and ends a limit that
+   nobody has confirmed for too long.  */
+void cs_apply_request_sent (cs_router_t *router, cs_target_t *target,
+                            cs_time_us_t now);
+
 #endif
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -42,6 +42,11 @@
    doesn't use the other routers' share of a common budget.  */
 size_t cs_mesh_count_members (const cs_mesh_t *mesh);
 
+/* Returns the number of routers that share the limits of targets, with this
+   one: fewer than there are while the first ones register.  Until the list of
+   routers has been read, returns a large number.  */
+double cs_mesh_count_routers (const cs_mesh_t *mesh);
+
 /* Called when the routing or the list of targets has changed: a first hub
    sends the change to its peers immediately.  */
 void cs_mesh_push_changes (cs_mesh_t *mesh);
@@ -49,6 +54,11 @@
 /* Reports to all routers that TARGET says that it is leaving.  */
 void cs_mesh_announce_leaving (cs_mesh_t *mesh, const cs_target_t *target);
 
+/* Reports to all routers what TARGET says of its limit.  HOPS routers have
+   passed that on.  */
+void cs_mesh_announce_limit (cs_mesh_t *mesh, const cs_target_t *target,
+                             uint32_t hops);
+
 /* Report to all routers that a target crashed, that a request with a part was
    answered, or that a part is blocked.  HOPS routers have passed the report
    on; those beyond a number that no sound mesh needs are dropped.  */
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &cs__router__blocked__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__limit__init
+                     (Cs__Router__Limit         *message)
+{
+  static const Cs__Router__Limit init_value = CS__ROUTER__LIMIT__INIT;
+  *message = init_value;
+}
+size_t cs__router__limit__get_packed_size
+                     (const Cs__Router__Limit *message)
+{
+  assert(message->base.descriptor == &cs__router__limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__limit__pack
+                     (const Cs__Router__Limit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__limit__pack_to_buffer
+                     (const Cs__Router__Limit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Limit *
+       cs__router__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Limit *)
+     protobuf_c_message_unpack (&cs__router__limit__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__limit__free_unpacked
+                     (Cs__Router__Limit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__leaving__init
                      (Cs__Router__Leaving         *message)
 {
@@ -592,7 +637,7 @@
   (ProtobufCMessageInit) cs__router__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cs__router__load__field_descriptors[5] =
 {
   {
     "target",
@@ -642,17 +687,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Load, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__load__field_indices_by_name[] = {
   1,   /* field[1] = calls */
   2,   /* field[2] = ended */
   3,   /* field[3] = failed */
+  4,   /* field[4] = sent */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange cs__router__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cs__router__load__descriptor =
 {
@@ -662,14 +720,14 @@
   "Cs__Router__Load",
   "cs.router",
   sizeof(Cs__Router__Load),
-  4,
+  5,
   cs__router__load__field_descriptors,
   cs__router__load__field_indices_by_name,
   1,  cs__router__load__number_ranges,
   (ProtobufCMessageInit) cs__router__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__beat__field_descriptors[17] =
+static const ProtobufCFieldDescriptor cs__router__beat__field_descriptors[18] =
 {
   {
     "routing_version",
@@ -875,6 +933,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Beat, n_limits),
+    offsetof(Cs__Router__Beat, limits),
+    &cs__router__limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__beat__field_indices_by_name[] = {
   16,   /* field[16] = blocked */
@@ -884,6 +954,7 @@
   4,   /* field[4] = has_routing_age */
   5,   /* field[5] = has_targets_age */
   12,   /* field[12] = leaving */
+  17,   /* field[17] = limits */
   10,   /* field[10] = number */
   8,   /* field[8] = others */
   7,   /* field[7] = own */
@@ -898,7 +969,7 @@
 static const ProtobufCIntRange cs__router__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor cs__router__beat__descriptor =
 {
@@ -908,7 +979,7 @@
   "Cs__Router__Beat",
   "cs.router",
   sizeof(Cs__Router__Beat),
-  17,
+  18,
   cs__router__beat__field_descriptors,
   cs__router__beat__field_indices_by_name,
   1,  cs__router__beat__number_ranges,
@@ -1107,6 +1178,96 @@
   (ProtobufCMessageInit) cs__router__blocked__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__router__limit__field_descriptors[5] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Limit, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_limited",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Limit, is_limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Limit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Limit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hops",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Limit, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__limit__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = hops */
+  1,   /* field[1] = is_limited */
+  2,   /* field[2] = per_s */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange cs__router__limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cs__router__limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Limit",
+  "Limit",
+  "Cs__Router__Limit",
+  "cs.router",
+  sizeof(Cs__Router__Limit),
+  5,
+  cs__router__limit__field_descriptors,
+  cs__router__limit__field_indices_by_name,
+  1,  cs__router__limit__number_ranges,
+  (ProtobufCMessageInit) cs__router__limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__router__leaving__field_descriptors[4] =
 {
   {
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Cs__Router__Crash Cs__Router__Crash;
 typedef struct Cs__Router__Served Cs__Router__Served;
 typedef struct Cs__Router__Blocked Cs__Router__Blocked;
+typedef struct Cs__Router__Limit Cs__Router__Limit;
 typedef struct Cs__Router__Leaving Cs__Router__Leaving;
 typedef struct Cs__Router__Routing Cs__Router__Routing;
 typedef struct Cs__Router__Target Cs__Router__Target;
@@ -60,8 +61,9 @@
 
 
 /*
- * Calls at a target: the number in flight, and the numbers that have ended and
- * failed since the reporting router started.
+ * Calls at a target: the number in flight, the numbers that have ended and
+ * failed since the reporting router started, and the number of requests sent
+ * since the target names a limit.
  */
 struct  Cs__Router__Load
 {
@@ -73,10 +75,11 @@
   uint32_t calls;
   uint32_t ended;
   uint32_t failed;
+  uint32_t sent;
 };
 #define CS__ROUTER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -135,10 +138,15 @@
   Cs__Router__Served **served;
   size_t n_blocked;
   Cs__Router__Blocked **blocked;
+  /*
+   * What targets say of the requests that they take from all routers together.
+   */
+  size_t n_limits;
+  Cs__Router__Limit **limits;
 };
 #define CS__ROUTER__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -193,6 +201,29 @@
     , 0, 0 }
 
 
+/*
+ * A target names a limit of requests, or names none any more.
+ */
+struct  Cs__Router__Limit
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the incarnation
+   */
+  uint64_t target;
+  protobuf_c_boolean is_limited;
+  double per_s;
+  uint32_t age_ms;
+  /*
+   * routers that have passed it on
+   */
+  uint32_t hops;
+};
+#define CS__ROUTER__LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__limit__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /*
  * An incarnation of a target.
  */
@@ -431,6 +462,25 @@
 void   cs__router__blocked__free_unpacked
                      (Cs__Router__Blocked *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Limit methods */
+void   cs__router__limit__init
+                     (Cs__Router__Limit         *message);
+size_t cs__router__limit__get_packed_size
+                     (const Cs__Router__Limit   *message);
+size_t cs__router__limit__pack
+                     (const Cs__Router__Limit   *message,
+                      uint8_t             *out);
+size_t cs__router__limit__pack_to_buffer
+                     (const Cs__Router__Limit   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Limit *
+       cs__router__limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__limit__free_unpacked
+                     (Cs__Router__Limit *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Leaving methods */
 void   cs__router__leaving__init
                      (Cs__Router__Leaving         *message);
@@ -546,6 +596,9 @@
 typedef void (*Cs__Router__Blocked_Closure)
                  (const Cs__Router__Blocked *message,
                   void *closure_data);
+typedef void (*Cs__Router__Limit_Closure)
+                 (const Cs__Router__Limit *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Leaving_Closure)
                  (const Cs__Router__Leaving *message,
                   void *closure_data);
@@ -573,6 +626,7 @@
 extern const ProtobufCMessageDescriptor cs__router__crash__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__served__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__blocked__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__limit__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__leaving__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__routing__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__target__descriptor;
--- a/router/apply.c
+++ b/router/apply.c
@@ -135,3 +135,38 @@
   cs_connections_close_idle (target, true, cs_loop_now (router->loop));
   cs_mesh_announce_leaving (router->mesh, target);
 }
+
+static void
+log_limit (const cs_target_t *target, const char *source)
+{
+  const cs_named_limit_t *limit = &target->named_limit;
+  if (limit->is_limited)
+    cs_log (CS_EV_TARGET_LIMITED, "target=%s source=%s per_s=%.2f",
+            target->id.text, source, limit->per_s);
+  else
+    cs_log (CS_EV_TARGET_LIMIT_ENDED, "target=%s source=%s", target->id.text,
+            source);
+}
+
+void
+cs_apply_target_limit (cs_router_t *router, cs_target_t *target,
+                       const cs_limit_statement_t *statement, cs_time_us_t now)
+{
+  cs_limit_result_t result = cs_named_limit_record (
+      &target->named_limit, statement, cs_random_unit (&router->random), now);
+  if (result == CS_LIMIT_KNOWN)
+    return;
+  if (result == CS_LIMIT_CHANGED)
+    log_limit (target, statement->hops == 0 ? "response" : "peer");
+  cs_mesh_announce_limit (router->mesh, target, statement->hops);
+}
+
+void
+cs_apply_request_sent (cs_router_t *router, cs_target_t *target,
+                       cs_time_us_t now)
+{
+  if (cs_named_limit_lapse (&target->named_limit, now))
+    log_limit (target, "lapse");
+  cs_named_limit_take (&target->named_limit,
+                       cs_mesh_count_routers (router->mesh), now);
+}
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "cranberrystile/silence.h"
+#include "router/apply.h"
 #include "router/crash_check.h"
 #include "router/forward/internal.h"
 #include "router/health.h"
@@ -146,6 +147,7 @@
                         : cs_hash (forward->organisation->name, 0),
     .route = cs_hash (forward->route->name, 1),
     .peers = cs_mesh_count_members (router->mesh),
+    .routers = cs_mesh_count_routers (router->mesh),
     .avoid_count = forward->tried_count,
   };
   for (uint32_t i = 0; i < forward->tried_count; i++)
@@ -175,6 +177,7 @@
   forward->target = forward->choice.target;
   forward->attempt_count++;
   record_tried_target (forward);
+  cs_apply_request_sent (router, forward->target, now);
   rc = send_to_target (forward, now);
   if (rc != 0)
     {
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -32,6 +32,19 @@
   target->load.valid = true;
 }
 
+/* That the target names no limit counts only in an answer that is surely its
+   own.  */
+static void
+record_limit (cs_forward_t *forward, const cs_target_response_t *response,
+              cs_time_us_t now)
+{
+  cs_limit_statement_t statement = { .is_limited = response->is_limited,
+                                     .per_s = response->limit_per_s,
+                                     .at = now };
+  if (response->is_limited || response->has_signature)
+    cs_apply_target_limit (forward->router, forward->target, &statement, now);
+}
+
 /* Applies what the target says of itself.  */
 static void
 record_state (cs_forward_t *forward, const cs_target_response_t *response,
@@ -48,6 +61,7 @@
               target->id.text, CS_STR_ARG (forward->request.id),
               (unsigned long long)(response->pause_us / CS_US_PER_MS));
     }
+  record_limit (forward, response, now);
   if (response->is_leaving)
     cs_apply_target_leaving (router, target, "response");
 }
--- a/router/peer/crash_notices.c
+++ b/router/peer/crash_notices.c
@@ -5,9 +5,6 @@
 
 /* Older notices are not sent: the peer's other links have brought them.  */
 #define MAX_AGE_US (30 * CS_US_PER_S)
-/* Routers that pass a notice on: two hubs in each of two data centres, and the
-   member that reports it.  */
-#define MAX_HOPS 6
 /* More are dropped: where hundreds of targets crash in a second, no prompt is
    the cause.  */
 #define MAX_NOTICES_PER_S 100
@@ -27,7 +24,7 @@
 static void
 announce (cs_mesh_t *mesh, const cs_crash_notice_t *notice)
 {
-  if (mesh == NULL || notice->hops > MAX_HOPS)
+  if (mesh == NULL || notice->hops > CS_MAX_HOPS)
     return;
   if (mesh->crash_notices == NULL)
     mesh->crash_notices = calloc (1, sizeof *mesh->crash_notices);
@@ -71,20 +68,6 @@
   return ring != NULL && link->crash_notices_sent < ring->count;
 }
 
-static uint32_t
-age_ms (cs_time_us_t at, cs_time_us_t now)
-{
-  cs_time_us_t age = at < now ? (now - at) / CS_US_PER_MS : 0;
-  return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
-}
-
-static cs_time_us_t
-time_of_age (uint32_t age, cs_time_us_t now)
-{
-  cs_time_us_t age_us = age * CS_US_PER_MS;
-  return age_us < now ? now - age_us : 0;
-}
-
 /* The notices of one heartbeat, in static memory.  */
 typedef struct
 {
@@ -105,7 +88,7 @@
   crash->target = notice->crash.target;
   crash->parts = notice->crash.parts.ids;
   crash->n_parts = notice->crash.parts.count;
-  crash->age_ms = age_ms (notice->crash.at, now);
+  crash->age_ms = cs_notice_age_ms (notice->crash.at, now);
   crash->hops = notice->hops;
   frames->crash_list[beat->n_crashes++] = crash;
 }
@@ -117,7 +100,7 @@
   Cs__Router__Served *served = &frames->served[beat->n_served];
   cs__router__served__init (served);
   served->part = notice->part.part;
-  served->age_ms = age_ms (notice->part.at, now);
+  served->age_ms = cs_notice_age_ms (notice->part.at, now);
   served->hops = notice->hops;
   frames->served_list[beat->n_served++] = served;
 }
@@ -129,7 +112,7 @@
   Cs__Router__Blocked *blocked = &frames->blocked[beat->n_blocked];
   cs__router__blocked__init (blocked);
   blocked->part = part->part;
-  blocked->age_ms = age_ms (part->at, now);
+  blocked->age_ms = cs_notice_age_ms (part->at, now);
   frames->blocked_list[beat->n_blocked++] = blocked;
 }
 
@@ -193,7 +176,7 @@
 {
   cs_crash_t crash = { .target = entry->target,
                        .parts.count = (uint32_t)entry->n_parts,
-                       .at = time_of_age (entry->age_ms, now) };
+                       .at = cs_notice_time (entry->age_ms, now) };
   for (size_t i = 0; i < entry->n_parts; i++)
     crash.parts.ids[i] = entry->parts[i];
   cs_router_crash_reported (router, &crash, entry->hops + 1, now);
@@ -210,7 +193,7 @@
     {
       const Cs__Router__Served *entry = beat->served[i];
       cs_part_time_t served
-          = { entry->part, time_of_age (entry->age_ms, now) };
+          = { entry->part, cs_notice_time (entry->age_ms, now) };
       if (cs_quarantine_add_served (router->quarantine, &served, now))
         cs_mesh_announce_served (link->mesh, &served, entry->hops + 1);
     }
@@ -218,7 +201,7 @@
     {
       const Cs__Router__Blocked *entry = beat->blocked[i];
       cs_part_time_t blocked
-          = { entry->part, time_of_age (entry->age_ms, now) };
+          = { entry->part, cs_notice_time (entry->age_ms, now) };
       cs_router_block_reported (router, &blocked, now);
     }
 }
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -32,13 +32,18 @@
   cs_renewal_t renewal;  /* renewals of its entry in the platform's store */
 } cs_member_t;
 
+/* Routers that pass a notice on: two hubs in each of two data centres, and the
+   member that reports it.  */
+#define CS_MAX_HOPS 6
+
 /* Number of notices that are kept for links that have not sent them yet.  */
 #define CS_NOTICES 256
 
-/* Targets that said that they are leaving, in a ring.  */
+/* Targets that have said something of themselves, in a ring.  */
 typedef struct
 {
   cs_target_t *targets[CS_NOTICES]; /* references */
+  uint32_t hops[CS_NOTICES];        /* routers that have passed it on */
   uint64_t count;                   /* of all notices so far */
 } cs_notices_t;
 
@@ -98,7 +103,8 @@
   cs_hub_role_t role;
   cs_link_t *links;
   cs_packed_list_t packed_list;
-  cs_notices_t notices;
+  cs_notices_t leaving; /* that they are leaving */
+  cs_notices_t limits;  /* a limit, or that there is none any more */
   cs_crash_notices_t *crash_notices; /* NULL until there are any */
   cs_timer_t notice_timer;           /* fires when notices are to be sent */
   bool notice_due;                   /* notice_timer is set */
@@ -132,7 +138,9 @@
   cs_revision_t targets_revision;
   bool was_behind; /* at the previous heartbeat */
 
-  uint64_t notices_sent; /* position in the mesh's notices */
+  /* Positions in the mesh's notices.  */
+  uint64_t leaving_sent;
+  uint64_t limits_sent;
   uint64_t crash_notices_sent;
   bool blocked_sent;         /* the list of blocked parts */
   uint32_t last_sent_number; /* of heartbeats */
@@ -260,8 +268,14 @@
    has a list of targets.  They are in static memory, valid until the next
    call.
  */
-void cs_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat);
-void cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat);
+void cs_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat,
+                                cs_time_us_t now);
+void cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat,
+                                cs_time_us_t now);
+
+/* Ages of what heartbeats report, in milliseconds.  */
+uint32_t cs_notice_age_ms (cs_time_us_t at, cs_time_us_t now);
+cs_time_us_t cs_notice_time (uint32_t age_ms, cs_time_us_t now);
 void cs_notices_free (cs_mesh_t *mesh);
 
 /* Sends extra heartbeats soon, which carry the notices.  */
--- a/router/peer/link.c
+++ b/router/peer/link.c
@@ -112,7 +112,7 @@
     case CS__ROUTER__FRAME__BODY_BEAT:
       cs_loads_read_heartbeat (link, frame->beat);
       cs_sync_read_heartbeat (link, frame->beat, now);
-      cs_notices_read_heartbeat (link, frame->beat);
+      cs_notices_read_heartbeat (link, frame->beat, now);
       cs_crash_notices_read_heartbeat (link, frame->beat, now);
       return CS_OK;
     case CS__ROUTER__FRAME__BODY_ROUTING:
--- a/router/peer/loads.c
+++ b/router/peer/loads.c
@@ -20,7 +20,8 @@
   return (cs_load_t){ .target = (uint32_t)target->hash,
                       .calls = target->in_flight,
                       .ended = target->ended,
-                      .failed = target->failed };
+                      .failed = target->failed,
+                      .sent = target->named_limit.sent };
 }
 
 static void
@@ -29,6 +30,7 @@
   sum->calls -= load->calls;
   sum->ended -= load->ended;
   sum->failed -= load->failed;
+  sum->sent -= load->sent;
 }
 
 /* Bounds each list of loads in a heartbeat.  The next heartbeat continues
@@ -60,6 +62,7 @@
   entry->calls = load->calls;
   entry->ended = load->ended;
   entry->failed = load->failed;
+  entry->sent = load->sent;
   batch->list[batch->count++] = entry;
 }
 
@@ -174,7 +177,8 @@
       cs_load_t load = { .target = loads[i]->target,
                          .calls = loads[i]->calls,
                          .ended = loads[i]->ended,
-                         .failed = loads[i]->failed };
+                         .failed = loads[i]->failed,
+                         .sent = loads[i]->sent };
       cs_load_table_set (table, &load);
     }
 }
@@ -217,6 +221,8 @@
 {
   target->peer_calls = others->calls;
   target->peer_calls_at = now;
+  cs_named_limit_set_peers_sent (&target->named_limit, others->sent,
+                                 cs_mesh_count_routers (router->mesh), now);
   bool continues = others->ended >= target->peers_ended
                    && others->failed >= target->peers_failed;
   uint32_t ended = others->ended - target->peers_ended;
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -89,7 +89,7 @@
     return;
   cs_sync_fill_heartbeat (link, &beat, now);
   cs_loads_fill_heartbeat (link, &beat);
-  cs_notices_fill_heartbeat (link, &beat);
+  cs_notices_fill_heartbeat (link, &beat, now);
   cs_crash_notices_fill_heartbeat (link, &beat, now);
   frame.body_case = CS__ROUTER__FRAME__BODY_BEAT;
   frame.beat = &beat;
@@ -117,7 +117,8 @@
   cs_mesh_t *mesh = context;
   mesh->notice_due = false;
   for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
-    if (link->notices_sent < mesh->notices.count
+    if (link->leaving_sent < mesh->leaving.count
+        || link->limits_sent < mesh->limits.count
         || cs_crash_notices_are_due (link))
       cs_link_send_heartbeat (link, now);
 }
@@ -193,6 +194,16 @@
   return mesh->member_count;
 }
 
+double
+cs_mesh_count_routers (const cs_mesh_t *mesh)
+{
+  if (mesh == NULL)
+    return 1;
+  if (!cs_directory_is_read (mesh->directory))
+    return ASSUMED_MEMBERS;
+  return 1 + (double)mesh->member_count;
+}
+
 void
 cs_mesh_push_changes (cs_mesh_t *mesh)
 {
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -7,19 +7,33 @@
    many targets leave together.  */
 #define COLLECT_US (20 * CS_US_PER_MS)
 
-void
-cs_mesh_announce_leaving (cs_mesh_t *mesh, const cs_target_t *target)
+static void
+add_notice (cs_mesh_t *mesh, cs_notices_t *notices, const cs_target_t *target,
+            uint32_t hops)
 {
-  if (mesh == NULL)
-    return;
-  cs_notices_t *notices = &mesh->notices;
-  cs_target_t **slot = &notices->targets[notices->count % CS_NOTICES];
-  cs_target_release (*slot);
-  *slot = cs_target_reference ((cs_target_t *)target);
+  size_t at = notices->count % CS_NOTICES;
+  cs_target_release (notices->targets[at]);
+  notices->targets[at] = cs_target_reference ((cs_target_t *)target);
+  notices->hops[at] = hops;
   notices->count++;
   cs_mesh_send_notices (mesh);
 }
 
+void
+cs_mesh_announce_leaving (cs_mesh_t *mesh, const cs_target_t *target)
+{
+  if (mesh != NULL)
+    add_notice (mesh, &mesh->leaving, target, 0);
+}
+
+void
+cs_mesh_announce_limit (cs_mesh_t *mesh, const cs_target_t *target,
+                        uint32_t hops)
+{
+  if (mesh != NULL && hops <= CS_MAX_HOPS)
+    add_notice (mesh, &mesh->limits, target, hops);
+}
+
 void
 cs_mesh_send_notices (cs_mesh_t *mesh)
 {
@@ -29,49 +43,120 @@
   cs_timer_set (&mesh->notice_timer, COLLECT_US);
 }
 
-void
-cs_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat)
+uint32_t
+cs_notice_age_ms (cs_time_us_t at, cs_time_us_t now)
+{
+  cs_time_us_t age = at < now ? (now - at) / CS_US_PER_MS : 0;
+  return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+}
+
+cs_time_us_t
+cs_notice_time (uint32_t age_ms, cs_time_us_t now)
+{
+  cs_time_us_t age_us = age_ms * CS_US_PER_MS;
+  return age_us < now ? now - age_us : 0;
+}
+
+/* Returns the first of NOTICES that is still kept and was not sent yet.  */
+static uint64_t
+first_unsent (const cs_notices_t *notices, uint64_t sent)
+{
+  return notices->count - sent > CS_NOTICES ? notices->count - CS_NOTICES
+                                            : sent;
+}
+
+static void
+fill_leaving (cs_link_t *link, Cs__Router__Beat *beat)
 {
   static Cs__Router__Leaving entries[CS_NOTICES];
   static Cs__Router__Leaving *list[CS_NOTICES];
-  const cs_notices_t *notices = &link->mesh->notices;
-  uint64_t at = link->notices_sent;
-  /* A peer without a list of targets wouldn't know them.  */
-  if (link->targets_revision.number == 0)
-    return;
-  if (notices->count - at > CS_NOTICES)
-    at = notices->count - CS_NOTICES;
-  beat->n_leaving = 0;
+  const cs_notices_t *notices = &link->mesh->leaving;
   beat->leaving = list;
-  for (; at < notices->count; at++)
+  for (uint64_t at = first_unsent (notices, link->leaving_sent);
+       at < notices->count; at++)
     {
-      cs_target_t *target = notices->targets[at % CS_NOTICES];
+      const cs_target_t *target = notices->targets[at % CS_NOTICES];
       Cs__Router__Leaving *entry = &entries[beat->n_leaving];
       cs__router__leaving__init (entry);
-      entry->target = target->id.text;
+      entry->target = (char *)target->id.text;
       entry->started_ms = target->started_ms;
       entry->address = target->address.sin_addr.s_addr;
       entry->port = ntohs (target->address.sin_port);
       list[beat->n_leaving++] = entry;
     }
-  link->notices_sent = notices->count;
+  link->leaving_sent = notices->count;
+}
+
+/* Each notice carries what the target says now, so that an earlier one can't
+   bring back a limit that has ended.  */
+static void
+fill_limits (cs_link_t *link, Cs__Router__Beat *beat, cs_time_us_t now)
+{
+  static Cs__Router__Limit entries[CS_NOTICES];
+  static Cs__Router__Limit *list[CS_NOTICES];
+  const cs_notices_t *notices = &link->mesh->limits;
+  beat->limits = list;
+  for (uint64_t at = first_unsent (notices, link->limits_sent);
+       at < notices->count; at++)
+    {
+      const cs_target_t *target = notices->targets[at % CS_NOTICES];
+      Cs__Router__Limit *entry = &entries[beat->n_limits];
+      cs__router__limit__init (entry);
+      entry->target = cs_target_incarnation (target);
+      entry->is_limited = target->named_limit.is_limited;
+      entry->per_s = target->named_limit.per_s;
+      entry->age_ms = cs_notice_age_ms (target->named_limit.stated_at, now);
+      entry->hops = notices->hops[at % CS_NOTICES];
+      list[beat->n_limits++] = entry;
+    }
+  link->limits_sent = notices->count;
 }
 
 void
-cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat)
+cs_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat,
+                           cs_time_us_t now)
+{
+  /* A peer without a list of targets wouldn't know them.  */
+  if (link->targets_revision.number == 0)
+    return;
+  fill_leaving (link, beat);
+  fill_limits (link, beat, now);
+}
+
+static void
+read_leaving (cs_router_t *router, const Cs__Router__Leaving *entry)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  address.sin_addr.s_addr = entry->address;
+  address.sin_port = htons ((uint16_t)entry->port);
+  cs_target_t *target = cs_fleet_find_incarnation (
+      router->fleet, cs_str (entry->target), entry->started_ms, &address);
+  if (target != NULL)
+    cs_apply_target_leaving (router, target, "peer");
+}
+
+static void
+read_limit (cs_router_t *router, const Cs__Router__Limit *entry,
+            cs_time_us_t now)
+{
+  cs_limit_statement_t statement = { .is_limited = entry->is_limited,
+                                     .per_s = entry->per_s,
+                                     .at = cs_notice_time (entry->age_ms, now),
+                                     .hops = entry->hops + 1 };
+  cs_target_t *target = cs_fleet_find_by_hash (router->fleet, entry->target);
+  if (target != NULL && entry->per_s >= 0)
+    cs_apply_target_limit (router, target, &statement, now);
+}
+
+void
+cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat,
+                           cs_time_us_t now)
 {
   cs_router_t *router = link->mesh->router;
   for (size_t i = 0; i < beat->n_leaving; i++)
-    {
-      const Cs__Router__Leaving *entry = beat->leaving[i];
-      struct sockaddr_in address = { .sin_family = AF_INET };
-      address.sin_addr.s_addr = entry->address;
-      address.sin_port = htons ((uint16_t)entry->port);
-      cs_target_t *target = cs_fleet_find_incarnation (
-          router->fleet, cs_str (entry->target), entry->started_ms, &address);
-      if (target != NULL)
-        cs_apply_target_leaving (router, target, "peer");
-    }
+    read_leaving (router, beat->leaving[i]);
+  for (size_t i = 0; i < beat->n_limits; i++)
+    read_limit (router, beat->limits[i], now);
 }
 
 void
@@ -79,6 +164,9 @@
 {
   cs_timer_clear (&mesh->notice_timer);
   for (size_t i = 0; i < CS_NOTICES; i++)
-    cs_target_release (mesh->notices.targets[i]);
+    {
+      cs_target_release (mesh->leaving.targets[i]);
+      cs_target_release (mesh->limits.targets[i]);
+    }
   free (mesh->crash_notices);
 }
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -110,7 +110,7 @@
   check->router = router;
   check->target = cs_target_reference (target);
   check->crash = (cs_crash_t){
-    .target = cs_hash_pair (target->hash, target->started_ms),
+    .target = cs_target_incarnation (target),
     .parts = *parts,
     .at = now,
   };
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -241,6 +241,35 @@
     }
 }
 
+// Requests a second with a fraction; anything else is no limit.
+TEST (Codec, ReadsTheLimitThatATargetNames)
+{
+  const struct
+  {
+    const char *text;
+    bool is_limited;
+    double per_s;
+  } cases[]
+      = { { "4.2", true, 4.2 }, { "0", true, 0 },    { "12", true, 12 },
+          { "-1", false, 0 },   { "nan", false, 0 }, { "1e999", false, 0 },
+          { "", false, 0 },     { "4 s", false, 0 } };
+  for (const auto &one : cases)
+    {
+      cs_http_head_t head = {};
+      cs_target_response_t response;
+      cs_http_head_add (&head, cs_str ("server-limit"), cs_str (one.text));
+      head.status = 200;
+      cs_headers_read_response (&head, &response);
+      EXPECT_EQ (response.is_limited, one.is_limited) << one.text;
+      EXPECT_DOUBLE_EQ (one.is_limited ? response.limit_per_s : 0, one.per_s)
+          << one.text;
+      head.status = 421;
+      cs_headers_read_response (&head, &response);
+      EXPECT_FALSE (response.is_limited) << "of another instance";
+      cs_http_head_free (&head);
+    }
+}
+
 TEST (Codec, LastPartOfPromptIsNotShared)
 {
   cs_prompt_context_t a;
--- /dev/null
+++ b/tests/unit/limit_test.cc
@@ -0,0 +1,279 @@
+// Limits that targets name, kept by many routers whose views lag.
+
+#include <deque>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/hash.h"
+#include "cranberrystile/load_table.h"
+#include "cranberrystile/named_limit.h"
+}
+
+namespace
+{
+
+const cs_time_us_t SECOND = CS_US_PER_S;
+const cs_time_us_t MS = CS_US_PER_MS;
+
+cs_limit_statement_t
+limited (double per_s, cs_time_us_t at, uint32_t hops = 0)
+{
+  return { true, per_s, at, hops };
+}
+
+cs_limit_statement_t
+unlimited (cs_time_us_t at, uint32_t hops = 0)
+{
+  return { false, 0, at, hops };
+}
+
+// Requests for one target at PER_S a second, FACTOR times as many from second
+// 20 to 30.  SKEW of them come to a tenth of the routers.  Reports arrive LAG
+// late, so that views are 0.7 s old on average.
+struct Demand
+{
+  int routers;
+  double limit;
+  double per_s;
+  double factor = 1;
+  double skew = 0.1;
+  cs_time_us_t lag = 550 * CS_US_PER_MS;
+  bool reports = true;
+};
+
+struct Outcome
+{
+  int most_in_window = 0; // of 4 s, from second 3 on
+  double per_s = 0;       // in seconds 5 to 20
+};
+
+Outcome
+run (const Demand &demand, uint64_t seed)
+{
+  std::vector<cs_named_limit_t> limits (demand.routers);
+  std::deque<std::pair<cs_time_us_t, std::vector<uint32_t>>> history;
+  std::vector<cs_time_us_t> sent;
+  cs_random_t random = { seed, 0 };
+  cs_time_us_t now = 100 * SECOND;
+  cs_time_us_t start = now;
+  cs_time_us_t next_report = now;
+  cs_time_us_t next_confirmation = now;
+  Outcome out;
+  size_t first = 0;
+  while (now < start + 40 * SECOND)
+    {
+      bool burst = now >= start + 20 * SECOND && now < start + 30 * SECOND;
+      double rate = demand.per_s * (burst ? demand.factor : 1);
+      now += static_cast<cs_time_us_t> (
+          cs_random_exponential (&random, SECOND / rate));
+      if (now >= next_confirmation)
+        {
+          next_confirmation = now + 3 * SECOND;
+          cs_limit_statement_t statement = limited (demand.limit, now);
+          for (auto &limit : limits)
+            cs_named_limit_record (&limit, &statement,
+                                   cs_random_unit (&random), now);
+        }
+      if (demand.reports && now >= next_report)
+        {
+          next_report = now + 300 * MS;
+          std::vector<uint32_t> counts;
+          for (auto &limit : limits)
+            counts.push_back (limit.sent);
+          history.push_back ({ now, counts });
+          while (history.size () > 1 && history[1].first + demand.lag <= now)
+            history.pop_front ();
+          uint32_t total = 0;
+          for (uint32_t count : history[0].second)
+            total += count;
+          for (int i = 0; i < demand.routers; i++)
+            cs_named_limit_set_peers_sent (
+                &limits[i], total - history[0].second[i], demand.routers, now);
+        }
+      int busy = demand.routers < 10 ? 1 : demand.routers / 10;
+      int router = cs_random_unit (&random) < demand.skew
+                       ? cs_random_u64 (&random) % busy
+                       : cs_random_u64 (&random) % demand.routers;
+      if (!cs_named_limit_allows (&limits[router], demand.routers, now))
+        continue;
+      cs_named_limit_take (&limits[router], demand.routers, now);
+      // Routers have a few seconds to learn of a limit.
+      if (now < start + 3 * SECOND)
+        continue;
+      sent.push_back (now);
+      while (sent[first] + 4 * SECOND < now)
+        first++;
+      out.most_in_window
+          = std::max<int> (out.most_in_window, sent.size () - first);
+      if (now >= start + 5 * SECOND && now < start + 20 * SECOND)
+        out.per_s += 1.0 / 15;
+    }
+  return out;
+}
+
+int
+allowed (double limit)
+{
+  return static_cast<int> (1.5 * 4 * limit + 5);
+}
+
+// Small and large fleets, with limits below what a target usually gets.
+class NamedLimits : public testing::TestWithParam<Demand>
+{
+};
+
+// All routers together sent a target several times what it had named, or next
+// to nothing of it.
+TEST_P (NamedLimits, AreKeptAndUsed)
+{
+  const int runs = 20;
+  double per_s = 0;
+  for (uint64_t seed = 1; seed <= runs; seed++)
+    {
+      Outcome out = run (GetParam (), seed);
+      EXPECT_LE (out.most_in_window, allowed (GetParam ().limit)) << seed;
+      per_s += out.per_s / runs;
+    }
+  EXPECT_GE (per_s, 0.4 * std::min (GetParam ().limit, GetParam ().per_s));
+}
+
+INSTANTIATE_TEST_SUITE_P (
+    Fleets, NamedLimits,
+    testing::Values (Demand{ 1, 5, 11, 7 }, Demand{ 6, 5, 11 },
+                     Demand{ 6, 5, 11, 7, 0.5 }, Demand{ 6, 1, 11, 7 },
+                     Demand{ 70, 5, 11 }, Demand{ 70, 5, 11, 3, 0.3 },
+                     Demand{ 70, 1, 11, 1 }, Demand{ 300, 5, 11 },
+                     Demand{ 300, 5, 11, 3 }, Demand{ 300, 20, 40, 3 },
+                     Demand{ 350, 0.4, 0.77, 3 }));
+
+// Routers that are cut off from all others sent as much as all together.
+TEST (NamedLimit, WithoutReportsAnEqualPartAndAHalfIsSent)
+{
+  Demand demand = { 6, 5, 30 };
+  demand.reports = false;
+  EXPECT_LE (run (demand, 1).per_s, 1.5 * demand.limit + 0.2);
+}
+
+// A limit that was no longer named stayed, or one that still was did not.
+TEST (NamedLimit, EndsWithTheFirstAnswerThatNamesNone)
+{
+  cs_named_limit_t limit = {};
+  cs_time_us_t now = 100 * SECOND;
+  cs_limit_statement_t statement = limited (0, now);
+  EXPECT_EQ (cs_named_limit_record (&limit, &statement, 0.5, now),
+             CS_LIMIT_CHANGED);
+  EXPECT_FALSE (cs_named_limit_allows (&limit, 1, now));
+  statement = unlimited (now + MS);
+  EXPECT_EQ (cs_named_limit_record (&limit, &statement, 0.5, now + MS),
+             CS_LIMIT_CHANGED);
+  EXPECT_TRUE (cs_named_limit_allows (&limit, 1, now + MS));
+}
+
+// A target that names 0 gets no requests in whose answers it could name none.
+TEST (NamedLimit, LapsesWithoutAStatement)
+{
+  cs_named_limit_t limit = {};
+  cs_time_us_t now = 100 * SECOND;
+  cs_limit_statement_t statement = limited (0, now);
+  cs_named_limit_record (&limit, &statement, 0.5, now);
+  EXPECT_EQ (cs_named_limit_allows_at (&limit, 6, now), now + 10 * SECOND);
+  EXPECT_FALSE (cs_named_limit_lapse (&limit, now + 9 * SECOND));
+  EXPECT_FALSE (cs_named_limit_allows (&limit, 6, now + 9 * SECOND));
+  EXPECT_TRUE (cs_named_limit_allows (&limit, 6, now + 10 * SECOND));
+  EXPECT_TRUE (cs_named_limit_lapse (&limit, now + 10 * SECOND));
+  EXPECT_FALSE (cs_named_limit_lapse (&limit, now + 10 * SECOND));
+}
+
+// Two routers told each other of a limit and of its end for ever.
+TEST (NamedLimit, StatementsOfPeersDoNotCirculate)
+{
+  cs_named_limit_t a = {};
+  cs_named_limit_t b = {};
+  cs_time_us_t now = 100 * SECOND;
+  cs_limit_statement_t first = limited (5, now);
+  cs_named_limit_record (&a, &first, 0, now);
+  cs_limit_statement_t second = limited (1, now + 10 * MS);
+  cs_named_limit_record (&b, &second, 0, now + 10 * MS);
+  int news = 0;
+  for (int i = 1; i < 50; i++)
+    {
+      // Each is dated by its arrival, 40 ms late.
+      cs_limit_statement_t from_b
+          = limited (b.per_s, b.stated_at + 40 * MS, 1);
+      cs_limit_statement_t from_a
+          = limited (a.per_s, a.stated_at + 40 * MS, 1);
+      now += 40 * MS;
+      news += cs_named_limit_record (&a, &from_b, 0, now) != CS_LIMIT_KNOWN;
+      news += cs_named_limit_record (&b, &from_a, 0, now) != CS_LIMIT_KNOWN;
+    }
+  EXPECT_LE (news, 2);
+}
+
+// A late report of a limit brought it back after its end, or a report of its
+// end was not believed.
+TEST (NamedLimit, TheLaterStatementOfAPeerCounts)
+{
+  cs_named_limit_t limit = {};
+  cs_time_us_t now = 100 * SECOND;
+  cs_limit_statement_t statement = limited (5, now, 1);
+  EXPECT_EQ (cs_named_limit_record (&limit, &statement, 0, now),
+             CS_LIMIT_CHANGED);
+  statement = unlimited (now + SECOND, 2);
+  EXPECT_EQ (cs_named_limit_record (&limit, &statement, 0, now + SECOND),
+             CS_LIMIT_CHANGED);
+  statement = limited (5, now + SECOND / 2, 1);
+  EXPECT_EQ (cs_named_limit_record (&limit, &statement, 0, now + 2 * SECOND),
+             CS_LIMIT_KNOWN);
+  EXPECT_TRUE (cs_named_limit_allows (&limit, 1, now + 2 * SECOND));
+}
+
+// Peers let a limit lapse that this router still got in each answer.
+TEST (NamedLimit, IsAnnouncedAgainWhileItIsNamed)
+{
+  cs_named_limit_t limit = {};
+  cs_time_us_t now = 100 * SECOND;
+  int announced = 0;
+  for (int i = 0; i < 120; i++)
+    {
+      cs_limit_statement_t statement = limited (5 + i % 2 * 0.1, now);
+      announced += cs_named_limit_record (&limit, &statement, 0, now)
+                   != CS_LIMIT_KNOWN;
+      now += 100 * MS;
+    }
+  EXPECT_GE (announced, 4);
+  EXPECT_LE (announced, 5);
+}
+
+// Peers that had missed the end went on as if the limit were in force.
+TEST (NamedLimit, ItsEndIsRepeated)
+{
+  cs_named_limit_t limit = {};
+  cs_time_us_t now = 100 * SECOND;
+  cs_limit_statement_t statement = limited (5, now);
+  cs_named_limit_record (&limit, &statement, 0, now);
+  int announced = 0;
+  for (int i = 0; i < 300; i++)
+    {
+      now += 100 * MS;
+      statement = unlimited (now);
+      announced += cs_named_limit_record (&limit, &statement, 0, now)
+                   != CS_LIMIT_KNOWN;
+    }
+  EXPECT_GE (announced, 4);
+  EXPECT_LE (announced, 5);
+}
+
+// Loads of targets with limits were left out of reports as too small.
+TEST (LoadTable, RequestsToALimitedTargetAreReported)
+{
+  cs_load_t reported = { 1, 40, 1000, 3, 7 };
+  cs_load_t load = reported;
+  EXPECT_FALSE (cs_load_should_report (&load, &reported, 24));
+  load.sent++;
+  EXPECT_TRUE (cs_load_should_report (&load, &reported, 24));
+}
+
+}
--- a/tests/unit/sharing_test.cc
+++ b/tests/unit/sharing_test.cc
@@ -146,7 +146,7 @@
   cs_load_table_t table = {};
   for (uint32_t i = 0; i < 500; i++)
     {
-      cs_load_t load = { i * 7919 % 500, i, 2 * i, 0 };
+      cs_load_t load = { i * 7919 % 500, i, 2 * i, 0, 0 };
       ASSERT_EQ (cs_load_table_set (&table, &load), 0);
     }
   EXPECT_EQ (table.count, 500U);
@@ -158,7 +158,7 @@
 
 TEST (LoadTable, SmallChangesOfBusyTargetsAreNotReported)
 {
-  cs_load_t reported = { 1, 40, 1000, 3 };
+  cs_load_t reported = { 1, 40, 1000, 3, 0 };
   cs_load_t load = reported;
   EXPECT_FALSE (cs_load_should_report (&load, &reported, 0));
   load.calls = 44;
@@ -168,16 +168,16 @@
   load = reported;
   load.failed++;
   EXPECT_TRUE (cs_load_should_report (&load, &reported, 0));
-  load = { 1, 0, 0, 0 };
-  reported = { 1, 1, 0, 0 };
+  load = { 1, 0, 0, 0, 0 };
+  reported = { 1, 1, 0, 0, 0 };
   EXPECT_TRUE (cs_load_should_report (&load, &reported, 0));
 }
 
 // The limit that users set leaves room for three calls, so one is not missed.
 TEST (LoadTable, SingleCallsAtLargeTargetsAreNotReported)
 {
-  cs_load_t reported = { 1, 0, 0, 0 };
-  cs_load_t load = { 1, 1, 0, 0 };
+  cs_load_t reported = { 1, 0, 0, 0, 0 };
+  cs_load_t load = { 1, 1, 0, 0, 0 };
   EXPECT_FALSE (cs_load_should_report (&load, &reported, 24));
   EXPECT_TRUE (cs_load_should_report (&load, &reported, 6));
   load.calls = 2;
