Place at a limited target what its limit allows

Cause: a limited target has few calls, so it was far below the mean, and homes with the usual load counted as full beside it: contexts went to limited targets until these took no more, then elsewhere, in turns.

Now such a target weighs its limit over the rate at an unlimited one, in the ranking, in plain draws, and where loads are compared. The rates are those of ended calls, which all routers know, so that they rank alike.

Evidence: LimitedPlacement.ContextsGoWhereTheirTargetTakesThem without the changes of chooser.c and candidates.c: 1,000 of 1,000 calls with contexts and 909 without at limited targets, where 262 are due.

--- a/cranberrystile/admission/named_limit.c
+++ b/cranberrystile/admission/named_limit.c
@@ -21,8 +21,8 @@
 /* A limit lapses after so long without a statement.  */
 #define LAPSE_US (10 * CS_US_PER_S)
 
-static bool
-is_in_force (const cs_named_limit_t *limit, cs_time_us_t now)
+bool
+cs_named_limit_is_in_force (const cs_named_limit_t *limit, cs_time_us_t now)
 {
   return limit->is_limited && now < limit->stated_at + LAPSE_US;
 }
@@ -116,7 +116,7 @@
                       : should_announce (limit, statement, same, now);
   if (statement->hops > 0 && !announce)
     return CS_LIMIT_KNOWN;
-  if (statement->is_limited && !is_in_force (limit, now))
+  if (statement->is_limited && !cs_named_limit_is_in_force (limit, now))
     begin (limit, unit, now);
   if (!statement->is_limited && limit->is_limited)
     limit->ended_at = statement->at;
@@ -133,7 +133,7 @@
 bool
 cs_named_limit_lapse (cs_named_limit_t *limit, cs_time_us_t now)
 {
-  if (!limit->is_limited || is_in_force (limit, now))
+  if (!limit->is_limited || cs_named_limit_is_in_force (limit, now))
     return false;
   limit->is_limited = false;
   limit->ended_at = 0;
@@ -144,7 +144,7 @@
 cs_named_limit_allows (const cs_named_limit_t *limit, double routers,
                        cs_time_us_t now)
 {
-  return !is_in_force (limit, now)
+  return !cs_named_limit_is_in_force (limit, now)
          || (own_level (limit, routers, now) >= 1
              && all_level (limit, now) > 0);
 }
@@ -154,7 +154,7 @@
                           cs_time_us_t now)
 {
   cs_time_us_t lapses_at = limit->stated_at + LAPSE_US;
-  if (!is_in_force (limit, now))
+  if (!cs_named_limit_is_in_force (limit, now))
     return now;
   if (limit->per_s <= 0)
     return lapses_at;
@@ -184,7 +184,7 @@
 void
 cs_named_limit_take (cs_named_limit_t *limit, double routers, cs_time_us_t now)
 {
-  if (!is_in_force (limit, now))
+  if (!cs_named_limit_is_in_force (limit, now))
     return;
   update_levels (limit, routers, now);
   limit->own = fmax (limit->own - 1, 0);
@@ -198,7 +198,7 @@
 {
   uint32_t more = sent > limit->peers_sent ? sent - limit->peers_sent : 0;
   limit->peers_sent = sent;
-  if (more == 0 || !is_in_force (limit, now))
+  if (more == 0 || !cs_named_limit_is_in_force (limit, now))
     return;
   update_levels (limit, routers, now);
   spend_of_all (limit, more);
--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -176,6 +176,7 @@
   target->changed_revision = entry->revision;
   target->joined_at = now;
   target->references = 1;
+  target->weight = 1;
   restore_state (fleet, entry, target, now);
   fleet->targets[fleet->count] = target;
   fleet->listed[fleet->count] = true;
--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -84,7 +84,7 @@
 add (candidates_t *candidates, cs_target_t *target)
 {
   candidates->members[candidates->count]
-      = (cs_rank_member_t){ target->hash, 1.0 };
+      = (cs_rank_member_t){ target->hash, target->weight };
   candidates->targets[candidates->count++] = target;
 }
 
@@ -148,15 +148,17 @@
 {
   cs_choice_service_t service = { .count = candidates->count };
   double known = 0;
+  double weights = 0;
   for (size_t i = 0; i < candidates->count; i++)
     {
       const cs_target_t *target = candidates->targets[i];
       service.mean += cs_target_estimated_calls (target);
+      weights += target->weight;
       service.mean_slots += target->slots;
       service.own += target->in_flight;
       known += target->slots > 0;
     }
-  service.mean /= (double)service.count;
+  service.mean /= weights;
   if (known > 0)
     service.mean_slots /= known;
   return service;
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -15,6 +15,9 @@
    is a home.  */
 #define WARM_UP_US (20 * CS_US_PER_S)
 
+/* Draws after which a target is taken whatever its weight.  */
+#define MAX_DRAWS 16
+
 struct cs_chooser
 {
   cs_choice_policy_t policy;
@@ -45,7 +48,14 @@
   free (chooser);
 }
 
-/* Returns the estimated load of TARGET plus the penalties for a target in
+/* Returns the estimated load of TARGET as that of one that names no limit.  */
+static double
+relative_load (const cs_target_t *target)
+{
+  return cs_target_estimated_calls (target) / target->weight;
+}
+
+/* Returns the relative load of TARGET plus the penalties for a target in
    another data centre and for recent failures.  Without the latter a target
    that fails fast would look idle and attract all calls.  */
 static double
@@ -53,7 +63,7 @@
                 const cs_choice_request_t *request, const cs_target_t *target,
                 cs_time_us_t now)
 {
-  double load = cs_target_estimated_calls (target);
+  double load = relative_load (target);
   double penalty = request->at_most_once
                        ? chooser->policy.failure_penalty_once
                        : chooser->policy.failure_penalty_repeatable;
@@ -62,6 +72,26 @@
   return load + penalty * cs_outcomes_failure_rate (&target->outcomes, now);
 }
 
+/* Returns the index of one of the COUNT targets other than EXCEPT, drawn by
+   their weights.  There must be one; EXCEPT is COUNT for none.  */
+static size_t
+draw (cs_chooser_t *chooser, cs_target_t *const *targets, size_t count,
+      size_t except)
+{
+  size_t choices = except < count ? count - 1 : count;
+  size_t index = 0;
+  for (int i = 0; i < MAX_DRAWS; i++)
+    {
+      index = cs_random_u64 (&chooser->random) % choices;
+      if (index >= except)
+        index++;
+      double weight = targets[index]->weight;
+      if (weight >= 1 || cs_random_unit (&chooser->random) < weight)
+        break;
+    }
+  return index;
+}
+
 /* Returns the less loaded of two of the COUNT targets, drawn at random, or
    NULL if there is none.  All routers see the same slightly outdated loads; if
    each chose the least loaded target, they would overload it together
@@ -73,10 +103,8 @@
 {
   if (count <= 1)
     return count == 0 ? NULL : targets[0];
-  size_t first = cs_random_u64 (&chooser->random) % count;
-  size_t second = cs_random_u64 (&chooser->random) % (count - 1);
-  if (second >= first)
-    second++;
+  size_t first = draw (chooser, targets, count, count);
+  size_t second = draw (chooser, targets, count, first);
   cs_target_t *a = targets[first];
   cs_target_t *b = targets[second];
   return effective_load (chooser, request, b, now)
@@ -150,7 +178,7 @@
       cs_target_t *home = chooser->candidates.targets[ranked[i]];
       if (is_failing (chooser, request, home, now))
         continue;
-      bool is_full = cs_target_estimated_calls (home) >= cs_choice_home_limit (
+      bool is_full = relative_load (home) >= cs_choice_home_limit (
                          policy, home->slots, service->mean);
       if (i == 0 && !is_spread && !is_full)
         return home;
--- a/cranberrystile/retry/outcomes.c
+++ b/cranberrystile/retry/outcomes.c
@@ -37,6 +37,13 @@
   outcomes->failed += failed;
 }
 
+double
+cs_outcomes_rate_per_s (const cs_outcomes_t *outcomes, cs_time_us_t now)
+{
+  double half_life_s = (double)HALF_LIFE_US / (double)CS_US_PER_S;
+  return outcomes->ended * decay_factor (outcomes, now) * M_LN2 / half_life_s;
+}
+
 double
 cs_outcomes_failure_rate (const cs_outcomes_t *outcomes, cs_time_us_t now)
 {
--- a/include/cranberrystile/choice_policy.h
+++ b/include/cranberrystile/choice_policy.h
@@ -62,7 +62,7 @@
 typedef struct
 {
   size_t count;
-  double mean;       /* load */
+  double mean;       /* load of a target that names no limit */
   double mean_slots; /* of those of which they are known; 0 if of none */
   uint32_t own;      /* this router's part of the sum of the loads */
 } cs_choice_service_t;
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -62,6 +62,7 @@
   cs_time_us_t held_until;   /* not used before: it was gone before the store
                                 was restored, whose copy lists it; 0: never */
   cs_named_limit_t named_limit;
+  double weight; /* in the choice of targets; below 1 with a limit */
   cs_target_load_t load;
   uint32_t in_flight;         /* calls of this router */
   uint32_t peer_calls;        /* other routers' calls in flight, as reported */
--- a/include/cranberrystile/named_limit.h
+++ b/include/cranberrystile/named_limit.h
@@ -57,6 +57,9 @@
    no requests can't say that it names none.  Returns whether it ended.  */
 bool cs_named_limit_lapse (cs_named_limit_t *limit, cs_time_us_t now);
 
+bool cs_named_limit_is_in_force (const cs_named_limit_t *limit,
+                                 cs_time_us_t now);
+
 /* Whether the limit allows a request now.  ROUTERS is the number of routers,
    with this one.  */
 bool cs_named_limit_allows (const cs_named_limit_t *limit, double routers,
--- a/include/cranberrystile/outcomes.h
+++ b/include/cranberrystile/outcomes.h
@@ -18,6 +18,10 @@
 void cs_outcomes_add (cs_outcomes_t *outcomes, double ended, double failed,
                       cs_time_us_t now);
 
+/* Returns how many calls a second ended recently.  */
+double cs_outcomes_rate_per_s (const cs_outcomes_t *outcomes,
+                               cs_time_us_t now);
+
 /* Whether TARGET fails much more often than the other targets of SERVICE,
    whose counts include the target's.  If all targets of a service fail alike,
    none is an outlier: there is no better target to use.  Both counts must be
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "common/log.h"
+#include "cranberrystile/limit_weights.h"
 #include "net/channel.h"
 #include "net/listener.h"
 #include "router/blocked_parts.h"
@@ -171,6 +172,7 @@
 {
   process_t *process = context;
   prune_targets (&process->router, now);
+  cs_limit_weights_update (process->router.fleet, now);
   reload_if_changed (process);
   process->router.counters.log_lines_dropped = cs_log_dropped ();
   if (process->router.stopping)
--- a/tests/unit/limit_test.cc
+++ b/tests/unit/limit_test.cc
@@ -7,7 +7,10 @@
 
 extern "C"
 {
+#include "common/error.h"
 #include "common/hash.h"
+#include "cranberrystile/chooser.h"
+#include "cranberrystile/limit_weights.h"
 #include "cranberrystile/load_table.h"
 #include "cranberrystile/named_limit.h"
 }
@@ -266,6 +269,121 @@
   EXPECT_LE (announced, 5);
 }
 
+// Twelve targets that end 128 calls a second.  The first eight name 4.2.
+class LimitedPlacement : public testing::Test
+{
+protected:
+  LimitedPlacement ()
+  {
+    cs_choice_policy_t policy = cs_choice_policy_default ();
+    chooser = cs_chooser_create (&policy, 1);
+    fleet = cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr);
+    for (int i = 0; i < 12; i++)
+      {
+        bool added;
+        std::string id = "t" + std::to_string (i);
+        cs_target_entry_t entry = {};
+        entry.id = cs_str (id.c_str ());
+        entry.service = cs_str ("engines");
+        entry.data_centre = cs_str ("a");
+        entry.slots = 64;
+        cs_fleet_put (fleet, &entry, now, &added);
+        cs_limit_statement_t statement = limited (4.2, now);
+        if (i < 8)
+          cs_named_limit_record (&target (i)->named_limit, &statement, 1, now);
+      }
+    // Each takes another request now.
+    now += SECOND;
+    // A rate of 128 / 12 calls a second, with the half-life of a second.
+    for (int i = 0; i < 12; i++)
+      cs_outcomes_add (&target (i)->outcomes, 128 / 12.0 / 0.693, 0, now);
+  }
+
+  ~LimitedPlacement () override
+  {
+    cs_chooser_destroy (chooser);
+    cs_fleet_destroy (fleet);
+  }
+
+  cs_target_t *
+  target (int index)
+  {
+    size_t count;
+    return cs_fleet_targets (fleet, &count)[index];
+  }
+
+  // Returns how many of 1,000 calls, which all have a different context or
+  // none, are placed at limited targets.  Loads are as the rates allow.
+  int
+  count_at_limited (bool with_context)
+  {
+    int count = 0;
+    for (int i = 0; i < 12; i++)
+      target (i)->in_flight = i < 8 ? 1 : 6;
+    for (int i = 0; i < 1000; i++)
+      {
+        cs_prompt_context_t context
+            = { { cs_hash_pair (7, i) }, { 1000 }, 1, 100 };
+        cs_choice_request_t request = {};
+        request.service = cs_str ("engines");
+        request.data_centre = cs_str ("a");
+        request.context = with_context ? &context : nullptr;
+        request.routers = 1;
+        cs_choice_t choice;
+        EXPECT_EQ (cs_chooser_choose (chooser, fleet, &request, now, &choice),
+                   CS_OK);
+        count += choice.target->named_limit.is_limited;
+      }
+    return count;
+  }
+
+  cs_time_us_t now = 100 * SECOND;
+  cs_fleet_t *fleet;
+  cs_chooser_t *chooser;
+};
+
+// Of 128 calls a second the limited targets are to get 8 * 4.2, 262 of 1,000.
+// Their homes had most of the calls, as they looked idle beside the others:
+// the limit then sent them elsewhere, and contexts were read at one target
+// after another.
+TEST_F (LimitedPlacement, ContextsGoWhereTheirTargetTakesThem)
+{
+  cs_limit_weights_update (fleet, now);
+  EXPECT_NEAR (target (0)->weight, 4.2 / ((128 - 8 * 4.2) / 4), 0.01);
+  EXPECT_EQ (target (8)->weight, 1);
+  EXPECT_LE (count_at_limited (true), 340);
+  // Without a context two targets are drawn; a limited one wins if its load is
+  // lower in proportion to its weight: at most half of the pairs have one.
+  EXPECT_LE (count_at_limited (false), 550);
+  EXPECT_GE (count_at_limited (true), 180);
+}
+
+// Targets whose limits had ended went on getting fewer calls.
+TEST_F (LimitedPlacement, WeightsEndWithTheLimits)
+{
+  cs_limit_weights_update (fleet, now);
+  cs_limit_statement_t statement = unlimited (now);
+  for (int i = 0; i < 8; i++)
+    cs_named_limit_record (&target (i)->named_limit, &statement, 1, now);
+  cs_limit_weights_update (fleet, now);
+  for (int i = 0; i < 12; i++)
+    EXPECT_EQ (target (i)->weight, 1);
+}
+
+// Where all targets name a limit and there are more calls, they are placed in
+// proportion to the limits.
+TEST_F (LimitedPlacement, AllLimited)
+{
+  for (int i = 0; i < 12; i++)
+    {
+      cs_limit_statement_t statement = limited (i < 6 ? 2 : 4, now);
+      cs_named_limit_record (&target (i)->named_limit, &statement, 1, now);
+    }
+  cs_limit_weights_update (fleet, now);
+  EXPECT_GT (target (0)->weight, 0);
+  EXPECT_NEAR (target (0)->weight * 2, target (11)->weight, 0.02);
+}
+
 // Loads of targets with limits were left out of reports as too small.
 TEST (LoadTable, RequestsToALimitedTargetAreReported)
 {
