--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -289,9 +289,10 @@
   cs_buf_t parts = { 0 };
   (void)cs_prompt_parts_print (&forward->request.parts, &parts);
   cs_log (CS_EV_ATTEMPT_FAILED,
-          "id=%.*s target=%s error=%s sent=%d after_ms=%llu events=%llu "
-          "parts=%.*s next=%s",
-          CS_STR_ARG (forward->request.id), forward->target->id.text,
+          "id=%.*s request=%llx target=%s error=%s sent=%d after_ms=%llu "
+          "events=%llu parts=%.*s next=%s",
+          CS_STR_ARG (forward->request.id),
+          (unsigned long long)forward->fingerprint, forward->target->id.text,
           cs_error_name (error), was_sent,
           (unsigned long long)(was_sent
                                    ? (now - forward->sent_at) / CS_US_PER_MS
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "cranberrystile/error_response.h"
+#include "cranberrystile/fingerprint.h"
 #include "http/response.h"
 #include "router/caller.h"
 #include "router/forward/internal.h"
@@ -230,6 +231,20 @@
   return forward->service == NULL ? CS_ERR_NO_MEMORY : CS_OK;
 }
 
+static uint64_t
+fingerprint (const cs_forward_t *forward)
+{
+  cs_fingerprint_request_t request = {
+    .method = forward->head.method,
+    .host = forward->request.host,
+    .target = forward->head.target,
+    .body = cs_buf_str (&forward->body),
+  };
+  if (forward->organisation != NULL)
+    request.organisation = forward->organisation->name;
+  return cs_fingerprint (&request);
+}
+
 static void
 set_deadline_timer (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -274,6 +289,7 @@
       cs_forward_fail (forward, rc, now);
       return;
     }
+  forward->fingerprint = fingerprint (forward);
   set_deadline_timer (forward, now);
   cs_retry_window_first_attempt (&forward->service->retry_window, now);
   cs_forward_start_attempt (forward, now);
