Add failing tests of a request that ends each target which runs it

Two routers before sixteen targets: after three have ended, 8 to 11 more end under the same request, where three are allowed; also where it may run only once, and on an engine although all parts of its prompt are sound; sound requests of the same path fail with it.

--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -267,4 +267,115 @@
   EXPECT_LE (store.calls - before, 60);
 }
 
+// A request that ends each target which runs it.  It comes again with the same
+// path, caller and body, and has no prompt, or one whose parts are sound.
+class CrashingRequest : public CrashingPart
+{
+protected:
+  wire::Message
+  ask_plain (Router &one, const std::string &route, const std::string &body,
+             const std::string &extra_fields = "")
+  {
+    wire::Socket socket (wire::Socket::connect_to (one.callers ()));
+    socket.send (request ("POST", "/" + route + "/x", extra_fields, body));
+    return socket.read (5000);
+  }
+
+  // Sends the bad request COUNT times, to both routers in turn.
+  void
+  send_bad_request (int count, const std::string &route,
+                    const std::string &extra_fields = "")
+  {
+    for (int i = 0; i < count; i++)
+      {
+        ask_plain (i % 2 == 0 ? *router : *peer, route, crash_body,
+                   extra_fields);
+        std::this_thread::sleep_for (std::chrono::milliseconds (60));
+      }
+  }
+
+  // Sends it until three targets have ended, and returns how many more end.
+  int
+  ended_after_three (const std::string &route,
+                     const std::string &extra_fields = "")
+  {
+    for (int i = 0; i < 3 && reached < 3; i++)
+      send_bad_request (1, route, extra_fields);
+    std::this_thread::sleep_for (std::chrono::milliseconds (500));
+    int before = reached;
+    EXPECT_GE (before, 3);
+    send_bad_request (8, route, extra_fields);
+    return reached - before;
+  }
+};
+
+// Each server in turn was sent the request that had ended the others, as only
+// parts of prompts were suspects.
+TEST_F (CrashingRequest, IsKeptFromTargetsAfterThreeHaveEnded)
+{
+  EXPECT_LE (ended_after_three ("safe"), 3);
+}
+
+TEST_F (CrashingRequest, IsKeptFromTargetsAlsoIfItMayRunOnlyOnce)
+{
+  EXPECT_LE (ended_after_three ("once"), 3);
+}
+
+// All parts of its prompt are sound, and were answered all the time.
+TEST_F (CrashingRequest, IsKeptFromEnginesAlthoughItsPartsAreSound)
+{
+  const char *const prompt = "X-Model: m\r\nX-Token-Usage: 100,20\r\n"
+                             "X-Prompt-Prefix: aa:50,cc:5,dd:10\r\n";
+  std::atomic<bool> done{ false };
+  std::thread sound ([&] {
+    for (int i = 0; !done; i++)
+      {
+        EXPECT_EQ (
+            ask (*router, "talk", "aa:50,cc:5", std::to_string (i)).status (),
+            200);
+        std::this_thread::sleep_for (std::chrono::milliseconds (50));
+      }
+  });
+  EXPECT_LE (ended_after_three ("talk", prompt), 3);
+  done = true;
+  sound.join ();
+}
+
+// Sound requests with the same path and caller were refused with it, and one
+// that many callers send at the same time as the bad one.
+TEST_F (CrashingRequest, DoesNotKeepOthersFromTargets)
+{
+  int served = 0;
+  for (int i = 0; i < 12; i++)
+    {
+      send_bad_request (1, "safe");
+      served += ask_plain (*router, "safe", "sound").status () == 200;
+      served += ask_plain (*peer, "safe", std::to_string (i)).status () == 200;
+    }
+  EXPECT_EQ (served, 24);
+}
+
+TEST_F (CrashingRequest, IsKnownToARouterThatStartsLater)
+{
+  send_bad_request (4, "safe");
+  Router late ("r3", store.address (), extra_settings ());
+  ASSERT_TRUE (Router::eventually ([&] { return late.is_ready (); }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  int before = reached;
+  for (int i = 0; i < 4; i++)
+    EXPECT_EQ (ask_plain (late, "safe", crash_body).status (), 503);
+  EXPECT_EQ (reached, before);
+}
+
+TEST_F (CrashingRequest, IsRefusedAtOnceAndSaysWhenToComeBack)
+{
+  send_bad_request (4, "safe");
+  int64_t start_ms = wire::now_ms ();
+  wire::Message response = ask_plain (*router, "safe", crash_body);
+  EXPECT_LT (wire::now_ms () - start_ms, 200);
+  EXPECT_EQ (response.status (), 503);
+  EXPECT_NE (response.body.find ("blocked"), std::string::npos);
+  EXPECT_GT (std::atof (response.field ("retry-after").c_str ()), 0);
+}
+
 }
