--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -262,7 +262,7 @@
 size_t
 cs_quarantine_list_served (cs_quarantine_t *quarantine,
                            const cs_crash_t *crash, cs_time_us_t now,
-                           cs_part_time_t out[CS_MAX_PART_IDS])
+                           cs_part_time_t out[CS_ID_LIST_MAX])
 {
   size_t count = 0;
   for (uint32_t i = 0; i < crash->parts.count; i++)
@@ -280,9 +280,8 @@
 }
 
 size_t
-cs_quarantine_served (cs_quarantine_t *quarantine,
-                      const cs_prompt_parts_t *parts, cs_time_us_t now,
-                      cs_part_time_t out[CS_MAX_PART_IDS])
+cs_quarantine_served (cs_quarantine_t *quarantine, const cs_id_list_t *parts,
+                      cs_time_us_t now, cs_part_time_t out[CS_ID_LIST_MAX])
 {
   size_t count = 0;
   for (uint32_t i = 0; i < parts->count; i++)
@@ -355,9 +354,8 @@
 }
 
 bool
-cs_quarantine_blocks (cs_quarantine_t *quarantine,
-                      const cs_prompt_parts_t *parts, cs_time_us_t now,
-                      cs_time_us_t *until)
+cs_quarantine_blocks (cs_quarantine_t *quarantine, const cs_id_list_t *parts,
+                      cs_time_us_t now, cs_time_us_t *until)
 {
   for (uint32_t i = 0; i < parts->count; i++)
     {
--- a/include/cranberrystile/quarantine.h
+++ b/include/cranberrystile/quarantine.h
@@ -14,7 +14,7 @@
 #include <stddef.h>
 
 #include "common/clock.h"
-#include "cranberrystile/prompt_parts.h"
+#include "cranberrystile/id_list.h"
 
 /* Number of parts that are under suspicion or blocked at a time.  */
 #define CS_QUARANTINE_SUSPECTS 256
@@ -36,9 +36,8 @@
 
 typedef struct
 {
-  uint64_t target; /* hash of the incarnation */
-  cs_prompt_parts_t
-      parts; /* of the requests that it was beginning to answer */
+  uint64_t target;    /* hash of the incarnation */
+  cs_id_list_t parts; /* of the requests that it was beginning to answer */
   cs_time_us_t at;
 } cs_crash_t;
 
@@ -83,13 +82,13 @@
    than its peers know, and returns their number.  They are to be told.  */
 size_t cs_quarantine_list_served (cs_quarantine_t *quarantine,
                                   const cs_crash_t *crash, cs_time_us_t now,
-                                  cs_part_time_t out[CS_MAX_PART_IDS]);
+                                  cs_part_time_t out[CS_ID_LIST_MAX]);
 
 /* Records that this router has answered a request with PARTS.  Stores in OUT
    those of which peers should hear, and returns their number.  */
 size_t cs_quarantine_served (cs_quarantine_t *quarantine,
-                             const cs_prompt_parts_t *parts, cs_time_us_t now,
-                             cs_part_time_t out[CS_MAX_PART_IDS]);
+                             const cs_id_list_t *parts, cs_time_us_t now,
+                             cs_part_time_t out[CS_ID_LIST_MAX]);
 
 /* Records that a peer has.  Returns whether that was news.  */
 bool cs_quarantine_add_served (cs_quarantine_t *quarantine,
@@ -107,7 +106,7 @@
 /* Whether a request with PARTS is blocked, and stores when that ends in
  *UNTIL.  */
 bool cs_quarantine_blocks (cs_quarantine_t *quarantine,
-                           const cs_prompt_parts_t *parts, cs_time_us_t now,
+                           const cs_id_list_t *parts, cs_time_us_t now,
                            cs_time_us_t *until);
 
 /* Stores the blocked parts in OUT and returns their number.  */
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -9,8 +9,8 @@
 
 #include "common/str.h"
 #include "cranberrystile/fleet.h"
+#include "cranberrystile/id_list.h"
 #include "cranberrystile/prompt_context.h"
-#include "cranberrystile/prompt_parts.h"
 #include "http/head.h"
 
 /* Header fields of a caller's request.  The strings are borrowed from the
@@ -24,7 +24,7 @@
   uint32_t deadline_ms; /* time that the caller waits; 0 if absent */
   cs_str_t last_event_id;
   cs_prompt_context_t context;
-  cs_prompt_parts_t parts;
+  cs_id_list_t parts;
 } cs_caller_request_t;
 
 /* Decodes HEAD.  Returns 0, or CS_ERR_BAD_REQUEST with *REASON set to a static
--- a/include/platform/prompt.h
+++ b/include/platform/prompt.h
@@ -4,16 +4,17 @@
 #define CS_PLATFORM_PROMPT_H
 
 #include "common/str.h"
+#include "cranberrystile/id_list.h"
 #include "cranberrystile/prompt_context.h"
-#include "cranberrystile/prompt_parts.h"
 
 /* Parses "ID:TOKENS,ID:TOKENS,..." into OUT.  The last entry is the part that
    no other request shares.  A malformed list gives an empty context, so that
    placement uses only the load of targets.  */
 void cs_prompt_context_parse (cs_str_t text, cs_prompt_context_t *out);
 
-/* Reads the ids of all entries but the last into OUT.  Token counts are not
-   checked.  */
-void cs_prompt_parts_parse (cs_str_t text, cs_prompt_parts_t *out);
+/* Reads the ids of all entries but the last into OUT, up to the number that it
+   holds.  Unlike a context, a part is the same whatever stands before it.
+   Token counts are not checked.  */
+void cs_prompt_parts_parse (cs_str_t text, cs_id_list_t *out);
 
 #endif
--- a/include/router/crash_check.h
+++ b/include/router/crash_check.h
@@ -8,7 +8,7 @@
 
 /* Connects to TARGET, and reports a crash under PARTS if it refuses.  */
 void cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
-                           const cs_prompt_parts_t *parts, cs_time_us_t now);
+                           const cs_id_list_t *parts, cs_time_us_t now);
 
 /* Ends the checks in progress.  */
 void cs_crash_checks_end (cs_router_t *router);
--- a/include/router/quarantine.h
+++ b/include/router/quarantine.h
@@ -25,7 +25,7 @@
 
 /* A target has written some of an answer to a request with PARTS, and has not
    crashed.  */
-void cs_router_parts_served (cs_router_t *router,
-                             const cs_prompt_parts_t *parts, cs_time_us_t now);
+void cs_router_parts_served (cs_router_t *router, const cs_id_list_t *parts,
+                             cs_time_us_t now);
 
 #endif
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -287,7 +287,7 @@
              const char *next, cs_time_us_t now)
 {
   cs_buf_t parts = { 0 };
-  (void)cs_prompt_parts_print (&forward->request.parts, &parts);
+  (void)cs_id_list_print (&forward->request.parts, &parts);
   cs_log (CS_EV_ATTEMPT_FAILED,
           "id=%.*s request=%llx target=%s error=%s sent=%d after_ms=%llu "
           "events=%llu parts=%.*s next=%s",
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -31,7 +31,7 @@
 announce_served (cs_router_t *router, const cs_crash_t *crash,
                  cs_time_us_t now)
 {
-  cs_part_time_t served[CS_MAX_PART_IDS];
+  cs_part_time_t served[CS_ID_LIST_MAX];
   size_t count
       = cs_quarantine_list_served (router->quarantine, crash, now, served);
   for (size_t i = 0; i < count; i++)
@@ -80,10 +80,10 @@
 }
 
 void
-cs_router_parts_served (cs_router_t *router, const cs_prompt_parts_t *parts,
+cs_router_parts_served (cs_router_t *router, const cs_id_list_t *parts,
                         cs_time_us_t now)
 {
-  cs_part_time_t served[CS_MAX_PART_IDS];
+  cs_part_time_t served[CS_ID_LIST_MAX];
   for (uint32_t i = 0; i < parts->count; i++)
     if (cs_quarantine_is_blocked (router->quarantine, parts->ids[i], now))
       cs_blocked_parts_remove (router->blocked_parts, parts->ids[i]);
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -53,7 +53,7 @@
       destroy (check);
       return;
     }
-  (void)cs_prompt_parts_print (&check->crash.parts, &parts);
+  (void)cs_id_list_print (&check->crash.parts, &parts);
   cs_log (CS_EV_TARGET_CRASHED, "target=%s parts=%.*s", check->target->id.text,
           CS_STR_ARG (cs_buf_str (&parts)));
   cs_buf_free (&parts);
@@ -66,9 +66,9 @@
 
 /* Adds PARTS to the check unless there is no room for them.  */
 static bool
-add_parts (cs_crash_check_t *check, const cs_prompt_parts_t *parts)
+add_parts (cs_crash_check_t *check, const cs_id_list_t *parts)
 {
-  cs_prompt_parts_t merged = check->crash.parts;
+  cs_id_list_t merged = check->crash.parts;
   for (uint32_t i = 0; i < parts->count; i++)
     {
       uint32_t at = 0;
@@ -76,7 +76,7 @@
         at++;
       if (at < merged.count)
         continue;
-      if (merged.count == CS_MAX_PART_IDS)
+      if (merged.count == CS_ID_LIST_MAX)
         return false;
       merged.ids[merged.count++] = parts->ids[i];
     }
@@ -86,7 +86,7 @@
 
 void
 cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
-                      const cs_prompt_parts_t *parts, cs_time_us_t now)
+                      const cs_id_list_t *parts, cs_time_us_t now)
 {
   const cs_router_settings_t *settings = &router->settings;
   cs_crash_check_t *check;
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -290,7 +290,7 @@
 // A part is the same whatever stands before it, unlike in a context.
 TEST (Codec, ReadsTheIdsOfTheSharedParts)
 {
-  cs_prompt_parts_t parts;
+  cs_id_list_t parts;
   cs_prompt_parts_parse (cs_str ("5C1e07a2:800,91bd3f06:410,e4402b7d:250"),
                          &parts);
   ASSERT_EQ (parts.count, 2U);
@@ -328,7 +328,7 @@
 {
   cs_random_t random = { 22, 0 };
   cs_prompt_context_t context;
-  cs_prompt_parts_t parts;
+  cs_id_list_t parts;
   for (int i = 0; i < CORRUPTIONS; i++)
     {
       std::string text = corrupt ("5c:800,91:410,1:2,3:4,5:6,7:8,9:1,2:3,4:5,"
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -36,10 +36,10 @@
         { part, is_blocked });
   }
 
-  static cs_prompt_parts_t
+  static cs_id_list_t
   parts (const std::vector<uint64_t> &ids)
   {
-    cs_prompt_parts_t out = {};
+    cs_id_list_t out = {};
     for (uint64_t id : ids)
       out.ids[out.count++] = id;
     return out;
@@ -55,8 +55,8 @@
   size_t
   answer (const std::vector<uint64_t> &ids)
   {
-    cs_part_time_t out[CS_MAX_PART_IDS];
-    cs_prompt_parts_t answered = parts (ids);
+    cs_part_time_t out[CS_ID_LIST_MAX];
+    cs_id_list_t answered = parts (ids);
     return cs_quarantine_served (quarantine, &answered, now, out);
   }
 
@@ -64,7 +64,7 @@
   blocks (uint64_t part)
   {
     cs_time_us_t until;
-    cs_prompt_parts_t one = parts ({ part });
+    cs_id_list_t one = parts ({ part });
     return cs_quarantine_blocks (quarantine, &one, now, &until);
   }
 
@@ -149,7 +149,7 @@
 
 TEST_F (Quarantine, TellsPeersWhatItAnsweredOfAReport)
 {
-  cs_part_time_t out[CS_MAX_PART_IDS];
+  cs_part_time_t out[CS_ID_LIST_MAX];
   cs_crash_t report = { 1, parts ({ other, bad }), now };
   answer ({ other });
   now += 3 * CS_US_PER_S;
@@ -320,13 +320,13 @@
       cs_quarantine_t *fleet
           = cs_quarantine_create (&policy, on_blocked, this);
       cs_random_t random = { seed, 0 };
-      cs_part_time_t out[CS_MAX_PART_IDS];
+      cs_part_time_t out[CS_ID_LIST_MAX];
       changes.clear ();
       int crashes_under_bad = 0;
       for (uint64_t step = 0; step < 2000; step++)
         {
           now += 20 * CS_US_PER_MS;
-          cs_prompt_parts_t answered
+          cs_id_list_t answered
               = parts ({ shared, 1000 + cs_random_u64 (&random) % 300 });
           cs_quarantine_served (fleet, &answered, now, out);
           if (step % 40 != 0)
