Keep a request that ends its targets from them, whatever its prompt

Cause: the quarantine knew parts of prompts only. A request without a prompt was no suspect, so nobody checked whether its server had crashed; one whose parts are all sound was none either, as its own part is left out. The class: what crashes have in common is sought only where one such fault was once met.

Now a crash report names the fingerprints of the requests that the target was beginning to answer, beside their parts. Requests and parts go through one quarantine: same counts, reports, answers that clear, blocks, store. Requests are judged first and each by itself. Suspects under which fewest crashed give way in a full table, as each request that is cut is now a suspect.

Ruled out: that the parts of the bad request were suspects and cleared (no CS1411 for the plain service); a second table beside the quarantine (docs/design/quarantine.md).

Tests of CrashingPart changed: their requests had one body for all prompts, and so were one request by path, caller and body. A body now follows from its prompt, and the test of cleared blocks crashes with three different ones; checks and bounds are as they were.

--- a/cranberrystile/answer/error_response.c
+++ b/cranberrystile/answer/error_response.c
@@ -70,7 +70,7 @@
   { 502, SERVER, "target_failed", CS_RAN_UNKNOWN, CS_RETRY_ADVICE_CHECK,
     "The target failed while it ran the request." },
   { 503, SERVER, "blocked_part", CS_RAN_NO, CS_RETRY_ADVICE_LATER,
-    "Targets crashed under a part of this prompt." },
+    "Targets crashed under this request or a part of its prompt." },
 };
 
 const cs_error_response_t *
--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -2,24 +2,11 @@
 
 #include <stdlib.h>
 
-#include "quarantine/served.h"
-#include "quarantine/suspect.h"
+#include "quarantine/internal.h"
 
-/* Peers hear of the answers to requests with a part this often.  */
-#define ANNOUNCE_INTERVAL_US CS_US_PER_S
 /* A block is at most 64 times as long as the first one.  */
 #define MAX_DOUBLINGS 6
 
-struct cs_quarantine
-{
-  cs_quarantine_policy_t policy;
-  cs_part_blocked_fn *on_blocked;
-  void *context;
-  cs_suspect_t *suspects; /* allocated with the first crash */
-  size_t suspect_count;
-  cs_served_t served;
-};
-
 cs_quarantine_policy_t
 cs_quarantine_policy_default (void)
 {
@@ -52,56 +39,10 @@
 {
   if (quarantine == NULL)
     return;
-  free (quarantine->suspects);
+  cs_suspect_table_free (&quarantine->suspects);
   free (quarantine);
 }
 
-static cs_suspect_t *
-find (const cs_quarantine_t *quarantine, uint64_t part)
-{
-  for (size_t i = 0; i < quarantine->suspect_count; i++)
-    if (quarantine->suspects[i].part == part)
-      return &quarantine->suspects[i];
-  return NULL;
-}
-
-/* Returns the entry whose suspicion is oldest; blocked ones come last.  */
-static cs_suspect_t *
-find_oldest (const cs_quarantine_t *quarantine, cs_time_us_t now)
-{
-  cs_suspect_t *oldest = &quarantine->suspects[0];
-  for (size_t i = 1; i < quarantine->suspect_count; i++)
-    {
-      cs_suspect_t *other = &quarantine->suspects[i];
-      if (cs_suspect_is_blocked (oldest, now)
-                  != cs_suspect_is_blocked (other, now)
-              ? cs_suspect_is_blocked (oldest, now)
-              : other->changed_at < oldest->changed_at)
-        oldest = other;
-    }
-  return oldest;
-}
-
-/* Returns NULL if memory is exhausted.  */
-static cs_suspect_t *
-find_or_add (cs_quarantine_t *quarantine, uint64_t part, cs_time_us_t now)
-{
-  cs_suspect_t *suspect = find (quarantine, part);
-  if (suspect != NULL)
-    return suspect;
-  if (quarantine->suspects == NULL)
-    quarantine->suspects
-        = calloc (CS_QUARANTINE_SUSPECTS, sizeof *quarantine->suspects);
-  if (quarantine->suspects == NULL)
-    return NULL;
-  if (quarantine->suspect_count < CS_QUARANTINE_SUSPECTS)
-    suspect = &quarantine->suspects[quarantine->suspect_count++];
-  else
-    suspect = find_oldest (quarantine, now);
-  *suspect = (cs_suspect_t){ .part = part };
-  return suspect;
-}
-
 /* Blocks SUSPECT from AT on.  */
 static void
 set_blocked (cs_quarantine_t *quarantine, cs_suspect_t *suspect,
@@ -116,31 +57,13 @@
   quarantine->on_blocked (quarantine->context, suspect->part, true, crashes);
 }
 
-/* The part has been answered since it came under suspicion.  */
-static void
-clear (cs_quarantine_t *quarantine, cs_suspect_t *suspect, cs_time_us_t now)
-{
-  bool blocked = cs_suspect_is_blocked (suspect, now);
-  suspect->crash_count = 0;
-  suspect->blocked_until = 0;
-  suspect->blocks = 0;
-  if (blocked)
-    quarantine->on_blocked (quarantine->context, suspect->part, false, 0);
-}
-
-static bool
-is_within (cs_time_us_t at, cs_time_us_t limit, cs_time_us_t now)
-{
-  return at != 0 && now < at + limit;
-}
-
 static bool
 is_served (const cs_quarantine_t *quarantine, const cs_suspect_t *suspect,
            cs_time_us_t limit, cs_time_us_t now)
 {
-  return is_within (suspect->served_at, limit, now)
-         || is_within (cs_served_at (&quarantine->served, suspect->part),
-                       limit, now);
+  return cs_quarantine_is_within (suspect->served_at, limit, now)
+         || cs_quarantine_is_within (
+             cs_served_at (&quarantine->served, suspect->part), limit, now);
 }
 
 static uint32_t
@@ -154,36 +77,50 @@
   return quarantine->policy.crashes;
 }
 
-/* Whether the crash is due to a part that is blocked.  */
+static bool
+contains (const cs_id_list_t *list, uint64_t id)
+{
+  for (uint32_t i = 0; i < list->count; i++)
+    if (list->ids[i] == id)
+      return true;
+  return false;
+}
+
+/* Whether the crash is due to a part that is blocked, or also, with
+   BY_REQUESTS, to a request.  */
 static bool
 is_explained (const cs_quarantine_t *quarantine, const cs_crash_t *crash,
-              cs_time_us_t now)
+              bool by_requests, cs_time_us_t now)
 {
-  for (size_t i = 0; i < quarantine->suspect_count; i++)
+  for (size_t i = 0; i < quarantine->suspects.count; i++)
     {
-      const cs_suspect_t *suspect = &quarantine->suspects[i];
-      if (!cs_suspect_is_blocked (suspect, now))
+      const cs_suspect_t *suspect = &quarantine->suspects.entries[i];
+      if (!cs_suspect_is_blocked (suspect, now)
+          || (suspect->is_request && !by_requests))
         continue;
-      if (cs_suspect_has_crash (suspect, crash->target))
+      if (cs_suspect_has_crash (suspect, crash->target)
+          || contains (&crash->causes.parts, suspect->part)
+          || contains (&crash->causes.requests, suspect->part))
         return true;
-      for (uint32_t j = 0; j < crash->parts.count; j++)
-        if (suspect->part == crash->parts.ids[j])
-          return true;
     }
   return false;
 }
 
-/* Removes the crashes under the blocked part CAUSE from the other suspects. */
+/* Removes the crashes under the blocked part CAUSE from the other suspects.  A
+   request explains none of other requests: if one that was only there too were
+   blocked first, the cause would go free.  */
 static void
 explain_crashes (cs_quarantine_t *quarantine, const cs_suspect_t *cause,
                  cs_time_us_t now)
 {
-  for (size_t i = 0; i < quarantine->suspect_count; i++)
+  for (size_t i = 0; i < quarantine->suspects.count; i++)
     {
-      cs_suspect_t *suspect = &quarantine->suspects[i];
-      if (!cs_suspect_is_blocked (suspect, now))
-        for (uint32_t j = 0; j < cause->crash_count; j++)
-          cs_suspect_remove_crash (suspect, cause->crashed[j]);
+      cs_suspect_t *suspect = &quarantine->suspects.entries[i];
+      if (cs_suspect_is_blocked (suspect, now)
+          || (cause->is_request && suspect->is_request))
+        continue;
+      for (uint32_t j = 0; j < cause->crash_count; j++)
+        cs_suspect_remove_crash (suspect, cause->crashed[j]);
     }
 }
 
@@ -198,129 +135,129 @@
                 >= crashes_to_block (quarantine, suspect, now);
 }
 
+static void
+block (cs_quarantine_t *quarantine, cs_suspect_t *cause, cs_time_us_t now)
+{
+  set_blocked (quarantine, cause, cause->crash_count, now, now);
+  explain_crashes (quarantine, cause, now);
+}
+
+/* Blocks each request of CRASH under which enough targets crashed.  Returns
+   whether there is one.  */
+static bool
+block_requests (cs_quarantine_t *quarantine, const cs_crash_t *crash,
+                cs_time_us_t now)
+{
+  const cs_id_list_t *requests = &crash->causes.requests;
+  bool any = false;
+  for (uint32_t i = 0; i < requests->count; i++)
+    {
+      cs_suspect_t *suspect
+          = cs_suspect_table_find (&quarantine->suspects, requests->ids[i]);
+      if (!is_candidate (quarantine, suspect, now))
+        continue;
+      block (quarantine, suspect, now);
+      any = true;
+    }
+  return any;
+}
+
 /* Blocks the part of CRASH under which most targets crashed, if these are
    enough: the last one of several, as fewer requests share it.  Returns
    whether there is one.  */
 static bool
-block_candidate (cs_quarantine_t *quarantine, const cs_crash_t *crash,
-                 cs_time_us_t now)
+block_part (cs_quarantine_t *quarantine, const cs_crash_t *crash,
+            cs_time_us_t now)
 {
+  const cs_id_list_t *parts = &crash->causes.parts;
   cs_suspect_t *cause = NULL;
-  for (uint32_t i = 0; i < crash->parts.count; i++)
+  for (uint32_t i = 0; i < parts->count; i++)
     {
-      cs_suspect_t *suspect = find (quarantine, crash->parts.ids[i]);
+      cs_suspect_t *suspect
+          = cs_suspect_table_find (&quarantine->suspects, parts->ids[i]);
       if (is_candidate (quarantine, suspect, now)
           && (cause == NULL || suspect->crash_count >= cause->crash_count))
         cause = suspect;
     }
-  if (cause == NULL)
-    return false;
-  set_blocked (quarantine, cause, cause->crash_count, now, now);
-  explain_crashes (quarantine, cause, now);
-  return true;
+  if (cause != NULL)
+    block (quarantine, cause, now);
+  return cause != NULL;
+}
+
+static void
+drop_innocent (const cs_quarantine_t *quarantine, cs_id_list_t *list,
+               cs_time_us_t now)
+{
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < list->count; i++)
+    if (!cs_quarantine_is_within (
+            cs_served_at (&quarantine->served, list->ids[i]),
+            quarantine->policy.innocent_us, now))
+      list->ids[kept++] = list->ids[i];
+  list->count = kept;
 }
 
 void
 cs_quarantine_drop_innocent (const cs_quarantine_t *quarantine,
                              cs_crash_t *crash, cs_time_us_t now)
 {
-  uint32_t kept = 0;
-  for (uint32_t i = 0; i < crash->parts.count; i++)
-    if (!is_within (cs_served_at (&quarantine->served, crash->parts.ids[i]),
-                    quarantine->policy.innocent_us, now))
-      crash->parts.ids[kept++] = crash->parts.ids[i];
-  crash->parts.count = kept;
+  drop_innocent (quarantine, &crash->causes.requests, now);
+  drop_innocent (quarantine, &crash->causes.parts, now);
 }
 
-cs_crash_result_t
-cs_quarantine_add_crash (cs_quarantine_t *quarantine, const cs_crash_t *crash,
-                         cs_time_us_t now)
+/* Counts CRASH against each id of LIST, or only against those that are blocked
+   if it is EXPLAINED.  Returns whether that is news.  */
+static bool
+count_crash (cs_quarantine_t *quarantine, const cs_crash_t *crash,
+             const cs_id_list_t *list, bool explained, cs_time_us_t now)
 {
+  cs_suspect_table_t *suspects = &quarantine->suspects;
   bool is_news = false;
-  bool explained = is_explained (quarantine, crash, now);
-  if (crash->at + quarantine->policy.evidence_us < now)
-    return CS_CRASH_KNOWN;
-  for (uint32_t i = 0; i < crash->parts.count; i++)
+  for (uint32_t i = 0; i < list->count; i++)
     {
-      uint64_t part = crash->parts.ids[i];
+      uint64_t part = list->ids[i];
       if (cs_served_at (&quarantine->served, part) > crash->at)
         continue;
-      cs_suspect_t *suspect = explained ? find (quarantine, part)
-                                        : find_or_add (quarantine, part, now);
+      cs_suspect_t *suspect = explained
+                                  ? cs_suspect_table_find (suspects, part)
+                                  : cs_suspect_table_add (suspects, part, now);
       if (suspect == NULL
           || (explained && !cs_suspect_is_blocked (suspect, now)))
         continue;
+      if (list == &crash->causes.requests)
+        suspect->is_request = true;
       if (cs_suspect_add_crash (suspect, crash,
                                 quarantine->policy.evidence_us))
         is_news = true;
     }
-  if (is_news && !explained && block_candidate (quarantine, crash, now))
-    return CS_CRASH_BLOCKED;
-  return is_news ? CS_CRASH_NEWS : CS_CRASH_KNOWN;
-}
-
-size_t
-cs_quarantine_list_served (cs_quarantine_t *quarantine,
-                           const cs_crash_t *crash, cs_time_us_t now,
-                           cs_part_time_t out[CS_ID_LIST_MAX])
-{
-  size_t count = 0;
-  for (uint32_t i = 0; i < crash->parts.count; i++)
-    {
-      uint64_t part = crash->parts.ids[i];
-      cs_suspect_t *suspect = find (quarantine, part);
-      cs_time_us_t at = cs_served_at (&quarantine->served, part);
-      if (suspect == NULL || !is_within (at, quarantine->policy.served_us, now)
-          || at < suspect->served_at + ANNOUNCE_INTERVAL_US)
-        continue;
-      suspect->served_at = at;
-      out[count++] = (cs_part_time_t){ part, at };
-    }
-  return count;
-}
-
-size_t
-cs_quarantine_served (cs_quarantine_t *quarantine, const cs_id_list_t *parts,
-                      cs_time_us_t now, cs_part_time_t out[CS_ID_LIST_MAX])
-{
-  size_t count = 0;
-  for (uint32_t i = 0; i < parts->count; i++)
-    {
-      cs_part_time_t served = { parts->ids[i], now };
-      cs_served_record (&quarantine->served, served.part, now);
-      cs_suspect_t *suspect = find (quarantine, served.part);
-      if (suspect == NULL)
-        continue;
-      if ((suspect->crash_count > 0 || cs_suspect_is_blocked (suspect, now))
-          && now >= suspect->served_at + ANNOUNCE_INTERVAL_US)
-        {
-          suspect->served_at = now;
-          out[count++] = served;
-        }
-      clear (quarantine, suspect, now);
-    }
-  return count;
+  return is_news;
 }
 
-bool
-cs_quarantine_add_served (cs_quarantine_t *quarantine,
-                          const cs_part_time_t *served, cs_time_us_t now)
+cs_crash_result_t
+cs_quarantine_add_crash (cs_quarantine_t *quarantine, const cs_crash_t *crash,
+                         cs_time_us_t now)
 {
-  cs_suspect_t *suspect = find (quarantine, served->part);
-  if (suspect == NULL || served->at <= suspect->served_at)
-    return false;
-  bool is_news = served->at >= suspect->served_at + ANNOUNCE_INTERVAL_US;
-  suspect->served_at = served->at;
-  if (served->at > suspect->first_crash_at)
-    clear (quarantine, suspect, now);
-  return is_news;
+  if (crash->at + quarantine->policy.evidence_us < now)
+    return CS_CRASH_KNOWN;
+  bool explained = is_explained (quarantine, crash, false, now);
+  bool explained_by_any = is_explained (quarantine, crash, true, now);
+  bool request_news = count_crash (quarantine, crash, &crash->causes.requests,
+                                   explained, now);
+  bool part_news = count_crash (quarantine, crash, &crash->causes.parts,
+                                explained_by_any, now);
+  if (!explained && request_news && block_requests (quarantine, crash, now))
+    return CS_CRASH_BLOCKED;
+  if (!explained_by_any && part_news && block_part (quarantine, crash, now))
+    return CS_CRASH_BLOCKED;
+  return request_news || part_news ? CS_CRASH_NEWS : CS_CRASH_KNOWN;
 }
 
 bool
 cs_quarantine_block (cs_quarantine_t *quarantine,
                      const cs_part_time_t *blocked, cs_time_us_t now)
 {
-  cs_suspect_t *suspect = find_or_add (quarantine, blocked->part, now);
+  cs_suspect_t *suspect
+      = cs_suspect_table_add (&quarantine->suspects, blocked->part, now);
   if (suspect == NULL || cs_suspect_is_blocked (suspect, now)
       || blocked->at + quarantine->policy.block_us <= now
       || is_served (quarantine, suspect, quarantine->policy.served_us, now))
@@ -349,17 +286,19 @@
 cs_quarantine_is_blocked (const cs_quarantine_t *quarantine, uint64_t part,
                           cs_time_us_t now)
 {
-  const cs_suspect_t *suspect = find (quarantine, part);
+  const cs_suspect_t *suspect
+      = cs_suspect_table_find (&quarantine->suspects, part);
   return suspect != NULL && cs_suspect_is_blocked (suspect, now);
 }
 
-bool
-cs_quarantine_blocks (cs_quarantine_t *quarantine, const cs_id_list_t *parts,
-                      cs_time_us_t now, cs_time_us_t *until)
+static bool
+blocks_any (cs_quarantine_t *quarantine, const cs_id_list_t *list,
+            cs_time_us_t now, cs_time_us_t *until)
 {
-  for (uint32_t i = 0; i < parts->count; i++)
+  for (uint32_t i = 0; i < list->count; i++)
     {
-      cs_suspect_t *suspect = find (quarantine, parts->ids[i]);
+      cs_suspect_t *suspect
+          = cs_suspect_table_find (&quarantine->suspects, list->ids[i]);
       if (suspect == NULL)
         continue;
       end_block (quarantine, suspect, now);
@@ -371,15 +310,24 @@
   return false;
 }
 
+bool
+cs_quarantine_blocks (cs_quarantine_t *quarantine, const cs_causes_t *causes,
+                      cs_time_us_t now, cs_time_us_t *until)
+{
+  return blocks_any (quarantine, &causes->requests, now, until)
+         || blocks_any (quarantine, &causes->parts, now, until);
+}
+
 size_t
 cs_quarantine_list_blocked (const cs_quarantine_t *quarantine,
                             cs_time_us_t now,
                             cs_part_time_t out[CS_QUARANTINE_SUSPECTS])
 {
   size_t count = 0;
-  for (size_t i = 0; i < quarantine->suspect_count; i++)
-    if (cs_suspect_is_blocked (&quarantine->suspects[i], now))
-      out[count++] = (cs_part_time_t){ quarantine->suspects[i].part,
-                                       quarantine->suspects[i].blocked_at };
+  for (size_t i = 0; i < quarantine->suspects.count; i++)
+    if (cs_suspect_is_blocked (&quarantine->suspects.entries[i], now))
+      out[count++]
+          = (cs_part_time_t){ quarantine->suspects.entries[i].part,
+                              quarantine->suspects.entries[i].blocked_at };
   return count;
 }
--- a/cranberrystile/quarantine/suspect.c
+++ b/cranberrystile/quarantine/suspect.c
@@ -1,5 +1,7 @@
 #include "quarantine/suspect.h"
 
+#include <stdlib.h>
+
 bool
 cs_suspect_is_blocked (const cs_suspect_t *suspect, cs_time_us_t now)
 {
@@ -44,3 +46,56 @@
   suspect->crashed[suspect->crash_count++] = crash->target;
   return true;
 }
+
+cs_suspect_t *
+cs_suspect_table_find (const cs_suspect_table_t *table, uint64_t part)
+{
+  for (size_t i = 0; i < table->count; i++)
+    if (table->entries[i].part == part)
+      return &table->entries[i];
+  return NULL;
+}
+
+/* Whether A is under less suspicion than B: it is not blocked, or fewer
+   targets crashed under it, or the last of them did so earlier.  */
+static bool
+is_less_suspect (const cs_suspect_t *a, const cs_suspect_t *b,
+                 cs_time_us_t now)
+{
+  if (cs_suspect_is_blocked (a, now) != cs_suspect_is_blocked (b, now))
+    return !cs_suspect_is_blocked (a, now);
+  if (a->crash_count != b->crash_count)
+    return a->crash_count < b->crash_count;
+  return a->changed_at < b->changed_at;
+}
+
+cs_suspect_t *
+cs_suspect_table_add (cs_suspect_table_t *table, uint64_t part,
+                      cs_time_us_t now)
+{
+  cs_suspect_t *suspect = cs_suspect_table_find (table, part);
+  if (suspect != NULL)
+    return suspect;
+  if (table->entries == NULL)
+    table->entries = calloc (CS_QUARANTINE_SUSPECTS, sizeof *table->entries);
+  if (table->entries == NULL)
+    return NULL;
+  if (table->count < CS_QUARANTINE_SUSPECTS)
+    suspect = &table->entries[table->count++];
+  else
+    {
+      suspect = &table->entries[0];
+      for (size_t i = 1; i < table->count; i++)
+        if (is_less_suspect (&table->entries[i], suspect, now))
+          suspect = &table->entries[i];
+    }
+  *suspect = (cs_suspect_t){ .part = part };
+  return suspect;
+}
+
+void
+cs_suspect_table_free (cs_suspect_table_t *table)
+{
+  free (table->entries);
+  *table = (cs_suspect_table_t){ 0 };
+}
--- a/cranberrystile/quarantine/suspect.h
+++ b/cranberrystile/quarantine/suspect.h
@@ -11,6 +11,7 @@
 typedef struct
 {
   uint64_t part;
+  bool is_request;                      /* the fingerprint of one */
   uint64_t crashed[CS_SUSPECT_CRASHES]; /* different targets */
   uint32_t crash_count;
   cs_time_us_t first_crash_at;
@@ -30,4 +31,22 @@
 bool cs_suspect_add_crash (cs_suspect_t *suspect, const cs_crash_t *crash,
                            cs_time_us_t evidence_us);
 
+/* Initialise with zeros; release with cs_suspect_table_free.  */
+typedef struct
+{
+  cs_suspect_t *entries; /* allocated with the first one */
+  size_t count;
+} cs_suspect_table_t;
+
+/* Returns NULL if PART is not in TABLE.  */
+cs_suspect_t *cs_suspect_table_find (const cs_suspect_table_t *table,
+                                     uint64_t part);
+
+/* Returns the entry of PART, which is added if there is none.  In a full table
+   it takes the place of the one under the least suspicion.  Returns NULL if
+   memory is exhausted.  */
+cs_suspect_t *cs_suspect_table_add (cs_suspect_table_t *table, uint64_t part,
+                                    cs_time_us_t now);
+void cs_suspect_table_free (cs_suspect_table_t *table);
+
 #endif
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -37,7 +37,8 @@
   CS_ERR_HEAD_TOO_LARGE = -27, /* header fields over the configured limit */
   CS_ERR_SLOW_CALLER = -28,    /* the caller took too long to send a request */
   CS_ERR_TARGET_FAILED = -29,  /* the target responded with a failure */
-  CS_ERR_BLOCKED_PART = -30    /* targets crashed under a part of the prompt */
+  CS_ERR_BLOCKED_PART = -30    /* targets crashed under the request or a part
+                                  of its prompt */
 } cs_error_t;
 
 #define CS_ERROR_COUNT 31
--- a/include/cranberrystile/quarantine.h
+++ b/include/cranberrystile/quarantine.h
@@ -1,11 +1,12 @@
-/* Finds the parts of prompts under which targets crash, and blocks requests
-   with them.
+/* Finds the requests, and the parts of prompts, under which targets crash, and
+   blocks them.
 
-   A crash report names a target that crashed and the parts of the requests
-   that it was beginning to answer.  A part is blocked when enough different
-   targets have crashed under it and no request with it has been answered
-   since.  Reports and answers of all routers count: each sees only some of
-   them.  Not thread-safe.  */
+   A crash report names a target that crashed, the fingerprints of the requests
+   that it was beginning to answer, and the parts of their prompts.  One of
+   these is blocked when enough different targets have crashed under it and no
+   request with it has been answered since.  A request is blocked rather than a
+   part that others share.  Below, "part" is either.  Reports and answers of
+   all routers count: each sees only some of them.  Not thread-safe.  */
 
 #ifndef CS_QUARANTINE_H
 #define CS_QUARANTINE_H
@@ -34,10 +35,20 @@
 
 cs_quarantine_policy_t cs_quarantine_policy_default (void);
 
+/* What may end a target that answers one or several requests.  */
+typedef struct
+{
+  cs_id_list_t requests; /* their fingerprints */
+  cs_id_list_t parts;    /* of their prompts */
+} cs_causes_t;
+
+/* Number of ids in a cs_causes_t.  */
+#define CS_MAX_CAUSES (2 * CS_ID_LIST_MAX)
+
 typedef struct
 {
   uint64_t target;    /* hash of the incarnation */
-  cs_id_list_t parts; /* of the requests that it was beginning to answer */
+  cs_causes_t causes; /* of the requests that it was beginning to answer */
   cs_time_us_t at;
 } cs_crash_t;
 
@@ -82,13 +93,13 @@
    than its peers know, and returns their number.  They are to be told.  */
 size_t cs_quarantine_list_served (cs_quarantine_t *quarantine,
                                   const cs_crash_t *crash, cs_time_us_t now,
-                                  cs_part_time_t out[CS_ID_LIST_MAX]);
+                                  cs_part_time_t out[CS_MAX_CAUSES]);
 
-/* Records that this router has answered a request with PARTS.  Stores in OUT
+/* Records that this router has answered a request with CAUSES.  Stores in OUT
    those of which peers should hear, and returns their number.  */
 size_t cs_quarantine_served (cs_quarantine_t *quarantine,
-                             const cs_id_list_t *parts, cs_time_us_t now,
-                             cs_part_time_t out[CS_ID_LIST_MAX]);
+                             const cs_causes_t *causes, cs_time_us_t now,
+                             cs_part_time_t out[CS_MAX_CAUSES]);
 
 /* Records that a peer has.  Returns whether that was news.  */
 bool cs_quarantine_add_served (cs_quarantine_t *quarantine,
@@ -103,10 +114,10 @@
 bool cs_quarantine_is_blocked (const cs_quarantine_t *quarantine,
                                uint64_t part, cs_time_us_t now);
 
-/* Whether a request with PARTS is blocked, and stores when that ends in
+/* Whether a request with CAUSES is blocked, and stores when that ends in
  *UNTIL.  */
 bool cs_quarantine_blocks (cs_quarantine_t *quarantine,
-                           const cs_id_list_t *parts, cs_time_us_t now,
+                           const cs_causes_t *causes, cs_time_us_t now,
                            cs_time_us_t *until);
 
 /* Stores the blocked parts in OUT and returns their number.  */
--- a/include/router/crash_check.h
+++ b/include/router/crash_check.h
@@ -6,9 +6,9 @@
 
 #include "router/router.h"
 
-/* Connects to TARGET, and reports a crash under PARTS if it refuses.  */
+/* Connects to TARGET, and reports a crash under CAUSES if it refuses.  */
 void cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
-                           const cs_id_list_t *parts, cs_time_us_t now);
+                           const cs_causes_t *causes, cs_time_us_t now);
 
 /* Ends the checks in progress.  */
 void cs_crash_checks_end (cs_router_t *router);
--- a/include/router/quarantine.h
+++ b/include/router/quarantine.h
@@ -1,5 +1,5 @@
-/* Connects the quarantine of prompt parts to the targets, the peers and the
-   platform's store.  */
+/* Connects the quarantine of requests and prompt parts to the targets, the
+   peers and the platform's store.  */
 
 #ifndef CS_ROUTER_QUARANTINE_H
 #define CS_ROUTER_QUARANTINE_H
@@ -9,8 +9,7 @@
 /* Returns NULL if memory is exhausted.  */
 cs_quarantine_t *cs_router_quarantine_create (cs_router_t *router);
 
-/* A target of this router crashed.  Parts of CRASH that are innocent are
-   removed from it.  */
+/* A target of this router crashed.  Innocent causes are removed from CRASH. */
 void cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash,
                            cs_time_us_t now);
 
@@ -23,9 +22,9 @@
                                const cs_part_time_t *blocked,
                                cs_time_us_t now);
 
-/* A target has written some of an answer to a request with PARTS, and has not
+/* A target has written some of an answer to a request with CAUSES, and has not
    crashed.  */
-void cs_router_parts_served (cs_router_t *router, const cs_id_list_t *parts,
-                             cs_time_us_t now);
+void cs_router_served (cs_router_t *router, const cs_causes_t *causes,
+                       cs_time_us_t now);
 
 #endif
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -986,7 +986,7 @@
   (ProtobufCMessageInit) cs__router__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__crash__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cs__router__crash__field_descriptors[5] =
 {
   {
     "target",
@@ -1036,17 +1036,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "requests",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Router__Crash, n_requests),
+    offsetof(Cs__Router__Crash, requests),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__crash__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = hops */
   1,   /* field[1] = parts */
+  4,   /* field[4] = requests */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange cs__router__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cs__router__crash__descriptor =
 {
@@ -1056,7 +1069,7 @@
   "Cs__Router__Crash",
   "cs.router",
   sizeof(Cs__Router__Crash),
-  4,
+  5,
   cs__router__crash__field_descriptors,
   cs__router__crash__field_indices_by_name,
   1,  cs__router__crash__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -150,7 +150,8 @@
 
 
 /*
- * A target crashed while it began to answer requests with these parts.
+ * A target crashed while it began to answer these requests, by their
+ * fingerprints, with these parts.
  */
 struct  Cs__Router__Crash
 {
@@ -166,10 +167,12 @@
    * routers that have passed it on
    */
   uint32_t hops;
+  size_t n_requests;
+  uint64_t *requests;
 };
 #define CS__ROUTER__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__crash__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -153,7 +153,7 @@
   for (uint32_t i = 0; i < forward->tried_count; i++)
     choice_request.avoid[i] = forward->tried_targets[i];
   cs_time_us_t blocked_until;
-  if (cs_quarantine_blocks (router->quarantine, &forward->request.parts, now,
+  if (cs_quarantine_blocks (router->quarantine, &forward->causes, now,
                             &blocked_until))
     {
       forward->available_at = blocked_until;
@@ -287,13 +287,13 @@
              const char *next, cs_time_us_t now)
 {
   cs_buf_t parts = { 0 };
-  (void)cs_id_list_print (&forward->request.parts, &parts);
+  (void)cs_id_list_print (&forward->causes.parts, &parts);
   cs_log (CS_EV_ATTEMPT_FAILED,
           "id=%.*s request=%llx target=%s error=%s sent=%d after_ms=%llu "
           "events=%llu parts=%.*s next=%s",
           CS_STR_ARG (forward->request.id),
-          (unsigned long long)forward->fingerprint, forward->target->id.text,
-          cs_error_name (error), was_sent,
+          (unsigned long long)forward->causes.requests.ids[0],
+          forward->target->id.text, cs_error_name (error), was_sent,
           (unsigned long long)(was_sent
                                    ? (now - forward->sent_at) / CS_US_PER_MS
                                    : 0),
@@ -307,7 +307,7 @@
 static bool
 has_just_begun (const cs_forward_t *forward, int error)
 {
-  return error == CS_ERR_CUT && forward->request.parts.count > 0
+  return error == CS_ERR_CUT
          && forward->events.count - forward->events_before
                 <= CS_FORWARD_EVENTS_BEGUN;
 }
@@ -328,7 +328,7 @@
         forward->outcome_unknown = true;
       if (has_just_begun (forward, error))
         cs_crash_check_begin (forward->router, forward->target,
-                              &forward->request.parts, now);
+                              &forward->causes, now);
     }
   cs_health_record_result (forward->router, forward->target, error, now);
   bool will_retry = take_retry (forward, error, was_sent, now);
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -289,7 +289,8 @@
       cs_forward_fail (forward, rc, now);
       return;
     }
-  forward->fingerprint = fingerprint (forward);
+  forward->causes.requests = (cs_id_list_t){ { fingerprint (forward) }, 1 };
+  forward->causes.parts = forward->request.parts;
   set_deadline_timer (forward, now);
   cs_retry_window_first_attempt (&forward->service->retry_window, now);
   cs_forward_start_attempt (forward, now);
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -34,7 +34,7 @@
   const cs_route_t *route;
   const cs_organisation_t *organisation; /* may be NULL */
   cs_service_state_t *service;
-  uint64_t fingerprint;
+  cs_causes_t causes;     /* of a crash of its target: itself, and its parts */
   bool may_fetch_context; /* copying context between targets is cheaper than
                              recomputing it */
   cs_time_us_t received_at;
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -191,12 +191,12 @@
 }
 
 /* Records that the target has written so much of the answer, without crashing,
-   that the parts of its prompt don't end targets.  */
+   that the request doesn't end targets.  */
 static void
-record_parts_served (const cs_forward_t *forward, cs_time_us_t now)
+record_served (const cs_forward_t *forward, cs_time_us_t now)
 {
-  if (cs_http_is_success (forward->status) && forward->request.parts.count > 0)
-    cs_router_parts_served (forward->router, &forward->request.parts, now);
+  if (cs_http_is_success (forward->status))
+    cs_router_served (forward->router, &forward->causes, now);
 }
 
 /* Forwards the events that PART completes.  Only they show that the target is
@@ -218,7 +218,7 @@
       forward->target->last_received_at = forward->last_event_at;
       uint64_t limit = forward->events_before + CS_FORWARD_EVENTS_BEGUN;
       if (count <= limit && forward->events.count > limit)
-        record_parts_served (forward, forward->last_event_at);
+        record_served (forward, forward->last_event_at);
     }
   flush_body (forward);
 }
@@ -329,19 +329,19 @@
           cs_forward_attempt_failed (forward, CS_ERR_CUT, true, now);
           return;
         }
-      record_parts_served (forward, now);
+      record_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       finish_response (forward, now);
       return;
     case CS_FORWARD_STREAMED:
       if (forward->is_framed)
-        record_parts_served (forward, now);
+        record_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       finish_response (forward, now);
       return;
     case CS_FORWARD_BUFFERED:
       if (forward->is_framed)
-        record_parts_served (forward, now);
+        record_served (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       cs_forward_send_buffered (forward, now);
       return;
--- a/router/peer/crash_notices.c
+++ b/router/peer/crash_notices.c
@@ -86,8 +86,10 @@
   Cs__Router__Crash *crash = &frames->crashes[beat->n_crashes];
   cs__router__crash__init (crash);
   crash->target = notice->crash.target;
-  crash->parts = notice->crash.parts.ids;
-  crash->n_parts = notice->crash.parts.count;
+  crash->requests = notice->crash.causes.requests.ids;
+  crash->n_requests = notice->crash.causes.requests.count;
+  crash->parts = notice->crash.causes.parts.ids;
+  crash->n_parts = notice->crash.causes.parts.count;
   crash->age_ms = cs_notice_age_ms (notice->crash.at, now);
   crash->hops = notice->hops;
   frames->crash_list[beat->n_crashes++] = crash;
@@ -170,15 +172,24 @@
                 beat, now);
 }
 
+static cs_id_list_t
+read_ids (const uint64_t *ids, size_t count)
+{
+  cs_id_list_t list = { .count = (uint32_t)count };
+  for (size_t i = 0; i < count; i++)
+    list.ids[i] = ids[i];
+  return list;
+}
+
 static void
 read_crash (cs_router_t *router, const Cs__Router__Crash *entry,
             cs_time_us_t now)
 {
-  cs_crash_t crash = { .target = entry->target,
-                       .parts.count = (uint32_t)entry->n_parts,
-                       .at = cs_notice_time (entry->age_ms, now) };
-  for (size_t i = 0; i < entry->n_parts; i++)
-    crash.parts.ids[i] = entry->parts[i];
+  cs_crash_t crash
+      = { .target = entry->target,
+          .causes.requests = read_ids (entry->requests, entry->n_requests),
+          .causes.parts = read_ids (entry->parts, entry->n_parts),
+          .at = cs_notice_time (entry->age_ms, now) };
   cs_router_crash_reported (router, &crash, entry->hops + 1, now);
 }
 
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -26,12 +26,12 @@
   return cs_quarantine_create (&policy, on_blocked, router);
 }
 
-/* Tells peers which parts of CRASH this router has answered.  */
+/* Tells peers which of the causes of CRASH this router has answered.  */
 static void
 announce_served (cs_router_t *router, const cs_crash_t *crash,
                  cs_time_us_t now)
 {
-  cs_part_time_t served[CS_ID_LIST_MAX];
+  cs_part_time_t served[CS_MAX_CAUSES];
   size_t count
       = cs_quarantine_list_served (router->quarantine, crash, now, served);
   for (size_t i = 0; i < count; i++)
@@ -51,16 +51,31 @@
   return result;
 }
 
+static void
+save_blocked (cs_router_t *router, const cs_id_list_t *list, cs_time_us_t now)
+{
+  for (uint32_t i = 0; i < list->count; i++)
+    if (cs_quarantine_is_blocked (router->quarantine, list->ids[i], now))
+      cs_blocked_parts_save (router->blocked_parts, list->ids[i]);
+}
+
+static void
+remove_blocked (cs_router_t *router, const cs_id_list_t *list,
+                cs_time_us_t now)
+{
+  for (uint32_t i = 0; i < list->count; i++)
+    if (cs_quarantine_is_blocked (router->quarantine, list->ids[i], now))
+      cs_blocked_parts_remove (router->blocked_parts, list->ids[i]);
+}
+
 void
 cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash, cs_time_us_t now)
 {
   cs_quarantine_drop_innocent (router->quarantine, crash, now);
   if (add_crash (router, crash, 0, now) != CS_CRASH_BLOCKED)
     return;
-  for (uint32_t i = 0; i < crash->parts.count; i++)
-    if (cs_quarantine_is_blocked (router->quarantine, crash->parts.ids[i],
-                                  now))
-      cs_blocked_parts_save (router->blocked_parts, crash->parts.ids[i]);
+  save_blocked (router, &crash->causes.requests, now);
+  save_blocked (router, &crash->causes.parts, now);
 }
 
 void
@@ -74,20 +89,20 @@
 cs_router_block_reported (cs_router_t *router, const cs_part_time_t *blocked,
                           cs_time_us_t now)
 {
-  cs_crash_t crash = { .parts = { { blocked->part }, 1 } };
+  cs_crash_t crash = { .causes.parts = { { blocked->part }, 1 } };
   if (!cs_quarantine_block (router->quarantine, blocked, now))
     announce_served (router, &crash, now);
 }
 
 void
-cs_router_parts_served (cs_router_t *router, const cs_id_list_t *parts,
-                        cs_time_us_t now)
+cs_router_served (cs_router_t *router, const cs_causes_t *causes,
+                  cs_time_us_t now)
 {
-  cs_part_time_t served[CS_ID_LIST_MAX];
-  for (uint32_t i = 0; i < parts->count; i++)
-    if (cs_quarantine_is_blocked (router->quarantine, parts->ids[i], now))
-      cs_blocked_parts_remove (router->blocked_parts, parts->ids[i]);
-  size_t count = cs_quarantine_served (router->quarantine, parts, now, served);
+  cs_part_time_t served[CS_MAX_CAUSES];
+  remove_blocked (router, &causes->requests, now);
+  remove_blocked (router, &causes->parts, now);
+  size_t count
+      = cs_quarantine_served (router->quarantine, causes, now, served);
   for (size_t i = 0; i < count; i++)
     cs_mesh_announce_served (router->mesh, &served[i], 0);
 }
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -46,6 +46,7 @@
 {
   cs_crash_check_t *check = context;
   cs_time_us_t now = cs_loop_now (check->router->loop);
+  cs_buf_t requests = { 0 };
   cs_buf_t parts = { 0 };
   if (now - check->crash.at
       >= check->router->settings.connect_timeout_ms * CS_US_PER_MS)
@@ -53,9 +54,12 @@
       destroy (check);
       return;
     }
-  (void)cs_id_list_print (&check->crash.parts, &parts);
-  cs_log (CS_EV_TARGET_CRASHED, "target=%s parts=%.*s", check->target->id.text,
+  (void)cs_id_list_print (&check->crash.causes.requests, &requests);
+  (void)cs_id_list_print (&check->crash.causes.parts, &parts);
+  cs_log (CS_EV_TARGET_CRASHED, "target=%s requests=%.*s parts=%.*s",
+          check->target->id.text, CS_STR_ARG (cs_buf_str (&requests)),
           CS_STR_ARG (cs_buf_str (&parts)));
+  cs_buf_free (&requests);
   cs_buf_free (&parts);
   cs_router_crash_seen (check->router, &check->crash, now);
   destroy (check);
@@ -64,36 +68,47 @@
 static const cs_channel_handlers_t handlers
     = { .on_open = on_open, .on_data = on_data, .on_end = on_end };
 
-/* Adds PARTS to the check unless there is no room for them.  */
+/* Adds the ids of FROM to LIST.  Returns false if there is no room for them
+   all; some may have been added then.  */
 static bool
-add_parts (cs_crash_check_t *check, const cs_id_list_t *parts)
+add_ids (cs_id_list_t *list, const cs_id_list_t *from)
 {
-  cs_id_list_t merged = check->crash.parts;
-  for (uint32_t i = 0; i < parts->count; i++)
+  for (uint32_t i = 0; i < from->count; i++)
     {
       uint32_t at = 0;
-      while (at < merged.count && merged.ids[at] != parts->ids[i])
+      while (at < list->count && list->ids[at] != from->ids[i])
         at++;
-      if (at < merged.count)
+      if (at < list->count)
         continue;
-      if (merged.count == CS_ID_LIST_MAX)
+      if (list->count == CS_ID_LIST_MAX)
         return false;
-      merged.ids[merged.count++] = parts->ids[i];
+      list->ids[list->count++] = from->ids[i];
     }
-  check->crash.parts = merged;
+  return true;
+}
+
+/* Adds CAUSES to the check unless there is no room for them.  */
+static bool
+add_causes (cs_crash_check_t *check, const cs_causes_t *causes)
+{
+  cs_causes_t merged = check->crash.causes;
+  if (!add_ids (&merged.requests, &causes->requests)
+      || !add_ids (&merged.parts, &causes->parts))
+    return false;
+  check->crash.causes = merged;
   return true;
 }
 
 void
 cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
-                      const cs_id_list_t *parts, cs_time_us_t now)
+                      const cs_causes_t *causes, cs_time_us_t now)
 {
   const cs_router_settings_t *settings = &router->settings;
   cs_crash_check_t *check;
   if (target->leaving)
     return;
   for (check = router->crash_checks; check != NULL; check = check->next)
-    if (check->target == target && add_parts (check, parts))
+    if (check->target == target && add_causes (check, causes))
       return;
   check = calloc (1, sizeof *check);
   if (check == NULL)
@@ -111,7 +126,7 @@
   check->target = cs_target_reference (target);
   check->crash = (cs_crash_t){
     .target = cs_target_incarnation (target),
-    .parts = *parts,
+    .causes = *causes,
     .at = now,
   };
   check->next = router->crash_checks;
--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -49,9 +49,9 @@
   {
     target.set ([this, &target] (wire::Socket &socket,
                                  const wire::Message &message) {
-      if (message.body == slow_body)
+      if (message.body.find (slow_body) == 0)
         std::this_thread::sleep_for (std::chrono::milliseconds (2500));
-      if (message.body != crash_body
+      if (message.body.find (crash_body) != 0
           && message.field ("x-prompt-prefix").find (bad_part)
                  == std::string::npos)
         return Target::stream (5) (socket, message);
@@ -67,7 +67,8 @@
     });
   }
 
-  // Returns a request with the prompt PARTS and a last part of its own.
+  // Returns a request with the prompt PARTS and a last part of its own.  The
+  // body, which holds the prompt, is the same for the same parts.
   static std::string
   prompt_request (const std::string &route, const std::string &parts,
                   const std::string &body)
@@ -77,7 +78,7 @@
                     "X-Model: m\r\nX-Token-Usage: 100,20\r\n"
                     "X-Prompt-Prefix: "
                         + parts + "," + own + ":10\r\n",
-                    body);
+                    body + "|" + parts);
   }
 
   wire::Message
@@ -245,7 +246,8 @@
   slow.send (prompt_request ("talk", "aa:50,cc:5", slow_body));
   for (int i = 0; i < 3; i++)
     {
-      ask (i % 2 == 0 ? *router : *peer, "talk", "aa:50,cc:5", crash_body);
+      ask (i % 2 == 0 ? *router : *peer, "talk", "aa:50,cc:5",
+           crash_body + std::to_string (i));
       std::this_thread::sleep_for (std::chrono::milliseconds (60));
     }
   EXPECT_EQ (ask (*peer, "talk", "aa:50,cc:5").status (), 503);
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -1,4 +1,5 @@
-// Which parts of prompts are blocked after targets have crashed under them.
+// Which requests and parts of prompts are blocked after targets have crashed
+// under them.
 
 #include <map>
 #include <vector>
@@ -8,6 +9,7 @@
 extern "C"
 {
 #include "common/hash.h"
+#include "cranberrystile/fingerprint.h"
 #include "cranberrystile/quarantine.h"
 }
 
@@ -45,18 +47,26 @@
     return out;
   }
 
+  static cs_causes_t
+  causes (const std::vector<uint64_t> &part_ids,
+          const std::vector<uint64_t> &requests = {})
+  {
+    return { parts (requests), parts (part_ids) };
+  }
+
   cs_crash_result_t
-  crash (uint64_t target, const std::vector<uint64_t> &ids)
+  crash (uint64_t target, const std::vector<uint64_t> &part_ids,
+         const std::vector<uint64_t> &requests = {})
   {
-    cs_crash_t report = { target, parts (ids), now };
+    cs_crash_t report = { target, causes (part_ids, requests), now };
     return cs_quarantine_add_crash (quarantine, &report, now);
   }
 
   size_t
   answer (const std::vector<uint64_t> &ids)
   {
-    cs_part_time_t out[CS_ID_LIST_MAX];
-    cs_id_list_t answered = parts (ids);
+    cs_part_time_t out[CS_MAX_CAUSES];
+    cs_causes_t answered = causes (ids);
     return cs_quarantine_served (quarantine, &answered, now, out);
   }
 
@@ -64,7 +74,15 @@
   blocks (uint64_t part)
   {
     cs_time_us_t until;
-    cs_id_list_t one = parts ({ part });
+    cs_causes_t one = causes ({ part });
+    return cs_quarantine_blocks (quarantine, &one, now, &until);
+  }
+
+  bool
+  blocks_request (uint64_t request)
+  {
+    cs_time_us_t until;
+    cs_causes_t one = causes ({}, { request });
     return cs_quarantine_blocks (quarantine, &one, now, &until);
   }
 
@@ -149,8 +167,8 @@
 
 TEST_F (Quarantine, TellsPeersWhatItAnsweredOfAReport)
 {
-  cs_part_time_t out[CS_ID_LIST_MAX];
-  cs_crash_t report = { 1, parts ({ other, bad }), now };
+  cs_part_time_t out[CS_MAX_CAUSES];
+  cs_crash_t report = { 1, causes ({ other, bad }), now };
   answer ({ other });
   now += 3 * CS_US_PER_S;
   report.at = now;
@@ -217,7 +235,7 @@
   std::vector<cs_crash_t> reports;
   for (uint64_t target = 1; target <= 3; target++)
     {
-      reports.push_back ({ target, parts ({ other }), now });
+      reports.push_back ({ target, causes ({ other }), now });
       cs_quarantine_add_crash (quarantine, &reports.back (), now);
       now += CS_US_PER_S;
       answer ({ other });
@@ -232,7 +250,7 @@
 // The answer came before this router had heard of any crash.
 TEST_F (Quarantine, IgnoresCrashesFromBeforeAnAnswerOfItsOwn)
 {
-  cs_crash_t report = { 1, parts ({ other }), now };
+  cs_crash_t report = { 1, causes ({ other }), now };
   now += CS_US_PER_S;
   answer ({ other });
   EXPECT_EQ (cs_quarantine_add_crash (quarantine, &report, now),
@@ -244,7 +262,7 @@
   for (uint64_t target = 1; target <= 3; target++)
     {
       cs_crash_t report
-          = { target, parts ({ other }), now - policy.evidence_us - 1 };
+          = { target, causes ({ other }), now - policy.evidence_us - 1 };
       EXPECT_EQ (cs_quarantine_add_crash (quarantine, &report, now),
                  CS_CRASH_KNOWN);
     }
@@ -304,11 +322,74 @@
 
 TEST_F (Quarantine, DropsPartsThatWereJustAnswered)
 {
-  cs_crash_t report = { 1, parts ({ shared, bad }), now };
+  cs_crash_t report = { 1, causes ({ shared, bad }), now };
   answer ({ shared });
   cs_quarantine_drop_innocent (quarantine, &report, now);
-  ASSERT_EQ (report.parts.count, 1U);
-  EXPECT_EQ (report.parts.ids[0], bad);
+  ASSERT_EQ (report.causes.parts.count, 1U);
+  EXPECT_EQ (report.causes.parts.ids[0], bad);
+}
+
+// Parts that sound requests share were blocked with a request that ends its
+// targets whatever its parts.
+TEST_F (Quarantine, BlocksARequestRatherThanItsParts)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { shared, other }, { bad });
+  EXPECT_TRUE (blocks_request (bad));
+  EXPECT_FALSE (blocks (shared));
+  EXPECT_FALSE (blocks (other));
+  EXPECT_EQ (crash (4, { shared, other }), CS_CRASH_NEWS);
+  EXPECT_FALSE (blocks (other)) << "the earlier crashes are explained";
+}
+
+// A request that was there each time was blocked, and the one that ended the
+// targets was not: it was free until three more had ended.
+TEST_F (Quarantine, BlocksAllRequestsUnderWhichThreeTargetsCrashed)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    {
+      crash (target, {}, { other });
+      crash (target, {}, { bad });
+    }
+  EXPECT_TRUE (blocks_request (bad));
+}
+
+// Requests with a bad part differ, and each ends one target.
+TEST_F (Quarantine, BlocksAPartThatDifferentRequestsHave)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    crash (target, { bad }, { 100 + target });
+  EXPECT_TRUE (blocks (bad));
+  for (uint64_t target = 1; target <= 3; target++)
+    EXPECT_FALSE (blocks_request (100 + target));
+}
+
+// A request that many callers send was blocked after crashes that another one
+// caused.
+TEST_F (Quarantine, DoesNotBlockARequestThatIsAnswered)
+{
+  for (uint64_t target = 1; target <= 4; target++)
+    {
+      cs_part_time_t out[CS_MAX_CAUSES];
+      cs_causes_t answered = causes ({}, { other });
+      cs_quarantine_served (quarantine, &answered, now, out);
+      now += 3 * CS_US_PER_S;
+      crash (target, {}, { other, bad });
+      now += CS_US_PER_S;
+    }
+  EXPECT_TRUE (blocks_request (bad));
+  EXPECT_FALSE (blocks_request (other));
+}
+
+// Where many targets crash, the requests of each displaced the one that had
+// ended two already.
+TEST_F (Quarantine, KeepsSuspectsUnderWhichSeveralCrashed)
+{
+  crash (1, {}, { bad });
+  crash (2, {}, { bad });
+  for (uint64_t i = 0; i < 3 * CS_QUARANTINE_SUSPECTS; i++)
+    crash (100 + i, {}, { 1000 + i });
+  EXPECT_EQ (crash (3, {}, { bad }), CS_CRASH_BLOCKED);
 }
 
 // Targets crash under a bad part and for other reasons, each with requests of
@@ -320,14 +401,14 @@
       cs_quarantine_t *fleet
           = cs_quarantine_create (&policy, on_blocked, this);
       cs_random_t random = { seed, 0 };
-      cs_part_time_t out[CS_ID_LIST_MAX];
+      cs_part_time_t out[CS_MAX_CAUSES];
       changes.clear ();
       int crashes_under_bad = 0;
       for (uint64_t step = 0; step < 2000; step++)
         {
           now += 20 * CS_US_PER_MS;
-          cs_id_list_t answered
-              = parts ({ shared, 1000 + cs_random_u64 (&random) % 300 });
+          cs_causes_t answered
+              = causes ({ shared, 1000 + cs_random_u64 (&random) % 300 });
           cs_quarantine_served (fleet, &answered, now, out);
           if (step % 40 != 0)
             continue;
@@ -338,7 +419,7 @@
                   1000 + cs_random_u64 (&random) % 300 };
           if (is_bad)
             ids.push_back (bad);
-          cs_crash_t report = { 10000 + step, parts (ids), now };
+          cs_crash_t report = { 10000 + step, causes (ids), now };
           cs_quarantine_drop_innocent (fleet, &report, now);
           cs_quarantine_add_crash (fleet, &report, now);
         }
@@ -349,4 +430,30 @@
     }
 }
 
+// Attempts of the same request have different ids and deadlines.
+TEST (Fingerprint, TellsRequestsApartByWhatTheyAskFor)
+{
+  cs_fingerprint_request_t one
+      = { cs_str ("POST"), cs_str ("h.example"), cs_str ("/a/2f?x=1"),
+          cs_str ("acme"), cs_str ("body") };
+  cs_fingerprint_request_t same = one;
+  EXPECT_EQ (cs_fingerprint (&one), cs_fingerprint (&same));
+  for (cs_str_t cs_fingerprint_request_t::*field :
+       { &cs_fingerprint_request_t::method, &cs_fingerprint_request_t::host,
+         &cs_fingerprint_request_t::target,
+         &cs_fingerprint_request_t::organisation,
+         &cs_fingerprint_request_t::body })
+    {
+      cs_fingerprint_request_t other = one;
+      other.*field = cs_str ("other");
+      EXPECT_NE (cs_fingerprint (&one), cs_fingerprint (&other));
+      other.*field = cs_str ("");
+      EXPECT_NE (cs_fingerprint (&one), cs_fingerprint (&other));
+    }
+  cs_fingerprint_request_t shifted = one;
+  shifted.organisation = cs_str ("acmeb");
+  shifted.body = cs_str ("ody");
+  EXPECT_NE (cs_fingerprint (&one), cs_fingerprint (&shifted));
+}
+
 }
