--- a/tests/unit/limit_test.cc
+++ b/tests/unit/limit_test.cc
@@ -200,7 +200,7 @@
   cs_named_limit_record (&a, &first, 0, now);
   cs_limit_statement_t second = limited (1, now + 10 * MS);
   cs_named_limit_record (&b, &second, 0, now + 10 * MS);
-  int news = 0;
+  int believed = 0;
   for (int i = 1; i < 50; i++)
     {
       // Each is dated by its arrival, 40 ms late.
@@ -209,10 +209,12 @@
       cs_limit_statement_t from_a
           = limited (a.per_s, a.stated_at + 40 * MS, 1);
       now += 40 * MS;
-      news += cs_named_limit_record (&a, &from_b, 0, now) != CS_LIMIT_KNOWN;
-      news += cs_named_limit_record (&b, &from_a, 0, now) != CS_LIMIT_KNOWN;
+      believed
+          += cs_named_limit_record (&a, &from_b, 0, now) != CS_LIMIT_KNOWN;
+      believed
+          += cs_named_limit_record (&b, &from_a, 0, now) != CS_LIMIT_KNOWN;
     }
-  EXPECT_LE (news, 2);
+  EXPECT_LE (believed, 2);
 }
 
 // A late report of a limit brought it back after its end, or a report of its
