--- a/cranberrystile/quarantine/answers.c
+++ b/cranberrystile/quarantine/answers.c
@@ -1,6 +1,6 @@
 #include "quarantine/internal.h"
 
-/* Peers hear of the answers to requests with a part this often.  */
+/* Interval at which answers to requests with a part are announced.  */
 #define ANNOUNCE_INTERVAL_US CS_US_PER_S
 
 /* The part has been answered since it came under suspicion.  */
@@ -92,9 +92,9 @@
       = cs_suspect_table_find (&quarantine->suspects, served->part);
   if (suspect == NULL || served->at <= suspect->served_at)
     return false;
-  bool is_news = served->at >= suspect->served_at + ANNOUNCE_INTERVAL_US;
+  bool is_new = served->at >= suspect->served_at + ANNOUNCE_INTERVAL_US;
   suspect->served_at = served->at;
   if (served->at > suspect->first_crash_at)
     clear (quarantine, suspect, now);
-  return is_news;
+  return is_new;
 }
--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -14,7 +14,7 @@
     .crashes = 3,
     .crashes_served = 5,
     .served_us = 60 * CS_US_PER_S,
-    .innocent_us = 2 * CS_US_PER_S,
+    .trusted_us = 2 * CS_US_PER_S,
     .evidence_us = 600 * CS_US_PER_S,
     .block_us = 600 * CS_US_PER_S,
   };
@@ -107,8 +107,8 @@
 }
 
 /* Removes the crashes under the blocked part CAUSE from the other suspects.  A
-   request explains none of other requests: if one that was only there too were
-   blocked first, the cause would go free.  */
+   request explains none of other requests: if one that always came with the
+   cause were blocked first, the cause would not be.  */
 static void
 explain_crashes (cs_quarantine_t *quarantine, const cs_suspect_t *cause,
                  cs_time_us_t now)
@@ -129,7 +129,7 @@
               cs_time_us_t now)
 {
   return suspect != NULL && !cs_suspect_is_blocked (suspect, now)
-         && !is_served (quarantine, suspect, quarantine->policy.innocent_us,
+         && !is_served (quarantine, suspect, quarantine->policy.trusted_us,
                         now)
          && suspect->crash_count
                 >= crashes_to_block (quarantine, suspect, now);
@@ -185,34 +185,34 @@
 }
 
 static void
-drop_innocent (const cs_quarantine_t *quarantine, cs_id_list_t *list,
+drop_answered (const cs_quarantine_t *quarantine, cs_id_list_t *list,
                cs_time_us_t now)
 {
   uint32_t kept = 0;
   for (uint32_t i = 0; i < list->count; i++)
     if (!cs_quarantine_is_within (
             cs_served_at (&quarantine->served, list->ids[i]),
-            quarantine->policy.innocent_us, now))
+            quarantine->policy.trusted_us, now))
       list->ids[kept++] = list->ids[i];
   list->count = kept;
 }
 
 void
-cs_quarantine_drop_innocent (const cs_quarantine_t *quarantine,
+cs_quarantine_drop_answered (const cs_quarantine_t *quarantine,
                              cs_crash_t *crash, cs_time_us_t now)
 {
-  drop_innocent (quarantine, &crash->causes.requests, now);
-  drop_innocent (quarantine, &crash->causes.parts, now);
+  drop_answered (quarantine, &crash->causes.requests, now);
+  drop_answered (quarantine, &crash->causes.parts, now);
 }
 
 /* Counts CRASH against each id of LIST, or only against those that are blocked
-   if it is EXPLAINED.  Returns whether that is news.  */
+   if it is EXPLAINED.  Returns whether that is new.  */
 static bool
 count_crash (cs_quarantine_t *quarantine, const cs_crash_t *crash,
              const cs_id_list_t *list, bool explained, cs_time_us_t now)
 {
   cs_suspect_table_t *suspects = &quarantine->suspects;
-  bool is_news = false;
+  bool is_new = false;
   for (uint32_t i = 0; i < list->count; i++)
     {
       uint64_t part = list->ids[i];
@@ -228,9 +228,9 @@
         suspect->is_request = true;
       if (cs_suspect_add_crash (suspect, crash,
                                 quarantine->policy.evidence_us))
-        is_news = true;
+        is_new = true;
     }
-  return is_news;
+  return is_new;
 }
 
 cs_crash_result_t
@@ -241,15 +241,15 @@
     return CS_CRASH_KNOWN;
   bool explained = is_explained (quarantine, crash, false, now);
   bool explained_by_any = is_explained (quarantine, crash, true, now);
-  bool request_news = count_crash (quarantine, crash, &crash->causes.requests,
-                                   explained, now);
-  bool part_news = count_crash (quarantine, crash, &crash->causes.parts,
-                                explained_by_any, now);
-  if (!explained && request_news && block_requests (quarantine, crash, now))
+  bool new_request = count_crash (quarantine, crash, &crash->causes.requests,
+                                  explained, now);
+  bool new_part = count_crash (quarantine, crash, &crash->causes.parts,
+                               explained_by_any, now);
+  if (!explained && new_request && block_requests (quarantine, crash, now))
     return CS_CRASH_BLOCKED;
-  if (!explained_by_any && part_news && block_part (quarantine, crash, now))
+  if (!explained_by_any && new_part && block_part (quarantine, crash, now))
     return CS_CRASH_BLOCKED;
-  return request_news || part_news ? CS_CRASH_NEWS : CS_CRASH_KNOWN;
+  return new_request || new_part ? CS_CRASH_NEW : CS_CRASH_KNOWN;
 }
 
 bool
--- a/cranberrystile/quarantine/suspect.h
+++ b/cranberrystile/quarantine/suspect.h
@@ -26,7 +26,7 @@
 bool cs_suspect_has_crash (const cs_suspect_t *suspect, uint64_t target);
 void cs_suspect_remove_crash (cs_suspect_t *suspect, uint64_t target);
 
-/* Returns whether the crash is news: it is not if the part was answered since.
+/* Returns whether the crash is new: it is not if the part was answered since.
    Earlier crashes are forgotten if the latest of them is EVIDENCE_US older. */
 bool cs_suspect_add_crash (cs_suspect_t *suspect, const cs_crash_t *crash,
                            cs_time_us_t evidence_us);
--- a/include/cranberrystile/quarantine.h
+++ b/include/cranberrystile/quarantine.h
@@ -26,8 +26,8 @@
   uint32_t crashes_served; /* likewise, if a request with the part was answered
                               less than SERVED_US ago */
   cs_time_us_t served_us;
-  cs_time_us_t innocent_us; /* a part is not suspected if a request with it was
-                               answered less than this ago */
+  cs_time_us_t trusted_us;  /* a part is not suspected if a request with it was
+                                answered less than this ago */
   cs_time_us_t evidence_us; /* how long a crash counts */
   cs_time_us_t block_us; /* length of the first block of a part; each one that
                             follows is twice as long */
@@ -62,7 +62,7 @@
 typedef enum
 {
   CS_CRASH_KNOWN,  /* nothing new */
-  CS_CRASH_NEWS,   /* peers should hear of it */
+  CS_CRASH_NEW,    /* to be announced to peers */
   CS_CRASH_BLOCKED /* likewise; a part of it is now blocked */
 } cs_crash_result_t;
 
@@ -79,9 +79,8 @@
                                        void *context);
 void cs_quarantine_destroy (cs_quarantine_t *quarantine);
 
-/* Removes from CRASH the parts that are innocent by what this router
-   answered.  */
-void cs_quarantine_drop_innocent (const cs_quarantine_t *quarantine,
+/* Removes from CRASH what this router has just answered.  */
+void cs_quarantine_drop_answered (const cs_quarantine_t *quarantine,
                                   cs_crash_t *crash, cs_time_us_t now);
 
 /* Records a crash that this router or a peer saw.  */
@@ -96,17 +95,18 @@
                                   cs_part_time_t out[CS_MAX_CAUSES]);
 
 /* Records that this router has answered a request with CAUSES.  Stores in OUT
-   those of which peers should hear, and returns their number.  */
+   those that are to be announced to peers, and returns their number.  */
 size_t cs_quarantine_served (cs_quarantine_t *quarantine,
                              const cs_causes_t *causes, cs_time_us_t now,
                              cs_part_time_t out[CS_MAX_CAUSES]);
 
-/* Records that a peer has.  Returns whether that was news.  */
+/* Records that a peer has.  Returns whether that is to be
+   announced.  */
 bool cs_quarantine_add_served (cs_quarantine_t *quarantine,
                                const cs_part_time_t *served, cs_time_us_t now);
 
 /* Records that a peer, or the platform's store, has a part as blocked. Returns
-   whether that was news.  It is not believed of a part that was answered less
+   whether that was new.  It is not believed of a part that was answered less
    than SERVED_US ago, or if the block has ended.  */
 bool cs_quarantine_block (cs_quarantine_t *quarantine,
                           const cs_part_time_t *blocked, cs_time_us_t now);
--- a/include/router/quarantine.h
+++ b/include/router/quarantine.h
@@ -9,7 +9,8 @@
 /* Returns NULL if memory is exhausted.  */
 cs_quarantine_t *cs_router_quarantine_create (cs_router_t *router);
 
-/* A target of this router crashed.  Innocent causes are removed from CRASH. */
+/* A target of this router crashed.  What was just answered is removed from
+ * CRASH. */
 void cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash,
                            cs_time_us_t now);
 
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -261,7 +261,7 @@
 void cs_loads_apply (cs_mesh_t *mesh, cs_time_us_t now);
 
 /* notices.c: spreads what targets say of themselves over all routers.  A
-   router passes a notice on if it was news to it, so each link carries each
+   router passes a notice on if it did not know it, so each link carries each
    notice once in either direction.  */
 
 /* Fills in the notices of BEAT that LINK has not sent; none before the peer
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -71,7 +71,7 @@
 void
 cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash, cs_time_us_t now)
 {
-  cs_quarantine_drop_innocent (router->quarantine, crash, now);
+  cs_quarantine_drop_answered (router->quarantine, crash, now);
   if (add_crash (router, crash, 0, now) != CS_CRASH_BLOCKED)
     return;
   save_blocked (router, &crash->causes.requests, now);
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -100,8 +100,8 @@
 
 TEST_F (Quarantine, BlocksAPartUnderWhichThreeTargetsCrashed)
 {
-  EXPECT_EQ (crash (1, { bad }), CS_CRASH_NEWS);
-  EXPECT_EQ (crash (2, { bad }), CS_CRASH_NEWS);
+  EXPECT_EQ (crash (1, { bad }), CS_CRASH_NEW);
+  EXPECT_EQ (crash (2, { bad }), CS_CRASH_NEW);
   EXPECT_FALSE (blocks (bad));
   EXPECT_EQ (crash (3, { bad }), CS_CRASH_BLOCKED);
   EXPECT_TRUE (blocks (bad));
@@ -112,7 +112,7 @@
 // Each router that had requests at a target reports its crash.
 TEST_F (Quarantine, CountsACrashOnceHoweverManyRoutersReportIt)
 {
-  EXPECT_EQ (crash (1, { bad }), CS_CRASH_NEWS);
+  EXPECT_EQ (crash (1, { bad }), CS_CRASH_NEW);
   for (int i = 0; i < 10; i++)
     EXPECT_EQ (crash (1, { bad }), CS_CRASH_KNOWN);
   EXPECT_FALSE (blocks (bad));
@@ -138,7 +138,7 @@
   answer ({ bad });
   now += 10 * CS_US_PER_S;
   for (uint64_t target = 1; target <= 4; target++)
-    EXPECT_EQ (crash (target, { bad }), CS_CRASH_NEWS);
+    EXPECT_EQ (crash (target, { bad }), CS_CRASH_NEW);
   EXPECT_FALSE (blocks (bad));
   EXPECT_EQ (crash (5, { bad }), CS_CRASH_BLOCKED);
 }
@@ -148,8 +148,8 @@
   crash (1, { other });
   crash (2, { other });
   now += CS_US_PER_S;
-  EXPECT_EQ (answer ({ other }), 1U) << "peers should hear of it";
-  EXPECT_EQ (crash (3, { other }), CS_CRASH_NEWS);
+  EXPECT_EQ (answer ({ other }), 1U) << "it is announced to peers";
+  EXPECT_EQ (crash (3, { other }), CS_CRASH_NEW);
   EXPECT_FALSE (blocks (other));
 }
 
@@ -285,7 +285,7 @@
   crash (1, { other });
   crash (2, { other });
   now += policy.evidence_us + 1;
-  EXPECT_EQ (crash (3, { other }), CS_CRASH_NEWS);
+  EXPECT_EQ (crash (3, { other }), CS_CRASH_NEW);
 }
 
 TEST_F (Quarantine, BelievesAPeerUnlessThePartWasAnswered)
@@ -324,7 +324,7 @@
 {
   cs_crash_t report = { 1, causes ({ shared, bad }), now };
   answer ({ shared });
-  cs_quarantine_drop_innocent (quarantine, &report, now);
+  cs_quarantine_drop_answered (quarantine, &report, now);
   ASSERT_EQ (report.causes.parts.count, 1U);
   EXPECT_EQ (report.causes.parts.ids[0], bad);
 }
@@ -338,7 +338,7 @@
   EXPECT_TRUE (blocks_request (bad));
   EXPECT_FALSE (blocks (shared));
   EXPECT_FALSE (blocks (other));
-  EXPECT_EQ (crash (4, { shared, other }), CS_CRASH_NEWS);
+  EXPECT_EQ (crash (4, { shared, other }), CS_CRASH_NEW);
   EXPECT_FALSE (blocks (other)) << "the earlier crashes are explained";
 }
 
@@ -420,7 +420,7 @@
           if (is_bad)
             ids.push_back (bad);
           cs_crash_t report = { 10000 + step, causes (ids), now };
-          cs_quarantine_drop_innocent (fleet, &report, now);
+          cs_quarantine_drop_answered (fleet, &report, now);
           cs_quarantine_add_crash (fleet, &report, now);
         }
       EXPECT_EQ (crashes_under_bad, 3) << "seed " << seed;
