Bound the work and the notices that limits of many targets cause

Found in review: where services of a long list of targets alternate, the weights of all limited targets were worked out anew for each (the square of their number, four times a second); each notice hashed all targets; and nothing bounded how many notices of limits a router sends. Weights are now worked out once a service, targets keep the hash of their incarnation, and notices of limits are bounded like those of crashes, at 200 a second.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -170,6 +170,7 @@
   cs_name_set (&target->data_centre, entry->data_centre);
   target->hash = cs_hash (entry->id, 0);
   target->started_ms = entry->started_ms;
+  target->incarnation = cs_hash_pair (target->hash, target->started_ms);
   target->address = entry->address;
   target->slots = entry->slots;
   target->leaving = entry->draining;
@@ -248,7 +249,7 @@
 cs_fleet_find_by_hash (const cs_fleet_t *fleet, uint64_t incarnation)
 {
   for (size_t i = 0; i < fleet->count; i++)
-    if (cs_target_incarnation (fleet->targets[i]) == incarnation)
+    if (fleet->targets[i]->incarnation == incarnation)
       return fleet->targets[i];
   return NULL;
 }
--- a/cranberrystile/fleet/target.c
+++ b/cranberrystile/fleet/target.c
@@ -1,6 +1,5 @@
 #include <stdlib.h>
 
-#include "common/hash.h"
 #include "cranberrystile/fleet.h"
 
 cs_target_t *
@@ -17,12 +16,6 @@
     free (target);
 }
 
-uint64_t
-cs_target_incarnation (const cs_target_t *target)
-{
-  return cs_hash_pair (target->hash, target->started_ms);
-}
-
 /* Calls of other routers, from the newer report: that of the routers or that
    of the target.  */
 static uint32_t
--- a/cranberrystile/placement/limit_weights.c
+++ b/cranberrystile/placement/limit_weights.c
@@ -52,26 +52,34 @@
   target->weight = weight;
 }
 
+/* Updates all limited targets of the service of target FROM, which is the
+   first of them.  Their weights are negative until then.  */
+static void
+update_service (cs_target_t *const *targets, size_t count, size_t from,
+                cs_time_us_t now)
+{
+  const cs_name_t *service = &targets[from]->service;
+  double rate = unlimited_rate (targets, count, service, now);
+  for (size_t i = from; i < count; i++)
+    if (targets[i]->weight < 0
+        && cs_name_equal (&targets[i]->service, service))
+      {
+        targets[i]->weight = -targets[i]->weight;
+        update_weight (targets[i], rate);
+      }
+}
+
 void
 cs_limit_weights_update (cs_fleet_t *fleet, cs_time_us_t now)
 {
   size_t count;
   cs_target_t *const *targets = cs_fleet_targets (fleet, &count);
-  const cs_name_t *service = NULL;
-  double rate = 0;
   for (size_t i = 0; i < count; i++)
-    {
-      cs_target_t *target = targets[i];
-      if (!cs_named_limit_is_in_force (&target->named_limit, now))
-        {
-          target->weight = 1;
-          continue;
-        }
-      if (service == NULL || !cs_name_equal (service, &target->service))
-        {
-          service = &target->service;
-          rate = unlimited_rate (targets, count, service, now);
-        }
-      update_weight (target, rate);
-    }
+    if (cs_named_limit_is_in_force (&targets[i]->named_limit, now))
+      targets[i]->weight = -targets[i]->weight;
+    else
+      targets[i]->weight = 1;
+  for (size_t i = 0; i < count; i++)
+    if (targets[i]->weight < 0)
+      update_service (targets, count, i, now);
 }
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -49,7 +49,8 @@
   cs_name_t id;
   cs_name_t service;
   cs_name_t data_centre;
-  uint64_t hash; /* of the id */
+  uint64_t hash;        /* of the id */
+  uint64_t incarnation; /* hash of the id and the start */
   struct sockaddr_in address;
   uint64_t started_ms;
   uint32_t slots;
@@ -160,9 +161,6 @@
 cs_target_t *cs_target_reference (cs_target_t *target);
 void cs_target_release (cs_target_t *target);
 
-/* Hash that tells the incarnations of all targets apart.  */
-uint64_t cs_target_incarnation (const cs_target_t *target);
-
 /* Estimated number of calls at the target: this router's own, plus those of
    other routers as last reported by the target or by the routers.  */
 uint32_t cs_target_estimated_calls (const cs_target_t *target);
--- a/router/peer/crash_notices.c
+++ b/router/peer/crash_notices.c
@@ -9,18 +9,6 @@
    the cause.  */
 #define MAX_NOTICES_PER_S 100
 
-/* Whether another notice may be added in this second.  */
-static bool
-is_within_rate (cs_crash_notices_t *ring, cs_time_us_t now)
-{
-  if (now - ring->second_began_at >= CS_US_PER_S)
-    {
-      ring->second_began_at = now;
-      ring->count_in_second = 0;
-    }
-  return ring->count_in_second++ < MAX_NOTICES_PER_S;
-}
-
 static void
 announce (cs_mesh_t *mesh, const cs_crash_notice_t *notice)
 {
@@ -29,7 +17,9 @@
   if (mesh->crash_notices == NULL)
     mesh->crash_notices = calloc (1, sizeof *mesh->crash_notices);
   cs_crash_notices_t *ring = mesh->crash_notices;
-  if (ring == NULL || !is_within_rate (ring, cs_loop_now (mesh->router->loop)))
+  if (ring == NULL
+      || !cs_notice_is_within_rate (&ring->rate, MAX_NOTICES_PER_S,
+                                    cs_loop_now (mesh->router->loop)))
     return;
   ring->notices[ring->count++ % CS_CRASH_NOTICES] = *notice;
   cs_mesh_send_notices (mesh);
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -39,12 +39,20 @@
 /* Number of notices that are kept for links that have not sent them yet.  */
 #define CS_NOTICES 256
 
+/* Notices of one kind in the present second.  */
+typedef struct
+{
+  cs_time_us_t second_began_at;
+  uint32_t count;
+} cs_notice_rate_t;
+
 /* Targets that have said something of themselves, in a ring.  */
 typedef struct
 {
   cs_target_t *targets[CS_NOTICES]; /* references */
   uint32_t hops[CS_NOTICES];        /* routers that have passed it on */
   uint64_t count;                   /* of all notices so far */
+  cs_notice_rate_t rate;
 } cs_notices_t;
 
 /* Number of crash notices that are kept for links that have not sent them
@@ -74,8 +82,7 @@
 {
   cs_crash_notice_t notices[CS_CRASH_NOTICES];
   uint64_t count; /* of all notices so far */
-  cs_time_us_t second_began_at;
-  uint32_t count_in_second;
+  cs_notice_rate_t rate;
 } cs_crash_notices_t;
 
 /* A complete list of targets as a compressed frame.  After a loss of power all
@@ -273,6 +280,11 @@
 void cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat,
                                 cs_time_us_t now);
 
+/* Whether another notice may be added now, if there are to be at most
+   MAX_PER_S a second.  */
+bool cs_notice_is_within_rate (cs_notice_rate_t *rate, uint32_t max_per_s,
+                               cs_time_us_t now);
+
 /* Ages of what heartbeats report, in milliseconds.  */
 uint32_t cs_notice_age_ms (cs_time_us_t at, cs_time_us_t now);
 cs_time_us_t cs_notice_time (uint32_t age_ms, cs_time_us_t now);
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -7,6 +7,19 @@
    many targets leave together.  */
 #define COLLECT_US (20 * CS_US_PER_MS)
 
+/* More notices of limits are dropped.  The routers concerned learn of them
+   from their own answers, or from a later notice.  */
+#define MAX_LIMITS_PER_S 200
+
+bool
+cs_notice_is_within_rate (cs_notice_rate_t *rate, uint32_t max_per_s,
+                          cs_time_us_t now)
+{
+  if (now - rate->second_began_at >= CS_US_PER_S)
+    *rate = (cs_notice_rate_t){ .second_began_at = now };
+  return rate->count++ < max_per_s;
+}
+
 static void
 add_notice (cs_mesh_t *mesh, cs_notices_t *notices, const cs_target_t *target,
             uint32_t hops)
@@ -30,7 +43,9 @@
 cs_mesh_announce_limit (cs_mesh_t *mesh, const cs_target_t *target,
                         uint32_t hops)
 {
-  if (mesh != NULL && hops <= CS_MAX_HOPS)
+  if (mesh != NULL && hops <= CS_MAX_HOPS
+      && cs_notice_is_within_rate (&mesh->limits.rate, MAX_LIMITS_PER_S,
+                                   cs_loop_now (mesh->router->loop)))
     add_notice (mesh, &mesh->limits, target, hops);
 }
 
@@ -102,7 +117,7 @@
       const cs_target_t *target = notices->targets[at % CS_NOTICES];
       Cs__Router__Limit *entry = &entries[beat->n_limits];
       cs__router__limit__init (entry);
-      entry->target = cs_target_incarnation (target);
+      entry->target = target->incarnation;
       entry->is_limited = target->named_limit.is_limited;
       entry->per_s = target->named_limit.per_s;
       entry->age_ms = cs_notice_age_ms (target->named_limit.stated_at, now);
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -125,7 +125,7 @@
   check->router = router;
   check->target = cs_target_reference (target);
   check->crash = (cs_crash_t){
-    .target = cs_target_incarnation (target),
+    .target = target->incarnation,
     .causes = *causes,
     .at = now,
   };
--- a/tests/unit/limit_test.cc
+++ b/tests/unit/limit_test.cc
@@ -386,6 +386,40 @@
   EXPECT_NEAR (target (0)->weight * 2, target (11)->weight, 0.02);
 }
 
+// Targets of several services come in any order: each service is worked out by
+// itself, once.
+TEST (LimitWeights, ServicesDoNotMix)
+{
+  cs_time_us_t now = 100 * SECOND;
+  cs_fleet_t *fleet = cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr);
+  size_t count;
+  for (int i = 0; i < 3000; i++)
+    {
+      bool added;
+      std::string id = "t" + std::to_string (i);
+      std::string service = "s" + std::to_string (i % 3);
+      cs_target_entry_t entry = {};
+      entry.id = cs_str (id.c_str ());
+      entry.service = cs_str (service.c_str ());
+      cs_fleet_put (fleet, &entry, now, &added);
+      cs_target_t *target = cs_fleet_targets (fleet, &count)[i];
+      cs_limit_statement_t statement = limited (i % 3 + 1, now);
+      if (i % 2 == 0)
+        cs_named_limit_record (&target->named_limit, &statement, 1, now);
+      cs_outcomes_add (&target->outcomes, 10 / 0.693, 0, now);
+    }
+  cs_limit_weights_update (fleet, now);
+  cs_target_t *const *targets = cs_fleet_targets (fleet, &count);
+  for (int i = 0; i < 3000; i++)
+    {
+      // Half of the targets take the limit, the others 20 less that.
+      double limit = i % 3 + 1;
+      double expected = i % 2 == 0 ? limit / (20 - limit) : 1;
+      EXPECT_NEAR (targets[i]->weight, expected, 0.02) << i;
+    }
+  cs_fleet_destroy (fleet);
+}
+
 // Loads of targets with limits were left out of reports as too small.
 TEST (LoadTable, RequestsToALimitedTargetAreReported)
 {
