Let suspects of long ago give way in a full table of the quarantine

Quarantine.SuspectsOfLongAgoGiveWay fails without it (256 old entries with two crashes each; the request that ends its targets is not blocked), and passes.

--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -61,7 +61,7 @@
 }
 
 /* Whether TARGET wants no requests now: it asked for a pause, or has been sent
-   as many as it takes.   */
+   as many as it takes.  */
 static bool
 declines (const cs_choice_request_t *request, const cs_target_t *target,
           cs_time_us_t now)
--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -212,22 +212,23 @@
              const cs_id_list_t *list, bool explained, cs_time_us_t now)
 {
   cs_suspect_table_t *suspects = &quarantine->suspects;
+  cs_time_us_t evidence_us = quarantine->policy.evidence_us;
   bool is_new = false;
   for (uint32_t i = 0; i < list->count; i++)
     {
       uint64_t part = list->ids[i];
       if (cs_served_at (&quarantine->served, part) > crash->at)
         continue;
-      cs_suspect_t *suspect = explained
-                                  ? cs_suspect_table_find (suspects, part)
-                                  : cs_suspect_table_add (suspects, part, now);
+      cs_suspect_t *suspect
+          = explained
+                ? cs_suspect_table_find (suspects, part)
+                : cs_suspect_table_add (suspects, part, evidence_us, now);
       if (suspect == NULL
           || (explained && !cs_suspect_is_blocked (suspect, now)))
         continue;
       if (list == &crash->causes.requests)
         suspect->is_request = true;
-      if (cs_suspect_add_crash (suspect, crash,
-                                quarantine->policy.evidence_us))
+      if (cs_suspect_add_crash (suspect, crash, evidence_us))
         is_new = true;
     }
   return is_new;
@@ -257,7 +258,8 @@
                      const cs_part_time_t *blocked, cs_time_us_t now)
 {
   cs_suspect_t *suspect
-      = cs_suspect_table_add (&quarantine->suspects, blocked->part, now);
+      = cs_suspect_table_add (&quarantine->suspects, blocked->part,
+                              quarantine->policy.evidence_us, now);
   if (suspect == NULL || cs_suspect_is_blocked (suspect, now)
       || blocked->at + quarantine->policy.block_us <= now
       || is_served (quarantine, suspect, quarantine->policy.served_us, now))
--- a/cranberrystile/quarantine/suspect.c
+++ b/cranberrystile/quarantine/suspect.c
@@ -56,22 +56,32 @@
   return NULL;
 }
 
+/* Returns the number of crashes under SUSPECT that still count.  */
+static uint32_t
+recent_crashes (const cs_suspect_t *suspect, cs_time_us_t evidence_us,
+                cs_time_us_t now)
+{
+  return suspect->changed_at + evidence_us < now ? 0 : suspect->crash_count;
+}
+
 /* Whether A is under less suspicion than B: it is not blocked, or fewer
    targets crashed under it, or the last of them did so earlier.  */
 static bool
 is_less_suspect (const cs_suspect_t *a, const cs_suspect_t *b,
-                 cs_time_us_t now)
+                 cs_time_us_t evidence_us, cs_time_us_t now)
 {
+  uint32_t crashes_a = recent_crashes (a, evidence_us, now);
+  uint32_t crashes_b = recent_crashes (b, evidence_us, now);
   if (cs_suspect_is_blocked (a, now) != cs_suspect_is_blocked (b, now))
     return !cs_suspect_is_blocked (a, now);
-  if (a->crash_count != b->crash_count)
-    return a->crash_count < b->crash_count;
+  if (crashes_a != crashes_b)
+    return crashes_a < crashes_b;
   return a->changed_at < b->changed_at;
 }
 
 cs_suspect_t *
 cs_suspect_table_add (cs_suspect_table_t *table, uint64_t part,
-                      cs_time_us_t now)
+                      cs_time_us_t evidence_us, cs_time_us_t now)
 {
   cs_suspect_t *suspect = cs_suspect_table_find (table, part);
   if (suspect != NULL)
@@ -86,7 +96,7 @@
     {
       suspect = &table->entries[0];
       for (size_t i = 1; i < table->count; i++)
-        if (is_less_suspect (&table->entries[i], suspect, now))
+        if (is_less_suspect (&table->entries[i], suspect, evidence_us, now))
           suspect = &table->entries[i];
     }
   *suspect = (cs_suspect_t){ .part = part };
--- a/cranberrystile/quarantine/suspect.h
+++ b/cranberrystile/quarantine/suspect.h
@@ -43,9 +43,10 @@
                                      uint64_t part);
 
 /* Returns the entry of PART, which is added if there is none.  In a full table
-   it takes the place of the one under the least suspicion.  Returns NULL if
-   memory is exhausted.  */
+   it takes the place of the one under the least suspicion; crashes count for
+   EVIDENCE_US.  Returns NULL if memory is exhausted.  */
 cs_suspect_t *cs_suspect_table_add (cs_suspect_table_t *table, uint64_t part,
+                                    cs_time_us_t evidence_us,
                                     cs_time_us_t now);
 void cs_suspect_table_free (cs_suspect_table_t *table);
 
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -392,6 +392,23 @@
   EXPECT_EQ (crash (3, {}, { bad }), CS_CRASH_BLOCKED);
 }
 
+// Suspects of long ago were kept before new ones.
+TEST_F (Quarantine, SuspectsOfLongAgoGiveWay)
+{
+  for (uint64_t i = 0; i < CS_QUARANTINE_SUSPECTS; i++)
+    {
+      crash (1000 + 2 * i, {}, { 1000 + i });
+      crash (1001 + 2 * i, {}, { 1000 + i });
+    }
+  now += policy.evidence_us + 1;
+  for (uint64_t target = 1; target <= 3; target++)
+    {
+      crash (target, {}, { bad });
+      crash (10 + target, {}, { 100 + target });
+    }
+  EXPECT_TRUE (blocks_request (bad));
+}
+
 // Targets crash under a bad part and for other reasons, each with requests of
 // a few of 300 subjects that are asked for now and then.
 TEST_F (Quarantine, FindsTheBadPartAmongOthers)
