Hold no crash against a request that came after it

Cause: a connection in the pool does not always show that its target has ended; the request is then answered with a reset, and the check is refused, as if the request had ended it.

On a connection that was used before, without a byte of an answer, a cut now counts only if it came later than a reset by an ended target would: one and a half times what the refusal of the check takes, + 1 ms.

--- a/include/router/connection.h
+++ b/include/router/connection.h
@@ -59,6 +59,10 @@
                                      const cs_connection_handlers_t *handlers,
                                      void *context);
 
+/* Whether CONNECTION carried a request before this one, so that its target may
+   have ended unnoticed.  */
+bool cs_connection_is_reused (const cs_connection_t *connection);
+
 /* Cancels the request and closes the connection; no handler is called.
    Accepts NULL.  */
 void cs_connection_abort (cs_connection_t *connection);
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -91,6 +91,8 @@
                             &cs_forward_connection_handlers, forward);
   if (forward->connection == NULL)
     rc = CS_ERR_CONNECT;
+  else
+    forward->was_alive = !cs_connection_is_reused (forward->connection);
 out:
   cs_buf_free (&head);
   return rc;
@@ -327,8 +329,9 @@
       if (error != CS_ERR_REFUSED)
         forward->outcome_unknown = true;
       if (has_just_begun (forward, error))
-        cs_crash_check_begin (forward->router, forward->target,
-                              &forward->causes, now);
+        cs_crash_check_begin (
+            forward->router, forward->target, &forward->causes,
+            forward->was_alive ? 0 : now - forward->sent_at, now);
     }
   cs_health_record_result (forward->router, forward->target, error, now);
   bool will_retry = take_retry (forward, error, was_sent, now);
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -52,13 +52,15 @@
   cs_target_t *tried_targets[CS_CHOICE_MAX_AVOIDED];
   uint32_t tried_count;
   uint32_t attempt_count;
-  uint64_t events_before;     /* whole events before the current attempt */
-  uint32_t sent_attempts;     /* a byte may have reached the target */
-  uint32_t failed_connects;   /* attempts that could not connect */
-  bool outcome_unknown;       /* a target may have executed the request */
-  cs_time_us_t available_at;  /* when the targets' pauses end, if they caused
-                                 the failure; 0: not known */
-  cs_time_us_t sent_at;       /* of the current attempt */
+  uint64_t events_before;    /* whole events before the current attempt */
+  uint32_t sent_attempts;    /* a byte may have reached the target */
+  uint32_t failed_connects;  /* attempts that could not connect */
+  bool outcome_unknown;      /* a target may have executed the request */
+  cs_time_us_t available_at; /* when the targets' pauses end, if they caused
+                                the failure; 0: not known */
+  cs_time_us_t sent_at;      /* of the current attempt */
+  bool was_alive; /* the target answered the current attempt, or accepted its
+                     connection */
   cs_time_us_t last_event_at; /* latest data of an event stream; 0: none yet */
   cs_choice_t choice;  /* of the latest attempt, with TARGET and SOURCE */
   cs_target_t *source; /* TARGET copies context from it; may be NULL */
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -118,6 +118,7 @@
   cs_time_us_t now = cs_loop_now (forward->router->loop);
   record_state (forward, response, now);
   forward->target->last_received_at = now;
+  forward->was_alive = true;
   forward->mode = choose_mode (head, response);
   forward->discarded = 0;
   if (is_unusable (response) || cannot_resume (forward))
--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -363,3 +363,9 @@
       destroy (connection);
     }
 }
+
+bool
+cs_connection_is_reused (const cs_connection_t *connection)
+{
+  return connection->reused;
+}
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -6,12 +6,19 @@
 #include "net/channel.h"
 #include "router/quarantine.h"
 
+/* A target that had ended resets a connection within one round trip, which is
+   what the refusal of the check takes.  This allows for some difference.  */
+#define ROUND_TRIP_FACTOR 1.5
+#define ROUND_TRIP_MARGIN_US CS_US_PER_MS
+
 struct cs_crash_check
 {
   cs_router_t *router;
   cs_target_t *target;
   cs_channel_t *channel;
   cs_crash_t crash;
+  cs_time_us_t cut_us; /* of the requests of this check; 0: the target was
+                          alive */
   cs_crash_check_t *next;
 };
 
@@ -46,6 +53,7 @@
 {
   cs_crash_check_t *check = context;
   cs_time_us_t now = cs_loop_now (check->router->loop);
+  double round_trip = (double)(now - check->crash.at);
   cs_buf_t requests = { 0 };
   cs_buf_t parts = { 0 };
   if (now - check->crash.at
@@ -54,6 +62,13 @@
       destroy (check);
       return;
     }
+  if (check->cut_us > 0
+      && (double)check->cut_us
+             <= ROUND_TRIP_FACTOR * round_trip + ROUND_TRIP_MARGIN_US)
+    {
+      destroy (check);
+      return;
+    }
   (void)cs_id_list_print (&check->crash.causes.requests, &requests);
   (void)cs_id_list_print (&check->crash.causes.parts, &parts);
   cs_log (CS_EV_TARGET_CRASHED, "target=%s requests=%.*s parts=%.*s",
@@ -101,14 +116,16 @@
 
 void
 cs_crash_check_begin (cs_router_t *router, cs_target_t *target,
-                      const cs_causes_t *causes, cs_time_us_t now)
+                      const cs_causes_t *causes, cs_time_us_t cut_us,
+                      cs_time_us_t now)
 {
   const cs_router_settings_t *settings = &router->settings;
   cs_crash_check_t *check;
   if (target->leaving)
     return;
   for (check = router->crash_checks; check != NULL; check = check->next)
-    if (check->target == target && add_causes (check, causes))
+    if (check->target == target && check->cut_us == 0 && cut_us == 0
+        && add_causes (check, causes))
       return;
   check = calloc (1, sizeof *check);
   if (check == NULL)
@@ -129,6 +146,7 @@
     .causes = *causes,
     .at = now,
   };
+  check->cut_us = cut_us;
   check->next = router->crash_checks;
   router->crash_checks = check;
 }
--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -369,6 +369,28 @@
   EXPECT_EQ (reached, before);
 }
 
+// Pooled connections don't always show that their target has ended: a sound
+// request that was cut on three of them in no time was blocked.
+TEST_F (CrashingRequest, IsNotOneThatMeetsTargetsWhichHaveEnded)
+{
+  for (int i = 0; i < 250; i++)
+    ASSERT_EQ (ask_plain (*router, "safe", "sound").status (), 200);
+  std::vector<Target *> all = { &engine, &second_engine };
+  for (auto &target : targets)
+    all.push_back (target.get ());
+  for (Target *target : all)
+    target->set ([this, target] (wire::Socket &, const wire::Message &) {
+      reached++;
+      target->crash ();
+      return false;
+    });
+  for (int i = 0; i < 6; i++)
+    ask_plain (*router, "safe", "lookup");
+  std::this_thread::sleep_for (std::chrono::milliseconds (300));
+  EXPECT_GE (reached, 4);
+  EXPECT_EQ (router->log ().find ("CS1506"), std::string::npos);
+}
+
 TEST_F (CrashingRequest, IsRefusedAtOnceAndSaysWhenToComeBack)
 {
   send_bad_request (4, "safe");
