--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -384,11 +384,13 @@
   }
 
   std::string
-  entry (const std::string &service, const std::string &state = "ready") const
+  entry (const std::string &service, const std::string &state = "ready",
+         const std::string &version = "v1") const
   {
     return "{\"service\":\"" + service + "\",\"address\":\""
            + server_.address () + "\",\"zone\":\"a\",\"slots\":8,\"state\":\""
-           + state + "\",\"born\":1000,\"sequence\":1}";
+           + state + "\",\"version\":\"" + version
+           + "\",\"born\":1000,\"sequence\":1}";
   }
 
   // Whether the router has closed a connection while silent () was serving a
