--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -173,6 +173,7 @@
   target->incarnation = cs_hash_pair (target->hash, target->started_ms);
   target->address = entry->address;
   target->slots = entry->slots;
+  target->version = entry->version;
   target->leaving = entry->draining;
   target->changed_revision = entry->revision;
   target->joined_at = now;
@@ -210,6 +211,8 @@
             target->changed_revision = entry->revision;
           target->kept_until = 0;
           target->slots = entry->slots;
+          if (entry->version != 0)
+            target->version = entry->version;
           /* An incarnation that has started to leave never returns.  */
           target->leaving = target->leaving || entry->draining;
           return CS_OK;
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -26,6 +26,7 @@
   uint64_t started_ms; /* wall clock; a later start is a new incarnation */
   uint32_t slots;
   uint32_t cold_ms; /* warm-up time after its start */
+  uint64_t version; /* hash of the service and its software's version */
   bool draining;
   cs_revision_t revision; /* of the platform's store, at this entry */
 } cs_target_entry_t;
@@ -53,6 +54,8 @@
   uint64_t incarnation; /* hash of the id and the start */
   struct sockaddr_in address;
   uint64_t started_ms;
+  uint64_t version; /* hash of the service and its software's version; 0: not
+                       stated by a router of an earlier release */
   uint32_t slots;
   bool leaving;              /* permanent: it gets no new calls */
   cs_time_us_t kept_until;   /* unlisted, but retained until then because its
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -23,6 +23,8 @@
   cs_str_t key;         /* API key; empty if absent */
   uint32_t deadline_ms; /* time that the caller waits; 0 if absent */
   cs_str_t last_event_id;
+  cs_str_t resumes; /* id of the request that brought the first event of the
+                       stream that this one takes up; empty if absent */
   cs_prompt_context_t context;
   cs_id_list_t parts;
 } cs_caller_request_t;
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -1435,7 +1435,7 @@
   (ProtobufCMessageInit) cs__router__routing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__target__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cs__router__target__field_descriptors[10] =
 {
   {
     "id",
@@ -1545,6 +1545,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Target, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__target__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -1556,11 +1568,12 @@
   1,   /* field[1] = service */
   6,   /* field[6] = slots */
   5,   /* field[5] = started_ms */
+  9,   /* field[9] = version */
 };
 static const ProtobufCIntRange cs__router__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cs__router__target__descriptor =
 {
@@ -1570,7 +1583,7 @@
   "Cs__Router__Target",
   "cs.router",
   sizeof(Cs__Router__Target),
-  9,
+  10,
   cs__router__target__field_descriptors,
   cs__router__target__field_indices_by_name,
   1,  cs__router__target__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -292,10 +292,14 @@
    * unlisted, but used for this much longer; 0: listed
    */
   uint32_t kept_ms;
+  /*
+   * hash of the service and its software's version
+   */
+  uint64_t version;
 };
 #define CS__ROUTER__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__target__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/router/apply.c
+++ b/router/apply.c
@@ -113,10 +113,11 @@
   else if (added)
     cs_log (CS_EV_TARGET_LISTED,
             "target=%.*s source=%s service=%.*s data_centre=%.*s slots=%u "
-            "started=%llu revision=%llu",
+            "started=%llu version=%llx revision=%llu",
             CS_STR_ARG (entry->id), source, CS_STR_ARG (entry->service),
             CS_STR_ARG (entry->data_centre), entry->slots,
             (unsigned long long)entry->started_ms,
+            (unsigned long long)entry->version,
             (unsigned long long)entry->revision.number);
   else if (entry->draining)
     cs_log (CS_EV_TARGET_LEAVING, "target=%.*s source=%s revision=%llu",
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -30,7 +30,8 @@
   cs_log (
       CS_EV_REQUEST_DONE,
       "id=%.*s route=%.*s organisation=%.*s version=%llu target=%s "
-      "why=%s source=%s load=%u mean=%.1f live=%u rank=%u tries=%u "
+      "target_version=%llx resumes=%.*s last_event=%.*s why=%s source=%s "
+      "load=%u mean=%.1f live=%u rank=%u tries=%u "
       "connects_failed=%u "
       "first_ms=%llu total_ms=%llu status=%d outcome=%s",
       CS_STR_ARG (forward->request.id),
@@ -41,6 +42,10 @@
       forward->routing == NULL ? 0ULL
                                : (unsigned long long)forward->routing->version,
       forward->target == NULL ? "" : forward->target->id.text,
+      forward->target == NULL ? 0ULL
+                              : (unsigned long long)forward->target->version,
+      CS_STR_ARG (forward->request.resumes),
+      CS_STR_ARG (forward->request.last_event_id),
       cs_choice_reason_name (forward->choice.reason),
       forward->source == NULL ? "" : forward->source->id.text,
       forward->choice.load, forward->choice.mean, forward->choice.live,
--- a/router/peer/sync.c
+++ b/router/peer/sync.c
@@ -160,6 +160,7 @@
   out->started_ms = target->started_ms;
   out->slots = target->slots;
   out->draining = target->leaving;
+  out->version = target->version;
   if (target->kept_until > now)
     out->kept_ms = (uint32_t)((target->kept_until - now) / CS_US_PER_MS) + 1;
 }
@@ -312,6 +313,7 @@
     .started_ms = target->started_ms,
     .slots = target->slots,
     .draining = target->draining,
+    .version = target->version,
     .revision = revision,
   };
   entry.address.sin_family = AF_INET;
