Read each object of the store's lists by itself

Other operators' machines stopped following the list of servers when another writer left one odd entry. It happens here: a whole page, or a whole answer to a watch, was parsed as one JSON text, so one number too large, one nesting too deep, one character that UTF-8 or jansson doesn't allow made all of it unreadable. A running router then learnt of no change, and one that started never got ready.

A page is now cut into its objects without parsing them (common/json_text.c, no recursion, no memory), and metadata and spec are parsed one object at a time; a spec that can't be read describes no target. The same holds for the lists of routers, blocked parts and streams.

Tests that used the parsed page use the new calls, with the same checks.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -9,6 +9,7 @@
 
 #include <jansson.h>
 
+#include "common/json_text.h"
 #include "common/str.h"
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/routing.h"
@@ -50,39 +51,43 @@
 int cs_store_watch_path (cs_store_kind_t kind, uint64_t revision,
                          uint32_t wait_ms, cs_buf_t *out);
 
-/* One page of a list, or the changes that a watch returned.  ITEMS is borrowed
-   from the body.  */
+/* One page of a list, or the changes that a watch returned.  Each object is
+   parsed by itself: one that can't be read leaves the others readable.  */
 typedef struct
 {
-  const json_t *items;
-  bool truncated;         /* more items follow */
+  cs_json_text_t objects; /* those not read yet; borrowed from the body */
+  size_t count;           /* of all objects */
+  bool are_changes;
+  bool truncated;         /* more objects follow */
   cs_revision_t revision; /* of the whole store */
+  json_t *metadata;       /* of the latest object */
+  json_t *spec;           /* likewise */
 } cs_store_page_t;
 
 /* Returns the era that the head of a response states, or 0.  */
 uint64_t cs_store_read_era (const cs_http_head_t *head);
 
 /* Decode the response body of a list and of a watch, of a response in ERA.
-   Return 0, or CS_ERR_BAD_REQUEST if BODY is malformed.  */
-int cs_store_read_list (const json_t *body, uint64_t era,
-                        cs_store_page_t *out);
-int cs_store_read_watch (const json_t *body, uint64_t era,
-                         cs_store_page_t *out);
-
-/* An object of a list or of a change.  NAME and SPEC are borrowed from the
-   item.  */
+   Return 0, and the caller releases OUT with cs_store_page_release; or
+   CS_ERR_BAD_REQUEST if BODY is malformed.  */
+int cs_store_read_list (cs_str_t body, uint64_t era, cs_store_page_t *out);
+int cs_store_read_watch (cs_str_t body, uint64_t era, cs_store_page_t *out);
+
+/* An object of a list or of a change.  */
 typedef struct
 {
   cs_str_t name;
   cs_revision_t revision;
-  const json_t *spec;
-  bool deleted; /* the change is the object's deletion */
+  const json_t *spec; /* NULL if it can't be read */
+  bool deleted;       /* the change is the object's deletion */
 } cs_store_object_t;
 
-/* Decodes an item of a list, or of a watch if IS_CHANGE, of a response in ERA.
-   Returns 0, or CS_ERR_BAD_REQUEST if the object has no name.  */
-int cs_store_read_object (const json_t *item, uint64_t era, bool is_change,
-                          cs_store_object_t *out);
+/* Decodes the next object of PAGE; those without a name that can be read are
+   left out.  OUT is borrowed until the next call or the page's release.
+   Returns false at the end.  */
+bool cs_store_next_object (cs_store_page_t *page, cs_store_object_t *out);
+
+void cs_store_page_release (cs_store_page_t *page);
 
 /* Whether OBJECT is the current configuration, and not its deletion.  */
 bool cs_store_is_routing (const cs_store_object_t *object);
--- a/include/router/store_client.h
+++ b/include/router/store_client.h
@@ -4,18 +4,15 @@
 #ifndef CS_ROUTER_STORE_CLIENT_H
 #define CS_ROUTER_STORE_CLIENT_H
 
-#include <jansson.h>
-
 #include "router/router.h"
 
 typedef struct cs_store_client cs_store_client_t;
 
 typedef struct
 {
-  int status;         /* HTTP status, or 0 if there was no valid response */
-  uint64_t era;       /* of the store; 0 if there was no valid response */
-  const json_t *body; /* borrowed; NULL unless the response was 2xx with a JSON
-                         body */
+  int status;    /* HTTP status, or 0 if there was no valid response */
+  uint64_t era;  /* of the store; 0 if there was no valid response */
+  cs_str_t body; /* borrowed; empty unless the response was 2xx */
 } cs_store_response_t;
 
 /* Called with the result of a call.  A response of an earlier era than the
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -153,33 +153,30 @@
 read_page (cs_directory_t *directory, const cs_store_response_t *response)
 {
   cs_store_page_t page;
-  cs_store_object_t object = { 0 };
+  cs_store_object_t object;
   cs_router_entry_t entry;
-  size_t index;
-  const json_t *item;
   cs_str_t own_name = cs_str (directory->mesh->router->settings.name);
   bool is_first_page = directory->page_after.len == 0;
   directory->page_after.len = 0;
-  if (response->body == NULL
-      || cs_store_read_list (response->body, response->era, &page) != 0)
+  if (cs_store_read_list (response->body, response->era, &page) != 0)
     return false;
   if (is_first_page)
     {
       cs_mesh_list_begin (directory->mesh);
       directory->own_is_listed = false;
     }
-  json_array_foreach (page.items, index, item)
-  {
-    if (cs_store_read_object (item, response->era, false, &object) != 0
-        || cs_store_read_router (&object, &entry) != 0)
-      continue;
-    if (cs_str_equal (entry.name, own_name))
-      directory->own_is_listed = true;
-    cs_mesh_list_entry (directory->mesh, &entry, object.revision);
-  }
-  if (page.truncated && object.name.len > 0)
-    cs_name_set (&directory->page_after, object.name);
-  else
+  while (cs_store_next_object (&page, &object))
+    {
+      if (page.truncated)
+        cs_name_set (&directory->page_after, object.name);
+      if (cs_store_read_router (&object, &entry) != 0)
+        continue;
+      if (cs_str_equal (entry.name, own_name))
+        directory->own_is_listed = true;
+      cs_mesh_list_entry (directory->mesh, &entry, object.revision);
+    }
+  cs_store_page_release (&page);
+  if (directory->page_after.len == 0)
     cs_mesh_list_end (directory->mesh);
   return directory->page_after.len > 0;
 }
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -117,21 +117,17 @@
            cs_time_us_t now)
 {
   cs_store_page_t page;
-  cs_store_object_t object = { 0 };
-  size_t index;
-  const json_t *item;
-  if (response->body == NULL
-      || cs_store_read_list (response->body, response->era, &page) != 0)
+  cs_store_object_t object;
+  if (cs_store_read_list (response->body, response->era, &page) != 0)
     return response->status == STATUS_NOT_FOUND;
-  json_array_foreach (page.items, index, item)
-  {
-    if (cs_store_read_object (item, response->era, false, &object) == 0)
+  bool is_last = !page.truncated || page.count == 0;
+  while (cs_store_next_object (&page, &object))
+    {
       read_entry (parts, &object, now);
-  }
-  if (!page.truncated || object.name.len == 0)
-    return true;
-  cs_name_set (&parts->page_after, object.name);
-  return false;
+      cs_name_set (&parts->page_after, object.name);
+    }
+  cs_store_page_release (&page);
+  return is_last;
 }
 
 static void
--- a/router/store/client.c
+++ b/router/store/client.c
@@ -66,28 +66,28 @@
 static void
 finish_call (cs_store_client_t *client, int status)
 {
-  json_t *root = NULL;
   uint64_t era = 0;
   if (!client->busy)
     return;
   client->busy = false;
   cs_timer_clear (&client->timer);
+  /* ON_RESPONSE may start the next call.  */
+  cs_buf_t body = client->body;
+  client->body = (cs_buf_t){ 0 };
   if (status != 0)
     era = check_era (client, &status);
-  if (cs_http_is_success (status) && client->body.len > 0)
-    root = json_loadb (client->body.data, client->body.len, 0, NULL);
-  if (cs_http_is_success (status) && root == NULL)
+  if (cs_http_is_success (status) && body.len == 0)
     status = 0;
-  if (!cs_http_is_success (status))
+  cs_store_response_t response = { .status = status, .era = era };
+  if (cs_http_is_success (status))
+    response.body = cs_buf_str (&body);
+  else
     {
       client->router->counters.store_failures++;
       drop_channel (client);
     }
-  cs_buf_free (&client->body);
-  cs_store_response_t response
-      = { .status = status, .era = era, .body = root };
   client->on_response (client->context, &response);
-  json_decref (root);
+  cs_buf_free (&body);
 }
 
 static void
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -196,23 +196,16 @@
 }
 
 static void
-read_items (cs_follower_t *follower, const cs_store_page_t *page,
-            cs_time_us_t now)
+read_items (cs_follower_t *follower, cs_store_page_t *page, cs_time_us_t now)
 {
-  cs_store_object_t object = { 0 };
-  size_t index;
-  const json_t *item;
+  cs_store_object_t object;
   cs_time_us_t until = kept_until (follower, now);
-  json_array_foreach (page->items, index, item)
-  {
-    if (cs_store_read_object (item, page->revision.era, !follower->listing,
-                              &object)
-        != 0)
-      continue;
-    follower->handlers.on_object (follower->router, &object, until, now);
-  }
-  if (follower->listing && object.name.len > 0)
-    cs_name_set (&follower->page_after, object.name);
+  while (cs_store_next_object (page, &object))
+    {
+      follower->handlers.on_object (follower->router, &object, until, now);
+      if (follower->listing)
+        cs_name_set (&follower->page_after, object.name);
+    }
 }
 
 /* Records that the platform has confirmed the state at REVISION.  */
@@ -246,7 +239,7 @@
 }
 
 static void
-read_list_page (cs_follower_t *follower, const cs_store_page_t *page,
+read_list_page (cs_follower_t *follower, cs_store_page_t *page,
                 cs_time_us_t now)
 {
   cs_name_t last = follower->page_after;
@@ -277,8 +270,7 @@
 }
 
 static void
-read_watch (cs_follower_t *follower, const cs_store_page_t *page,
-            cs_time_us_t now)
+read_watch (cs_follower_t *follower, cs_store_page_t *page, cs_time_us_t now)
 {
   const cs_router_settings_t *settings = &follower->router->settings;
   if (page->revision.era != follower->sync_state->revision.era)
@@ -289,9 +281,9 @@
   follower->relists = 0;
   read_items (follower, page, now);
   record_revision (follower, page->revision, now);
-  if (json_array_size (page->items) > 0)
+  if (page->count > 0)
     cs_mesh_push_changes (follower->router->mesh);
-  if (json_array_size (page->items) > 0)
+  if (page->count > 0)
     cs_timer_set (&follower->timer, settings->coalesce_ms * CS_US_PER_MS);
   else if ((double)(now - follower->call_started_at)
            < CUT_WATCH_SHARE * cs_router_settings_watch_ms (settings)
@@ -330,6 +322,7 @@
     read_list_page (follower, &page, now);
   else
     read_watch (follower, &page, now);
+  cs_store_page_release (&page);
 }
 
 cs_follower_t *
--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -233,35 +233,33 @@
            cs_time_us_t now)
 {
   cs_store_page_t page;
-  cs_store_object_t object = { 0 };
+  cs_store_object_t object;
   cs_name_t last = versions->page_after;
-  size_t index;
-  const json_t *item;
   versions->page_after.len = 0;
   if (response->status == STATUS_NOT_FOUND)
     {
       end_list (versions, now);
       return true;
     }
-  if (response->body == NULL
-      || cs_store_read_list (response->body, response->era, &page) != 0)
+  if (cs_store_read_list (response->body, response->era, &page) != 0)
     return false;
-  json_array_foreach (page.items, index, item)
-  {
-    if (cs_store_read_object (item, response->era, false, &object) != 0)
-      continue;
-    if (cs_store_is_versions (&object))
-      read_versions (versions, &object, now);
-    else
-      read_streams (versions, &object, now);
-  }
+  while (cs_store_next_object (&page, &object))
+    {
+      if (page.truncated)
+        cs_name_set (&versions->page_after, object.name);
+      if (cs_store_is_versions (&object))
+        read_versions (versions, &object, now);
+      else
+        read_streams (versions, &object, now);
+    }
+  cs_store_page_release (&page);
   if (!page.truncated)
     {
       end_list (versions, now);
       return true;
     }
-  cs_name_set (&versions->page_after, object.name);
-  return object.name.len > 0 && !cs_name_equal (&last, &versions->page_after);
+  return versions->page_after.len > 0
+         && !cs_name_equal (&last, &versions->page_after);
 }
 
 static bool
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -304,6 +304,23 @@
   EXPECT_EQ (parts.count, 0U);
 }
 
+// A list of the store with the object OBJECT.
+std::string
+page_of (const std::string &object)
+{
+  return "{\"items\":[" + object + "],\"truncated\":false,\"current_rev\":9}";
+}
+
+// Reads the first object of the list TEXT.  The caller releases PAGE.
+bool
+read_first_object (const std::string &text, cs_store_page_t *page,
+                   cs_store_object_t *object)
+{
+  *page = {};
+  return cs_store_read_list ({ text.data (), text.size () }, 1, page) == 0
+         && cs_store_next_object (page, object);
+}
+
 TEST (Codec, BlockedPartsKeepTheirIdInTheStore)
 {
   cs_buf_t text = { nullptr, 0, 0 };
@@ -311,8 +328,9 @@
   cs_store_blocked_part_t read;
   cs_store_object_t object;
   ASSERT_EQ (cs_store_write_blocked_part (&part, &text), 0);
-  json_t *item = json_loadb (text.data, text.len, 0, nullptr);
-  ASSERT_EQ (cs_store_read_object (item, 1, false, &object), 0);
+  cs_store_page_t page;
+  std::string list = page_of (std::string (text.data, text.len));
+  ASSERT_TRUE (read_first_object (list, &page, &object));
   ASSERT_EQ (cs_store_read_blocked_part (&object, &read), 0);
   EXPECT_EQ (read.part, part.part);
   EXPECT_EQ (read.blocked_ms, part.blocked_ms);
@@ -320,7 +338,7 @@
   EXPECT_NE (cs_store_read_blocked_part (&object, &read), 0);
   object.name = cs_str ("12345678901234567");
   EXPECT_NE (cs_store_read_blocked_part (&object, &read), 0);
-  json_decref (item);
+  cs_store_page_release (&page);
   cs_buf_free (&text);
 }
 
@@ -409,12 +427,13 @@
       "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
       "\"slots\":8,\"state\":\"draining\",\"born\":1785275073400}}";
 
+// The strings of ENTRY are borrowed from PAGE, which the caller releases.
 int
-read_target (const std::string &text, cs_target_entry_t *entry, json_t **root)
+read_target (const std::string &text, cs_target_entry_t *entry,
+             cs_store_page_t *page)
 {
   cs_store_object_t object;
-  *root = json_loadb (text.data (), text.size (), 0, nullptr);
-  if (*root == nullptr || cs_store_read_object (*root, 1, false, &object) != 0)
+  if (!read_first_object (page_of (text), page, &object))
     return CS_ERR_BAD_REQUEST;
   return cs_store_read_target (&object, entry);
 }
@@ -422,11 +441,11 @@
 TEST (Codec, ReadsTargetAndRejectsInvalidEntries)
 {
   cs_target_entry_t entry;
-  json_t *root;
-  ASSERT_EQ (read_target (TARGET, &entry, &root), 0);
+  cs_store_page_t page;
+  ASSERT_EQ (read_target (TARGET, &entry, &page), 0);
   EXPECT_TRUE (entry.draining);
   EXPECT_EQ (entry.started_ms, 1785275073400ULL);
-  json_decref (root);
+  cs_store_page_release (&page);
   const char *changes[][2] = { { "\"draining\"", "\"odd\"" },
                                { "10.0.0.1:80", "10.0.0.1" },
                                { "\"slots\":8", "\"slots\":\"8\"" },
@@ -436,8 +455,8 @@
     {
       std::string text = TARGET;
       text.replace (text.find (change[0]), strlen (change[0]), change[1]);
-      EXPECT_NE (read_target (text, &entry, &root), 0) << text;
-      json_decref (root);
+      EXPECT_NE (read_target (text, &entry, &page), 0) << text;
+      cs_store_page_release (&page);
     }
 }
 
@@ -447,9 +466,9 @@
   for (int i = 0; i < CORRUPTIONS; i++)
     {
       cs_target_entry_t entry;
-      json_t *root;
-      read_target (corrupt (TARGET, &random), &entry, &root);
-      json_decref (root);
+      cs_store_page_t page;
+      read_target (corrupt (TARGET, &random), &entry, &page);
+      cs_store_page_release (&page);
     }
 }
 
@@ -570,23 +589,17 @@
   for (int i = 0; i < CORRUPTIONS; i++)
     {
       std::string bad = corrupt (text, &random);
-      json_t *root = json_loadb (bad.data (), bad.size (), 0, nullptr);
       cs_store_page_t page;
-      if (root != nullptr && cs_store_read_list (root, 2, &page) == 0)
-        {
-          size_t index;
-          const json_t *item;
-          EXPECT_EQ (page.revision.era, 2U);
-          json_array_foreach (page.items, index, item)
-          {
-            cs_store_object_t object;
-            cs_router_entry_t entry;
-            if (cs_store_read_object (item, 2, false, &object) == 0
-                && cs_store_read_router (&object, &entry) == 0)
-              read++;
-          }
-        }
-      json_decref (root);
+      cs_str_t body = { bad.data (), bad.size () };
+      if (cs_store_read_list (body, 2, &page) != 0)
+        continue;
+      cs_store_object_t object;
+      cs_router_entry_t entry;
+      EXPECT_EQ (page.revision.era, 2U);
+      while (cs_store_next_object (&page, &object))
+        if (cs_store_read_router (&object, &entry) == 0)
+          read++;
+      cs_store_page_release (&page);
     }
   EXPECT_GT (read, 0);
 }
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -105,12 +105,15 @@
 void
 with_object (const std::string &text, F read)
 {
-  json_t *root = json_loadb (text.data (), text.size (), 0, nullptr);
-  ASSERT_NE (root, nullptr) << text;
-  cs_store_object_t object = {};
-  ASSERT_EQ (cs_store_read_object (root, 1, false, &object), CS_OK);
+  std::string list
+      = "{\"items\":[" + text + "],\"truncated\":false,\"current_rev\":9}";
+  cs_store_page_t page;
+  cs_store_object_t object;
+  ASSERT_EQ (cs_store_read_list ({ list.data (), list.size () }, 1, &page),
+             CS_OK);
+  ASSERT_TRUE (cs_store_next_object (&page, &object)) << text;
   read (object);
-  json_decref (root);
+  cs_store_page_release (&page);
 }
 
 TEST (StreamObjects, StreamsAreReadAsTheyWereWritten)
