Save the versions of streams through hubs, before their first event

A stream's first event now waits until its version is saved, until 200 ms after the sending of its request at the longest; and the first hub of a data centre saves for its members, which pass their streams on by a frame of their own and are told what is saved. A host without a hub, or with one that is late, saves itself. A host that has started learns from one list which versions there were before. A record stays for a second after the stream was sent whole, as the end may not have arrived.

Tried and dropped: shorter intervals for each host's own saves (dearer still), events that wait 80 ms from the first event on (the third stream of a burst was lost: an interval is 125 ms).

--- a/include/cranberrystile/stream_table.h
+++ b/include/cranberrystile/stream_table.h
@@ -20,6 +20,7 @@
   uint64_t stream;    /* hash of the id of the request that began it */
   uint64_t version;   /* see cs_target_t, or CS_STREAM_VERSION_AMBIGUOUS */
   cs_time_us_t until; /* no caller takes it up after this */
+  uint64_t number;    /* of the change; 0: not numbered */
 } cs_stream_record_t;
 
 typedef struct cs_stream_table cs_stream_table_t;
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -11,6 +11,7 @@
 #ifndef CS_ROUTER_MESH_H
 #define CS_ROUTER_MESH_H
 
+#include "cranberrystile/stream_table.h"
 #include "router/router.h"
 
 /* A router without peers has no mesh: all functions but cs_mesh_create accept
@@ -47,7 +48,8 @@
    routers has been read, returns a large number.  */
 double cs_mesh_count_routers (const cs_mesh_t *mesh);
 
-/* Whether this router is the first hub of its data centre.  */
+/* Whether this router is the first hub of its data centre; false until it has
+   read the list of routers.  */
 bool cs_mesh_is_first_hub (const cs_mesh_t *mesh);
 
 /* Called when the routing or the list of targets has changed: a first hub
@@ -71,6 +73,25 @@
                               uint32_t hops);
 void cs_mesh_announce_blocked (cs_mesh_t *mesh, const cs_part_time_t *blocked);
 
+/* Streams of this router, for its hub to save.  */
+typedef struct
+{
+  const cs_stream_table_t *table;
+  uint64_t number; /* of the latest record */
+  const uint64_t *ended;
+  size_t ended_count;
+} cs_stream_changes_t;
+
+/* Sends the hub what it has not been sent of CHANGES.  Returns false if there
+   is no hub that saves streams, or this router is the first one itself.  */
+bool cs_mesh_pass_streams (cs_mesh_t *mesh,
+                           const cs_stream_changes_t *changes);
+
+/* Call when a save of the streams begins, and when it has succeeded: members
+   are told which of theirs it contains.  */
+void cs_mesh_streams_saving (cs_mesh_t *mesh);
+void cs_mesh_streams_saved (cs_mesh_t *mesh);
+
 /* Removes this router's entry from the platform's store, before shutdown.  */
 void cs_mesh_leave (cs_mesh_t *mesh);
 
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -39,7 +39,6 @@
   uint32_t coalesce_ms; /* pause between watches, to batch changes */
   uint32_t call_timeout_ms;
   uint32_t renewal_ms; /* interval at which targets renew their entries */
-  double writes_per_s; /* calls of all routers that change the store */
   uint32_t lapse_ms;   /* targets that expired during an outage are listed
                           again within this time after it */
   /* [retry] */
--- a/include/router/stream_versions.h
+++ b/include/router/stream_versions.h
@@ -50,14 +50,47 @@
                              cs_time_us_t now);
 
 /* Records that a target of RECORD's version begins its stream for SERVICE, a
-   hash of its name.  */
-void cs_stream_versions_begin (cs_stream_versions_t *versions,
-                               uint64_t service,
-                               const cs_stream_record_t *record,
+   hash of its name.  Returns the number under which the stream is to be saved
+   before its caller gets the first event; 0: that is not needed.  */
+uint64_t cs_stream_versions_begin (cs_stream_versions_t *versions,
+                                   uint64_t service,
+                                   const cs_stream_record_t *record,
+                                   cs_time_us_t now);
+
+/* The whole stream was sent.  */
+void cs_stream_versions_end (cs_stream_versions_t *versions, uint64_t stream,
+                             cs_time_us_t now);
+
+/* A member relies on this router to save STREAM.  */
+void cs_stream_versions_carry (cs_stream_versions_t *versions, uint64_t stream,
+                               uint64_t version, cs_time_us_t now);
+
+/* The store has this router's streams up to NUMBER.  */
+void cs_stream_versions_saved (cs_stream_versions_t *versions, uint64_t number,
                                cs_time_us_t now);
 
-/* The whole stream was delivered.  */
-void cs_stream_versions_end (cs_stream_versions_t *versions, uint64_t stream);
+typedef struct cs_stream_wait cs_stream_wait_t;
+
+/* A wait for a stream to be saved.  The caller fills in the first part and
+   keeps it until it has ended.  */
+struct cs_stream_wait
+{
+  uint64_t number;
+  void (*on_saved) (void *context, cs_time_us_t now);
+  void *context;
+
+  bool is_waiting;
+  cs_stream_wait_t *next;
+};
+
+/* Returns whether the stream is saved already, or can't be; otherwise ON_SAVED
+   will be called.  */
+bool cs_stream_versions_wait (cs_stream_versions_t *versions,
+                              cs_stream_wait_t *wait);
+
+/* Ends a wait.  Does nothing if there is none.  */
+void cs_stream_versions_end_wait (cs_stream_versions_t *versions,
+                                  cs_stream_wait_t *wait);
 
 /* Searches the version of a stream.  Returns its result, or CS_ERR_IN_PROGRESS
    if ON_RESULT will be called, after this function has returned.  */
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -502,6 +502,96 @@
   assert(message->base.descriptor == &cs__router__targets__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__streams__init
+                     (Cs__Router__Streams         *message)
+{
+  static const Cs__Router__Streams init_value = CS__ROUTER__STREAMS__INIT;
+  *message = init_value;
+}
+size_t cs__router__streams__get_packed_size
+                     (const Cs__Router__Streams *message)
+{
+  assert(message->base.descriptor == &cs__router__streams__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__streams__pack
+                     (const Cs__Router__Streams *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__streams__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__streams__pack_to_buffer
+                     (const Cs__Router__Streams *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__streams__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Streams *
+       cs__router__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Streams *)
+     protobuf_c_message_unpack (&cs__router__streams__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__streams__free_unpacked
+                     (Cs__Router__Streams *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__streams__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cs__router__streams_saved__init
+                     (Cs__Router__StreamsSaved         *message)
+{
+  static const Cs__Router__StreamsSaved init_value = CS__ROUTER__STREAMS_SAVED__INIT;
+  *message = init_value;
+}
+size_t cs__router__streams_saved__get_packed_size
+                     (const Cs__Router__StreamsSaved *message)
+{
+  assert(message->base.descriptor == &cs__router__streams_saved__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__streams_saved__pack
+                     (const Cs__Router__StreamsSaved *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__streams_saved__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__streams_saved__pack_to_buffer
+                     (const Cs__Router__StreamsSaved *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__streams_saved__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__StreamsSaved *
+       cs__router__streams_saved__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__StreamsSaved *)
+     protobuf_c_message_unpack (&cs__router__streams_saved__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__streams_saved__free_unpacked
+                     (Cs__Router__StreamsSaved *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__streams_saved__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__frame__init
                      (Cs__Router__Frame         *message)
 {
@@ -547,7 +637,7 @@
   assert(message->base.descriptor == &cs__router__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[6] =
 {
   {
     "name",
@@ -609,6 +699,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "saves_streams",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Hello, saves_streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -616,11 +718,12 @@
   1,   /* field[1] = data_centre */
   0,   /* field[0] = name */
   4,   /* field[4] = reads_compressed */
+  5,   /* field[5] = saves_streams */
 };
 static const ProtobufCIntRange cs__router__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cs__router__hello__descriptor =
 {
@@ -630,7 +733,7 @@
   "Cs__Router__Hello",
   "cs.router",
   sizeof(Cs__Router__Hello),
-  5,
+  6,
   cs__router__hello__field_descriptors,
   cs__router__hello__field_indices_by_name,
   1,  cs__router__hello__number_ranges,
@@ -1680,7 +1783,122 @@
   (ProtobufCMessageInit) cs__router__targets__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cs__router__streams__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Streams, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Router__Streams, n_streams),
+    offsetof(Cs__Router__Streams, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Router__Streams, n_versions),
+    offsetof(Cs__Router__Streams, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cs__Router__Streams, n_ended),
+    offsetof(Cs__Router__Streams, ended),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__streams__field_indices_by_name[] = {
+  3,   /* field[3] = ended */
+  0,   /* field[0] = number */
+  1,   /* field[1] = streams */
+  2,   /* field[2] = versions */
+};
+static const ProtobufCIntRange cs__router__streams__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cs__router__streams__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Streams",
+  "Streams",
+  "Cs__Router__Streams",
+  "cs.router",
+  sizeof(Cs__Router__Streams),
+  4,
+  cs__router__streams__field_descriptors,
+  cs__router__streams__field_indices_by_name,
+  1,  cs__router__streams__number_ranges,
+  (ProtobufCMessageInit) cs__router__streams__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__streams_saved__field_descriptors[1] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__StreamsSaved, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__streams_saved__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange cs__router__streams_saved__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cs__router__streams_saved__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.StreamsSaved",
+  "StreamsSaved",
+  "Cs__Router__StreamsSaved",
+  "cs.router",
+  sizeof(Cs__Router__StreamsSaved),
+  1,
+  cs__router__streams_saved__field_descriptors,
+  cs__router__streams_saved__field_indices_by_name,
+  1,  cs__router__streams_saved__number_ranges,
+  (ProtobufCMessageInit) cs__router__streams_saved__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[7] =
 {
   {
     "hello",
@@ -1742,18 +1960,44 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Frame, body_case),
+    offsetof(Cs__Router__Frame, streams),
+    &cs__router__streams__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams_saved",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Frame, body_case),
+    offsetof(Cs__Router__Frame, streams_saved),
+    &cs__router__streams_saved__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__frame__field_indices_by_name[] = {
   1,   /* field[1] = beat */
   4,   /* field[4] = compressed */
   0,   /* field[0] = hello */
   2,   /* field[2] = routing */
+  5,   /* field[5] = streams */
+  6,   /* field[6] = streams_saved */
   3,   /* field[3] = targets */
 };
 static const ProtobufCIntRange cs__router__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cs__router__frame__descriptor =
 {
@@ -1763,7 +2007,7 @@
   "Cs__Router__Frame",
   "cs.router",
   sizeof(Cs__Router__Frame),
-  5,
+  7,
   cs__router__frame__field_descriptors,
   cs__router__frame__field_indices_by_name,
   1,  cs__router__frame__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct Cs__Router__Routing Cs__Router__Routing;
 typedef struct Cs__Router__Target Cs__Router__Target;
 typedef struct Cs__Router__Targets Cs__Router__Targets;
+typedef struct Cs__Router__Streams Cs__Router__Streams;
+typedef struct Cs__Router__StreamsSaved Cs__Router__StreamsSaved;
 typedef struct Cs__Router__Frame Cs__Router__Frame;
 
 
@@ -54,10 +56,14 @@
    * frames with the body COMPRESSED
    */
   protobuf_c_boolean reads_compressed;
+  /*
+   * reads Streams
+   */
+  protobuf_c_boolean saves_streams;
 };
 #define CS__ROUTER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -325,13 +331,54 @@
     , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Streams that the sender has begun, for the receiver to save: hashes of the
+ * ids of the requests that began them, and the version of each one's target.
+ */
+struct  Cs__Router__Streams
+{
+  ProtobufCMessage base;
+  /*
+   * rises with each change
+   */
+  uint64_t number;
+  size_t n_streams;
+  uint64_t *streams;
+  size_t n_versions;
+  uint64_t *versions;
+  /*
+   * delivered whole
+   */
+  size_t n_ended;
+  uint64_t *ended;
+};
+#define CS__ROUTER__STREAMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__streams__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * The platform's store has the streams up to this number of the receiver.
+ */
+struct  Cs__Router__StreamsSaved
+{
+  ProtobufCMessage base;
+  uint64_t number;
+};
+#define CS__ROUTER__STREAMS_SAVED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__streams_saved__descriptor) \
+    , 0 }
+
+
 typedef enum {
   CS__ROUTER__FRAME__BODY__NOT_SET = 0,
   CS__ROUTER__FRAME__BODY_HELLO = 1,
   CS__ROUTER__FRAME__BODY_BEAT = 2,
   CS__ROUTER__FRAME__BODY_ROUTING = 3,
   CS__ROUTER__FRAME__BODY_TARGETS = 4,
-  CS__ROUTER__FRAME__BODY_COMPRESSED = 5
+  CS__ROUTER__FRAME__BODY_COMPRESSED = 5,
+  CS__ROUTER__FRAME__BODY_STREAMS = 6,
+  CS__ROUTER__FRAME__BODY_STREAMS_SAVED = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__ROUTER__FRAME__BODY__CASE)
 } Cs__Router__Frame__BodyCase;
 
@@ -348,6 +395,8 @@
      * another Frame, packed and compressed by zlib
      */
     ProtobufCBinaryData compressed;
+    Cs__Router__Streams *streams;
+    Cs__Router__StreamsSaved *streams_saved;
   };
 };
 #define CS__ROUTER__FRAME__INIT \
@@ -564,6 +613,44 @@
 void   cs__router__targets__free_unpacked
                      (Cs__Router__Targets *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Streams methods */
+void   cs__router__streams__init
+                     (Cs__Router__Streams         *message);
+size_t cs__router__streams__get_packed_size
+                     (const Cs__Router__Streams   *message);
+size_t cs__router__streams__pack
+                     (const Cs__Router__Streams   *message,
+                      uint8_t             *out);
+size_t cs__router__streams__pack_to_buffer
+                     (const Cs__Router__Streams   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Streams *
+       cs__router__streams__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__streams__free_unpacked
+                     (Cs__Router__Streams *message,
+                      ProtobufCAllocator *allocator);
+/* Cs__Router__StreamsSaved methods */
+void   cs__router__streams_saved__init
+                     (Cs__Router__StreamsSaved         *message);
+size_t cs__router__streams_saved__get_packed_size
+                     (const Cs__Router__StreamsSaved   *message);
+size_t cs__router__streams_saved__pack
+                     (const Cs__Router__StreamsSaved   *message,
+                      uint8_t             *out);
+size_t cs__router__streams_saved__pack_to_buffer
+                     (const Cs__Router__StreamsSaved   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__StreamsSaved *
+       cs__router__streams_saved__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__streams_saved__free_unpacked
+                     (Cs__Router__StreamsSaved *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Frame methods */
 void   cs__router__frame__init
                      (Cs__Router__Frame         *message);
@@ -618,6 +705,12 @@
 typedef void (*Cs__Router__Targets_Closure)
                  (const Cs__Router__Targets *message,
                   void *closure_data);
+typedef void (*Cs__Router__Streams_Closure)
+                 (const Cs__Router__Streams *message,
+                  void *closure_data);
+typedef void (*Cs__Router__StreamsSaved_Closure)
+                 (const Cs__Router__StreamsSaved *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Frame_Closure)
                  (const Cs__Router__Frame *message,
                   void *closure_data);
@@ -638,6 +731,8 @@
 extern const ProtobufCMessageDescriptor cs__router__routing__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__target__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__targets__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__streams__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__streams_saved__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -2,7 +2,6 @@
 
 #include "common/log.h"
 #include "cranberrystile/silence.h"
-#include "cranberrystile/version_history.h"
 #include "router/apply.h"
 #include "router/crash_check.h"
 #include "router/forward/internal.h"
@@ -133,26 +132,6 @@
                                  now);
 }
 
-/* Records the version at which the stream begins, before the target can have
-   answered.  */
-static void
-record_version (cs_forward_t *forward, cs_time_us_t now)
-{
-  cs_time_us_t life_us = forward->route->timeout_ms * CS_US_PER_MS;
-  if (!cs_forward_is_resumable (forward) || forward->stream == 0)
-    return;
-  if (forward->request.deadline_ms * CS_US_PER_MS > life_us)
-    life_us = forward->request.deadline_ms * CS_US_PER_MS;
-  if (life_us > CS_STREAM_LIFE_US)
-    life_us = CS_STREAM_LIFE_US;
-  cs_stream_record_t record = { .stream = forward->stream,
-                                .version = forward->target->version,
-                                .until = forward->received_at + life_us };
-  cs_stream_versions_begin (forward->router->stream_versions,
-                            cs_hash (cs_name_str (&forward->service->name), 0),
-                            &record, now);
-}
-
 void
 cs_forward_start_attempt (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -201,7 +180,7 @@
   forward->target = forward->choice.target;
   forward->attempt_count++;
   record_tried_target (forward);
-  record_version (forward, now);
+  cs_forward_record_version (forward, now);
   cs_apply_request_sent (router, forward->target, now);
   rc = send_to_target (forward, now);
   if (rc != 0)
@@ -343,6 +322,7 @@
 cs_forward_attempt_failed (cs_forward_t *forward, int error, bool was_sent,
                            cs_time_us_t now)
 {
+  cs_forward_release (forward);
   if (!was_sent)
     {
       error = CS_ERR_CONNECT;
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -60,8 +60,11 @@
 {
   cs_timer_clear (&forward->deadline_timer);
   cs_timer_clear (&forward->watchdog);
+  cs_timer_clear (&forward->hold_timer);
   cs_stream_versions_cancel (forward->router->stream_versions,
                              &forward->lookup);
+  cs_stream_versions_end_wait (forward->router->stream_versions,
+                               &forward->save);
   if (forward->connection != NULL)
     {
       forward->target->in_flight--;
@@ -86,8 +89,9 @@
 {
   cs_caller_t *caller = forward->caller;
   forward->router->counters.answers_passed++;
-  if (forward->is_event_stream)
-    cs_stream_versions_end (forward->router->stream_versions, forward->stream);
+  if (cs_forward_is_resumable (forward))
+    cs_stream_versions_end (forward->router->stream_versions, forward->stream,
+                            now);
   cs_latency_add (&forward->router->total, now - forward->received_at);
   log_request (forward, "passed", forward->status, now);
   destroy (forward);
@@ -160,6 +164,7 @@
 cs_forward_fail (cs_forward_t *forward, int error, cs_time_us_t now)
 {
   cs_caller_t *caller = forward->caller;
+  cs_forward_release (forward);
   /* The response may state that the request did not run only if no target
      can have executed it.  */
   if (forward->outcome_unknown
@@ -282,6 +287,8 @@
   forward->received_at = now;
   forward->routing = cs_routing_reference (router->routing);
   cs_timer_init (&forward->deadline_timer, router->loop, on_deadline, forward);
+  cs_timer_init (&forward->hold_timer, router->loop, cs_forward_end_hold,
+                 forward);
   cs_timer_init (&forward->watchdog, router->loop, cs_forward_check_silence,
                  forward);
   router->in_flight++;
@@ -289,79 +296,6 @@
   return forward;
 }
 
-/* The stream goes on at the service that began it, also if the route is shared
-   by several.  */
-static void
-select_service_of_version (cs_forward_t *forward)
-{
-  const cs_route_t *route = forward->route;
-  const cs_target_t *target
-      = forward->version == 0
-            ? NULL
-            : cs_fleet_find_version (forward->router->fleet, forward->version);
-  if (target == NULL)
-    return;
-  for (size_t i = 0; i < route->weighted_service_count; i++)
-    {
-      cs_str_t name
-          = forward->routing->services[route->weighted_services[i].service]
-                .name;
-      if (!cs_str_equal (name, cs_name_str (&target->service)))
-        continue;
-      cs_service_state_t *service
-          = cs_service_table_get (&forward->router->services, name);
-      if (service != NULL)
-        forward->service = service;
-      return;
-    }
-}
-
-/* Starts the request, or goes on with the stream that it takes up, whose
-   version the search has found unless RESULT is an error.  */
-static void
-on_version_found (void *context, int result, cs_time_us_t now)
-{
-  cs_forward_t *forward = context;
-  if (result != CS_OK)
-    {
-      forward->router->counters.streams_refused++;
-      cs_forward_fail (forward, result, now);
-      return;
-    }
-  forward->version = forward->lookup.version;
-  select_service_of_version (forward);
-  cs_retry_window_first_attempt (&forward->service->retry_window, now);
-  cs_forward_start_attempt (forward, now);
-}
-
-bool
-cs_forward_is_resumable (const cs_forward_t *forward)
-{
-  return forward->route->kind == CS_ROUTE_STREAMING
-         && forward->route->resumable;
-}
-
-/* Returns CS_OK with the version at which the stream has to go on, an error,
-   or CS_ERR_IN_PROGRESS if on_version_found will be called.  */
-static int
-find_version (cs_forward_t *forward, cs_time_us_t now)
-{
-  bool is_taken_up = forward->request.last_event_id.len > 0;
-  cs_str_t begun_by
-      = is_taken_up ? forward->request.resumes : forward->request.id;
-  forward->stream = begun_by.len > 0 ? cs_hash (begun_by, 0) : 0;
-  forward->lookup = (cs_version_lookup_t){
-    .stream = forward->stream,
-    .service = cs_hash (cs_name_str (&forward->service->name), 0),
-    .on_result = on_version_found,
-    .context = forward,
-  };
-  if (!is_taken_up || !cs_forward_is_resumable (forward))
-    return CS_OK;
-  return cs_stream_versions_find (forward->router->stream_versions,
-                                  &forward->lookup, now);
-}
-
 void
 cs_forward_run (cs_forward_t *forward, cs_time_us_t now)
 {
@@ -374,9 +308,7 @@
   forward->causes.requests = (cs_id_list_t){ { fingerprint (forward) }, 1 };
   forward->causes.parts = forward->request.parts;
   set_deadline_timer (forward, now);
-  rc = find_version (forward, now);
-  if (rc != CS_ERR_IN_PROGRESS)
-    on_version_found (forward, rc, now);
+  cs_forward_find_version (forward, now);
 }
 
 void
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -40,6 +40,9 @@
   uint64_t version;   /* of the targets that may go on with a stream that has
                          begun, see cs_target_t; 0: any */
   cs_version_lookup_t lookup; /* of VERSION */
+  cs_stream_wait_t save;      /* of VERSION, before the first event is sent */
+  bool is_held;               /* the first events wait for that */
+  cs_timer_t hold_timer;      /* fires when they have waited too long */
   bool may_fetch_context; /* copying context between targets is cheaper than
                              recomputing it */
   cs_time_us_t received_at;
@@ -97,9 +100,6 @@
    for too long.  */
 void cs_forward_check_silence (void *context, cs_time_us_t now);
 
-/* Whether the response is a stream that may go on at another target.  */
-bool cs_forward_is_resumable (const cs_forward_t *forward);
-
 /* Sends the request to the next target, or fails it.  */
 void cs_forward_start_attempt (cs_forward_t *forward, cs_time_us_t now);
 
@@ -115,6 +115,33 @@
 /* Ends the request after the full response was sent.  Frees FORWARD.  */
 void cs_forward_complete (cs_forward_t *forward, bool close, cs_time_us_t now);
 
+/* Sends the contents of response_body, in a single write with the head if that
+   has not been sent yet.  */
+void cs_forward_flush (cs_forward_t *forward);
+
+/* version.c */
+
+/* Whether the response is a stream that may go on at another target.  */
+bool cs_forward_is_resumable (const cs_forward_t *forward);
+
+/* Starts the first attempt, after a search for the version of the stream that
+   the request takes up, or fails the request.  */
+void cs_forward_find_version (cs_forward_t *forward, cs_time_us_t now);
+
+/* Records the version at which the stream begins, before the target can have
+   answered.  */
+void cs_forward_record_version (cs_forward_t *forward, cs_time_us_t now);
+
+/* Sends the events, the first ones when the version of the stream is saved: a
+   caller takes a stream up only after an event.  */
+void cs_forward_flush_events (cs_forward_t *forward);
+
+/* Sends events that are held back until the stream's version is saved.  */
+void cs_forward_release (cs_forward_t *forward);
+
+/* Callback of the timer of that wait.  */
+void cs_forward_end_hold (void *forward, cs_time_us_t now);
+
 /* Callbacks of the connection to the target.  */
 extern const cs_connection_handlers_t cs_forward_connection_handlers;
 
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -168,10 +168,8 @@
   cs_buf_append (&forward->response_head, cs_str ("\r\n"));
 }
 
-/* Sends the contents of response_body, in a single write with the head if that
-   has not been sent yet.  */
-static void
-flush_body (cs_forward_t *forward)
+void
+cs_forward_flush (cs_forward_t *forward)
 {
   cs_buf_t *out = &forward->response_head;
   if (forward->response_body.len == 0)
@@ -186,7 +184,7 @@
   cs_caller_send (forward->caller, cs_buf_str (out));
   cs_buf_clear (out);
   if (cs_caller_queued (forward->caller) > MAX_CALLER_QUEUE_BYTES
-      && !forward->paused)
+      && !forward->paused && forward->connection != NULL)
     {
       forward->paused = true;
       cs_connection_pause (forward->connection, true);
@@ -223,7 +221,7 @@
       if (count <= limit && forward->events.count > limit)
         record_served (forward, forward->last_event_at);
     }
-  flush_body (forward);
+  cs_forward_flush_events (forward);
 }
 
 /* The body of a refusal is not needed.  One that doesn't end must not delay
@@ -258,13 +256,13 @@
       if (forward->response_body.len <= MAX_BUFFERED_BYTES)
         return;
       forward->mode = CS_FORWARD_STREAMED;
-      flush_body (forward);
+      cs_forward_flush (forward);
       return;
     case CS_FORWARD_STREAMED:
       if (cs_buf_append (&forward->response_body, part) != 0)
         abort_attempt (forward, CS_ERR_NO_MEMORY);
       else
-        flush_body (forward);
+        cs_forward_flush (forward);
       return;
     }
 }
--- /dev/null
+++ b/router/forward/version.c
@@ -0,0 +1,145 @@
+/* The software version at which the stream of a request begins, or goes on. */
+
+#include "cranberrystile/version_history.h"
+#include "router/forward/internal.h"
+
+/* Events wait for the version of their stream to be saved until this much
+   after the request was sent: a store that is slow must not make all streams
+   late.  */
+#define MAX_SAVE_US (200 * CS_US_PER_MS)
+
+/* The stream goes on at the service that began it, also if the route is shared
+   by several.  */
+static void
+select_service_of_version (cs_forward_t *forward)
+{
+  const cs_route_t *route = forward->route;
+  const cs_target_t *target
+      = forward->version == 0
+            ? NULL
+            : cs_fleet_find_version (forward->router->fleet, forward->version);
+  if (target == NULL)
+    return;
+  for (size_t i = 0; i < route->weighted_service_count; i++)
+    {
+      cs_str_t name
+          = forward->routing->services[route->weighted_services[i].service]
+                .name;
+      if (!cs_str_equal (name, cs_name_str (&target->service)))
+        continue;
+      cs_service_state_t *service
+          = cs_service_table_get (&forward->router->services, name);
+      if (service != NULL)
+        forward->service = service;
+      return;
+    }
+}
+
+/* Starts the request, or goes on with the stream that it takes up, whose
+   version the search has found unless RESULT is an error.  */
+static void
+on_version_found (void *context, int result, cs_time_us_t now)
+{
+  cs_forward_t *forward = context;
+  if (result != CS_OK)
+    {
+      forward->router->counters.streams_refused++;
+      cs_forward_fail (forward, result, now);
+      return;
+    }
+  forward->version = forward->lookup.version;
+  select_service_of_version (forward);
+  cs_retry_window_first_attempt (&forward->service->retry_window, now);
+  cs_forward_start_attempt (forward, now);
+}
+
+bool
+cs_forward_is_resumable (const cs_forward_t *forward)
+{
+  return forward->route->kind == CS_ROUTE_STREAMING
+         && forward->route->resumable;
+}
+
+void
+cs_forward_find_version (cs_forward_t *forward, cs_time_us_t now)
+{
+  bool is_taken_up = forward->request.last_event_id.len > 0;
+  cs_str_t begun_by
+      = is_taken_up ? forward->request.resumes : forward->request.id;
+  forward->stream = begun_by.len > 0 ? cs_hash (begun_by, 0) : 0;
+  forward->lookup = (cs_version_lookup_t){
+    .stream = forward->stream,
+    .service = cs_hash (cs_name_str (&forward->service->name), 0),
+    .on_result = on_version_found,
+    .context = forward,
+  };
+  int rc = CS_OK;
+  if (is_taken_up && cs_forward_is_resumable (forward))
+    rc = cs_stream_versions_find (forward->router->stream_versions,
+                                  &forward->lookup, now);
+  if (rc != CS_ERR_IN_PROGRESS)
+    on_version_found (forward, rc, now);
+}
+
+void
+cs_forward_record_version (cs_forward_t *forward, cs_time_us_t now)
+{
+  cs_time_us_t life_us = forward->route->timeout_ms * CS_US_PER_MS;
+  if (!cs_forward_is_resumable (forward) || forward->stream == 0)
+    return;
+  if (forward->request.deadline_ms * CS_US_PER_MS > life_us)
+    life_us = forward->request.deadline_ms * CS_US_PER_MS;
+  if (life_us > CS_STREAM_LIFE_US)
+    life_us = CS_STREAM_LIFE_US;
+  cs_stream_record_t record = { .stream = forward->stream,
+                                .version = forward->target->version,
+                                .until = forward->received_at + life_us };
+  uint64_t number = cs_stream_versions_begin (
+      forward->router->stream_versions,
+      cs_hash (cs_name_str (&forward->service->name), 0), &record, now);
+  /* A stream that is taken up was saved before.  */
+  forward->save.number = forward->request.last_event_id.len > 0 ? 0 : number;
+}
+
+void
+cs_forward_release (cs_forward_t *forward)
+{
+  if (!forward->is_held)
+    return;
+  forward->is_held = false;
+  cs_timer_clear (&forward->hold_timer);
+  cs_stream_versions_end_wait (forward->router->stream_versions,
+                               &forward->save);
+  cs_forward_flush (forward);
+}
+
+void
+cs_forward_end_hold (void *context, cs_time_us_t now)
+{
+  cs_forward_release (context);
+}
+
+void
+cs_forward_flush_events (cs_forward_t *forward)
+{
+  if (forward->response_started || forward->save.number == 0)
+    {
+      cs_forward_flush (forward);
+      return;
+    }
+  if (forward->is_held || forward->response_body.len == 0)
+    return;
+  cs_time_us_t now = cs_loop_now (forward->router->loop);
+  cs_time_us_t held_until = forward->sent_at + MAX_SAVE_US;
+  forward->save.on_saved = cs_forward_end_hold;
+  forward->save.context = forward;
+  if (now >= held_until
+      || cs_stream_versions_wait (forward->router->stream_versions,
+                                  &forward->save))
+    {
+      cs_forward_flush (forward);
+      return;
+    }
+  forward->is_held = true;
+  cs_timer_set (&forward->hold_timer, held_until - now);
+}
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -92,6 +92,10 @@
       return are_valid_notices (frame->beat);
     case CS__ROUTER__FRAME__BODY_ROUTING:
       return frame->routing->document.len > 0;
+    case CS__ROUTER__FRAME__BODY_STREAMS:
+      return frame->streams->n_streams == frame->streams->n_versions;
+    case CS__ROUTER__FRAME__BODY_STREAMS_SAVED:
+      return true;
     case CS__ROUTER__FRAME__BODY_TARGETS:
       return are_valid_targets (frame->targets);
     default:
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -137,6 +137,7 @@
   uint64_t id;           /* of the peer; known before its Hello if dialled */
   uint32_t capacity;     /* of the peer, from its Hello */
   bool reads_compressed; /* the peer does */
+  bool saves_streams;    /* likewise */
   uint64_t data_centre;
   cs_time_us_t last_received_at;
 
@@ -149,6 +150,13 @@
   uint64_t leaving_sent;
   uint64_t limits_sent;
   uint64_t crash_notices_sent;
+  /* Numbers of streams: sent to the peer for it to save; and received from it,
+     of those in the save in progress, and in the last one that succeeded.  */
+  uint64_t streams_sent;
+  uint64_t streams_received;
+  uint64_t streams_saving;
+  uint64_t streams_saved;
+
   bool blocked_sent;         /* the list of blocked parts */
   uint32_t last_sent_number; /* of heartbeats */
   uint32_t last_received_number;
@@ -267,6 +275,17 @@
 /* Updates the fleet's targets with the load that peers reported.  */
 void cs_loads_apply (cs_mesh_t *mesh, cs_time_us_t now);
 
+/* Returns the link to the best-ranked hub of this data centre that reports the
+   other routers' load, or NULL.  */
+cs_link_t *cs_loads_find_hub (const cs_mesh_t *mesh);
+
+/* streams.c */
+void cs_streams_read (cs_link_t *link, const Cs__Router__Streams *streams,
+                      cs_time_us_t now);
+void cs_streams_read_saved (cs_link_t *link,
+                            const Cs__Router__StreamsSaved *saved,
+                            cs_time_us_t now);
+
 /* notices.c: spreads what targets say of themselves over all routers.  A
    router passes a notice on if it did not know it, so each link carries each
    notice once in either direction.  */
--- a/router/peer/link.c
+++ b/router/peer/link.c
@@ -56,6 +56,7 @@
   hello.address = settings->peers;
   hello.capacity = cs_router_settings_capacity (settings);
   hello.reads_compressed = true;
+  hello.saves_streams = true;
   frame.body_case = CS__ROUTER__FRAME__BODY_HELLO;
   frame.hello = &hello;
   cs_link_send (link, &frame);
@@ -87,6 +88,7 @@
   link->data_centre = cs_hash (cs_str (hello->data_centre), 0);
   link->capacity = hello->capacity;
   link->reads_compressed = hello->reads_compressed;
+  link->saves_streams = hello->saves_streams;
   link->hello_received = true;
   cs_log (CS_EV_PEER_CONNECTED, "peer=%016llx name=%s data_centre=%s",
           (unsigned long long)link->id, hello->name, hello->data_centre);
@@ -121,6 +123,12 @@
     case CS__ROUTER__FRAME__BODY_TARGETS:
       cs_sync_read_targets (link, frame->targets, now);
       return CS_OK;
+    case CS__ROUTER__FRAME__BODY_STREAMS:
+      cs_streams_read (link, frame->streams, now);
+      return CS_OK;
+    case CS__ROUTER__FRAME__BODY_STREAMS_SAVED:
+      cs_streams_read_saved (link, frame->streams_saved, now);
+      return CS_OK;
     default:
       return CS_ERR_BAD_FRAME;
     }
--- a/router/peer/loads.c
+++ b/router/peer/loads.c
@@ -199,13 +199,11 @@
   return cs_hub_ranks_before (&peer_a, &peer_b);
 }
 
-/* The best-ranked hub of this data centre that reports the other routers'
-   load.  */
-static const cs_link_t *
-find_best_hub (const cs_mesh_t *mesh)
+cs_link_t *
+cs_loads_find_hub (const cs_mesh_t *mesh)
 {
-  const cs_link_t *best = NULL;
-  for (const cs_link_t *link = mesh->links; link != NULL; link = link->next)
+  cs_link_t *best = NULL;
+  for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
     if (link->has_others && link->dialled && is_local_peer (link)
         && (best == NULL || ranks_before (link, best)))
       best = link;
@@ -251,7 +249,7 @@
 {
   size_t count;
   cs_target_t *const *targets = cs_fleet_targets (mesh->router->fleet, &count);
-  const cs_link_t *hub = mesh->role.is_first ? NULL : find_best_hub (mesh);
+  const cs_link_t *hub = mesh->role.is_first ? NULL : cs_loads_find_hub (mesh);
   if (hub == NULL && !(mesh->role.is_first && mesh->sums_count == count))
     return;
   for (size_t i = 0; i < count; i++)
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -207,7 +207,8 @@
 bool
 cs_mesh_is_first_hub (const cs_mesh_t *mesh)
 {
-  return mesh == NULL || mesh->role.is_first;
+  return mesh == NULL
+         || (mesh->role.is_first && cs_directory_is_read (mesh->directory));
 }
 
 void
--- a/router/settings.c
+++ b/router/settings.c
@@ -56,8 +56,6 @@
     600000, "1200" },
   { "platform", "watch_ms", CS_SETTING_NUMBER, OFFSET (watch_ms), 100, 30000,
     "1500" },
-  { "platform", "writes_per_s", CS_SETTING_FRACTION, OFFSET (writes_per_s), 1,
-    1000000, "400" },
   { "retry", "ratio", CS_SETTING_FRACTION, OFFSET (retry_ratio), 0, 1, "0.1" },
   { "retry", "slack", CS_SETTING_FRACTION, OFFSET (retry_slack), 0, 1000000,
     "0" },
--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -85,6 +85,8 @@
     case CS_STREAM_CALL_SAVE:
       versions->saved_at = now;
       versions->save_due = false;
+      versions->saving_number = versions->last_number;
+      cs_mesh_streams_saving (versions->router->mesh);
       rc = build_save (versions, &method, &path, &body);
       break;
     case CS_STREAM_CALL_REMOVE:
@@ -111,8 +113,7 @@
 next_call (const cs_stream_versions_t *versions, cs_time_us_t now,
            cs_time_us_t *at)
 {
-  cs_time_us_t save_at
-      = versions->saved_at + cs_stream_save_interval (versions);
+  cs_time_us_t save_at = versions->saved_at + CS_STREAM_SAVE_INTERVAL_US;
   cs_time_us_t list_at = cs_stream_read_due (versions);
   bool is_current = versions->is_read && versions->stored_is_current;
   *at = now;
@@ -122,6 +123,8 @@
     return is_current ? CS_STREAM_CALL_WRITE_VERSIONS : CS_STREAM_CALL_READ;
   if (versions->save_due && now >= save_at)
     return CS_STREAM_CALL_SAVE;
+  if (list_at == 0 && versions->list_wanted)
+    list_at = now;
   if (list_at != 0 && list_at < versions->read_at + LIST_PAUSE_US)
     list_at = versions->read_at + LIST_PAUSE_US;
   if (list_at != 0 && now >= list_at)
@@ -131,6 +134,8 @@
           && !cs_stream_versions_are_several (versions, now)))
     return CS_STREAM_CALL_REMOVE;
   *at = versions->save_due ? save_at : 0;
+  if (versions->pass_at != 0 && (*at == 0 || versions->pass_at < *at))
+    *at = versions->pass_at;
   if (list_at != 0 && (*at == 0 || list_at < *at))
     *at = list_at;
   return CS_STREAM_CALL_NONE;
@@ -141,8 +146,15 @@
 {
   cs_stream_versions_t *versions = context;
   cs_time_us_t at;
+  if (versions->pass_at != 0 && now >= versions->pass_at
+      && !cs_stream_pass (versions, now))
+    versions->save_due = true;
   if (versions->call != CS_STREAM_CALL_NONE)
-    return;
+    {
+      if (versions->pass_at != 0)
+        cs_timer_set (&versions->timer, versions->pass_at - now);
+      return;
+    }
   cs_stream_call_t call = next_call (versions, now, &at);
   if (at != 0 && at < versions->retry_at)
     {
@@ -222,8 +234,13 @@
   versions->is_read = true;
   versions->read_era = versions->list_era;
   versions->stored_is_current = true;
+  versions->list_wanted = false;
   /* What differs is found at the next update.  */
   versions->versions_due = false;
+  if (cs_stream_versions_are_several (versions, now))
+    cs_stream_request_save (versions, now);
+  else
+    cs_stream_versions_saved (versions, versions->last_number, now);
   cs_stream_lookups_decide (versions, versions->read_at, now);
 }
 
@@ -263,9 +280,14 @@
 }
 
 static bool
-on_saved (cs_stream_versions_t *versions, int status)
+on_saved (cs_stream_versions_t *versions, int status, cs_time_us_t now)
 {
   bool is_ok = cs_http_is_success (status);
+  if (is_ok)
+    {
+      cs_mesh_streams_saved (versions->router->mesh);
+      cs_stream_versions_saved (versions, versions->saving_number, now);
+    }
   versions->save_due = versions->save_due || !is_ok;
   if (is_ok || status == STATUS_CONFLICT)
     versions->is_saved = true;
@@ -300,7 +322,7 @@
       return cs_http_is_success (response->status)
              || response->status == STATUS_CONFLICT;
     case CS_STREAM_CALL_SAVE:
-      return on_saved (versions, response->status);
+      return on_saved (versions, response->status, now);
     case CS_STREAM_CALL_REMOVE:
       return on_removed (versions, response->status);
     case CS_STREAM_CALL_NONE:
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -27,6 +27,10 @@
   uint64_t revision;
 } cs_removable_t;
 
+/* Streams of which the hub is told in one frame that they have ended; it
+   forgets more when they are over.  */
+#define CS_STREAM_ENDED_MAX 256
+
 struct cs_stream_versions
 {
   cs_router_t *router;
@@ -36,6 +40,17 @@
   cs_time_us_t synced_at; /* when the targets were first known; 0: not yet */
   cs_time_us_t updated_at;
   cs_version_lookup_t *lookups;
+  cs_stream_wait_t *waits;
+
+  /* Numbers of the changes of OWN.  */
+  uint64_t last_number;
+  uint64_t saving_number; /* in the save in progress */
+  uint64_t saved_number;
+  cs_time_us_t unsaved_since; /* when one was due that is not saved; 0: none */
+  cs_time_us_t pass_at;       /* to the hub; 0: nothing to pass */
+  cs_time_us_t carries_until; /* members rely on this router */
+  uint64_t ended[CS_STREAM_ENDED_MAX]; /* to tell the hub */
+  size_t ended_count;
 
   /* Calls.  */
   cs_store_client_t *client;
@@ -49,7 +64,8 @@
   bool save_due;         /* OWN has changed */
   cs_time_us_t saved_at; /* when it was last written */
 
-  bool is_read; /* a whole list, in READ_ERA of the store */
+  bool list_wanted; /* to learn which versions there were before the start */
+  bool is_read;     /* a whole list, in READ_ERA of the store */
   uint64_t read_era;
   cs_time_us_t read_at; /* when the latest list began, in LIST_ERA */
   uint64_t list_era;
@@ -67,18 +83,30 @@
   bool versions_due;        /* the object has to be read or written */
 };
 
-/* stream_versions.c */
+/* stream_saves.c */
 
-/* Time within which each router saves a stream that it has begun.  */
-cs_time_us_t cs_stream_save_interval (const cs_stream_versions_t *versions);
+/* Time between two saves of a router.  */
+#define CS_STREAM_SAVE_INTERVAL_US (125 * CS_US_PER_MS)
 
-/* When the next list has to begin for the searches in progress; 0: none.  */
-cs_time_us_t cs_stream_read_due (const cs_stream_versions_t *versions);
+/* Requests that the streams are saved, by the hub if there is one.  */
+void cs_stream_request_save (cs_stream_versions_t *versions, cs_time_us_t now);
 
-/* Ends the searches that a list, which began at STARTED_AT, decides, or, if
-   STARTED_AT is 0, that a failed list leaves undecided for too long.  */
-void cs_stream_lookups_decide (cs_stream_versions_t *versions,
-                               cs_time_us_t started_at, cs_time_us_t now);
+/* Whether the hub has not saved this router's streams in time.  */
+bool cs_stream_hub_is_late (const cs_stream_versions_t *versions,
+                            cs_time_us_t now);
+
+/* Whether this router saves streams itself, as a hub or for want of one.  */
+bool cs_stream_saves_itself (const cs_stream_versions_t *versions,
+                             cs_time_us_t now);
+
+/* Passes the streams on to the hub.  Returns false if there is none.  */
+bool cs_stream_pass (cs_stream_versions_t *versions, cs_time_us_t now);
+
+/* stream_versions.c */
+
+/* Whether no version is missing from the history.  */
+bool cs_stream_history_is_complete (const cs_stream_versions_t *versions,
+                                    cs_time_us_t now);
 
 /* Writes the versions that the store should name to OUT, and returns their
    number.  */
@@ -93,6 +121,16 @@
 bool cs_stream_versions_are_several (const cs_stream_versions_t *versions,
                                      cs_time_us_t now);
 
+/* stream_lookups.c */
+
+/* When the next list has to begin for the searches in progress; 0: none.  */
+cs_time_us_t cs_stream_read_due (const cs_stream_versions_t *versions);
+
+/* Ends the searches that a list, which began at STARTED_AT, decides, or, if
+   STARTED_AT is 0, that a failed list leaves undecided for too long.  */
+void cs_stream_lookups_decide (cs_stream_versions_t *versions,
+                               cs_time_us_t started_at, cs_time_us_t now);
+
 /* stream_calls.c */
 
 /* Makes the next call that is due, or sets the timer for it.  */
