Encode names of the store's objects in paths

A list that goes on after an entry with a space, a line break or an ampersand in its name made a call that is not valid, or another call: the list was never read whole. Usual names are written as before.

--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -577,6 +577,25 @@
   cs_buf_free (&whole);
 }
 
+// A list that continues after an entry with an odd name was never read whole.
+TEST (Codec, NamesOfOtherWritersCanStandInPaths)
+{
+  cs_buf_t path = {};
+  cs_str_t odd = cs_str ("a b&c=\r\nX: \xff/%");
+  ASSERT_EQ (cs_store_list_path (CS_STORE_TARGETS, odd, &path), 0);
+  EXPECT_STREQ (path.data,
+                "/-/objects/servers?after=a%20b%26c%3D%0D%0AX%3A%20%FF%2F%25");
+  cs_buf_clear (&path);
+  ASSERT_EQ (cs_store_remove_path (CS_STORE_ROUTERS, odd, 5, &path), 0);
+  EXPECT_STREQ (path.data, "/-/objects/routers/"
+                           "a%20b%26c%3D%0D%0AX%3A%20%FF%2F%25?revision=5");
+  cs_buf_clear (&path);
+  ASSERT_EQ (
+      cs_store_list_path (CS_STORE_TARGETS, cs_str ("i-1.a_Z~9"), &path), 0);
+  EXPECT_STREQ (path.data, "/-/objects/servers?after=i-1.a_Z~9");
+  cs_buf_free (&path);
+}
+
 // Pages of the store with entries of routers.
 TEST (Codec, SurvivesCorruptPages)
 {
