Let a restarted router's share of the retry budget grow over a window

Found while looking for other facts that a kill of all hosts erases; the others are read from the store, or learnt again from the next answer.

A router that finds the entry of an earlier start in the directory gets none of the slack, and a part of the ratio that grows from 0 to 1, until a window has passed. RetryBudgetIsNotGivenOutAgainByARestart failed before: 110 requests at the engines, 106 allowed.

--- a/cranberrystile/retry/window.c
+++ b/cranberrystile/retry/window.c
@@ -35,8 +35,18 @@
   window->first_attempts[window->bucket % CS_RETRY_WINDOW_BUCKETS]++;
 }
 
+cs_retry_share_t
+cs_retry_window_restart_share (const cs_retry_window_t *window,
+                               double allowance, cs_time_us_t age_us)
+{
+  cs_time_us_t length_us = window->bucket_us * CS_RETRY_WINDOW_BUCKETS;
+  if (age_us >= length_us)
+    return (cs_retry_share_t){ 1, allowance };
+  return (cs_retry_share_t){ (double)age_us / (double)length_us, 0 };
+}
+
 bool
-cs_retry_window_take (cs_retry_window_t *window, double allowance,
+cs_retry_window_take (cs_retry_window_t *window, cs_retry_share_t share,
                       cs_time_us_t now)
 {
   uint32_t first_attempts = 0;
@@ -47,7 +57,8 @@
       first_attempts += window->first_attempts[i];
       retries += window->retries[i];
     }
-  if (retries + 1 > window->ratio * first_attempts + allowance)
+  double ratio = window->ratio * share.ratio_share;
+  if (retries + 1 > ratio * first_attempts + share.allowance)
     return false;
   window->retries[window->bucket % CS_RETRY_WINDOW_BUCKETS]++;
   return true;
--- a/include/cranberrystile/retry_window.h
+++ b/include/cranberrystile/retry_window.h
@@ -28,10 +28,22 @@
 void cs_retry_window_first_attempt (cs_retry_window_t *window,
                                     cs_time_us_t now);
 
-/* Records one retry, or returns false if the budget does not allow it.
-   ALLOWANCE is the number of retries per window that this router may make in
-   addition to its ratio.  */
-bool cs_retry_window_take (cs_retry_window_t *window, double allowance,
+/* What a router may use of the budget.  */
+typedef struct
+{
+  double ratio_share; /* of the ratio, up to 1 */
+  double allowance;   /* retries per window in addition to the ratio */
+} cs_retry_share_t;
+
+/* Returns the share of a router that restarted AGE_US ago and otherwise has an
+   allowance of ALLOWANCE.  What it used before is not known, so its share
+   grows over a window as that passes out of it.  */
+cs_retry_share_t
+cs_retry_window_restart_share (const cs_retry_window_t *window,
+                               double allowance, cs_time_us_t age_us);
+
+/* Records one retry, or returns false if SHARE does not allow it.  */
+bool cs_retry_window_take (cs_retry_window_t *window, cs_retry_share_t share,
                            cs_time_us_t now);
 
 #endif
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -52,6 +52,11 @@
    read the list of routers.  */
 bool cs_mesh_is_first_hub (const cs_mesh_t *mesh);
 
+/* Whether this router did not start for the first time.  If so, stores the
+   time since its start in *AGE_US.  */
+bool cs_mesh_has_restarted (const cs_mesh_t *mesh, cs_time_us_t now,
+                            cs_time_us_t *age_us);
+
 /* Called when the routing or the list of targets has changed: a first hub
    sends the change to its peers immediately.  */
 void cs_mesh_push_changes (cs_mesh_t *mesh);
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -257,13 +257,18 @@
   cs_forward_attempt_failed (forward, CS_ERR_SILENT, true, now);
 }
 
-/* This router's share of the retries that the fleet may make in addition to
-   the retry ratio.  */
-static double
-retry_allowance (const cs_router_t *router)
+/* This router's share of the retries that the fleet may make.  */
+static cs_retry_share_t
+retry_share (const cs_forward_t *forward, cs_time_us_t now)
 {
-  return router->settings.retry_slack * RETRY_SLACK_SHARE
-         / (1.0 + cs_mesh_count_members (router->mesh));
+  const cs_router_t *router = forward->router;
+  double allowance = router->settings.retry_slack * RETRY_SLACK_SHARE
+                     / (1.0 + cs_mesh_count_members (router->mesh));
+  cs_time_us_t age_us;
+  if (!cs_mesh_has_restarted (router->mesh, now, &age_us))
+    return (cs_retry_share_t){ 1, allowance };
+  return cs_retry_window_restart_share (&forward->service->retry_window,
+                                        allowance, age_us);
 }
 
 /* Whether the request is retried after an attempt that ended with ERROR.  If
@@ -279,7 +284,7 @@
   if (!was_sent)
     return true;
   if (cs_retry_window_take (&forward->service->retry_window,
-                            retry_allowance (router), now))
+                            retry_share (forward, now), now))
     {
       router->counters.repeats++;
       return true;
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -51,6 +51,7 @@
   bool has_answered;    /* the first list was read or failed */
   size_t lists_read;    /* complete lists; the first one if it counts */
   cs_name_t page_after; /* last name on the previous page */
+  bool had_entry;       /* of an earlier start of this router */
   bool was_missing;     /* the last renewal found no entry */
   uint32_t renewals;
   cs_time_us_t written_at; /* when the own entry was last written */
@@ -196,6 +197,7 @@
 {
   if (directory->own_is_listed)
     count_list (directory);
+  directory->had_entry = directory->own_is_listed;
   directory->step = directory->own_is_listed ? STEP_REPLACE : STEP_CREATE;
   cs_mesh_update_links (directory->mesh,
                         cs_loop_now (directory->mesh->router->loop));
@@ -363,6 +365,12 @@
   return directory->has_answered;
 }
 
+bool
+cs_directory_had_entry (const cs_directory_t *directory)
+{
+  return directory->had_entry;
+}
+
 bool
 cs_directory_is_read (const cs_directory_t *directory)
 {
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -328,6 +328,9 @@
 /* Whether the first call for the list has ended, with or without a list.  */
 bool cs_directory_has_answered (const cs_directory_t *directory);
 
+/* Whether the store had an entry of an earlier start of this router.  */
+bool cs_directory_had_entry (const cs_directory_t *directory);
+
 /* Whether a list has been read that is likely to show the other routers.  */
 bool cs_directory_is_read (const cs_directory_t *directory);
 
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -211,6 +211,16 @@
          || (mesh->role.is_first && cs_directory_is_read (mesh->directory));
 }
 
+bool
+cs_mesh_has_restarted (const cs_mesh_t *mesh, cs_time_us_t now,
+                       cs_time_us_t *age_us)
+{
+  if (mesh == NULL || !cs_directory_had_entry (mesh->directory))
+    return false;
+  *age_us = now - mesh->started_at;
+  return true;
+}
+
 void
 cs_mesh_push_changes (cs_mesh_t *mesh)
 {
--- a/tests/router/state_test.cc
+++ b/tests/router/state_test.cc
@@ -190,4 +190,27 @@
   EXPECT_FALSE (router.is_ready ());
 }
 
+// Routers that were all killed forgot what they had used of the retry budget,
+// and used it once more within the same window.
+TEST_F (State, RetryBudgetIsNotGivenOutAgainByARestart)
+{
+  const int count = 40;
+  set_engine_scripts (
+      Target::respond_with ("oops", "500 Internal Server Error"));
+  int64_t began_at = wire::now_ms ();
+  for (int round = 0; round < 2; round++)
+    {
+      wait_for_directory ();
+      for (int i = 0; i < count; i++)
+        send_request (request ("GET", "/safe/x"));
+      if (round == 0)
+        router->restart ();
+      ASSERT_TRUE (
+          Router::eventually ([this] { return router->is_ready (); }));
+    }
+  ASSERT_LT (wire::now_ms () - began_at, 10000);
+  EXPECT_LE (engine_request_count (), 2 * count * 1.2 + 10);
+  EXPECT_GT (engine_request_count (), 2 * count * 1.1);
+}
+
 }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -627,26 +627,49 @@
 {
   cs_retry_window_t window;
   cs_retry_window_init (&window, 0.2, 10 * SECOND);
-  EXPECT_FALSE (cs_retry_window_take (&window, 0, SECOND));
+  EXPECT_FALSE (cs_retry_window_take (&window, { 1, 0 }, SECOND));
   for (int i = 0; i < 10; i++)
     cs_retry_window_first_attempt (&window, SECOND);
-  EXPECT_TRUE (cs_retry_window_take (&window, 0, SECOND));
-  EXPECT_TRUE (cs_retry_window_take (&window, 0, 2 * SECOND));
-  EXPECT_FALSE (cs_retry_window_take (&window, 0, 3 * SECOND));
+  EXPECT_TRUE (cs_retry_window_take (&window, { 1, 0 }, SECOND));
+  EXPECT_TRUE (cs_retry_window_take (&window, { 1, 0 }, 2 * SECOND));
+  EXPECT_FALSE (cs_retry_window_take (&window, { 1, 0 }, 3 * SECOND));
   // The window has slid past the first attempts.
-  EXPECT_FALSE (cs_retry_window_take (&window, 0, 12 * SECOND));
+  EXPECT_FALSE (cs_retry_window_take (&window, { 1, 0 }, 12 * SECOND));
   for (int i = 0; i < 5; i++)
     cs_retry_window_first_attempt (&window, 40 * SECOND);
-  EXPECT_TRUE (cs_retry_window_take (&window, 0, 40 * SECOND));
+  EXPECT_TRUE (cs_retry_window_take (&window, { 1, 0 }, 40 * SECOND));
 }
 
 TEST (RetryWindow, AllowanceCoversOnlyWholeRetries)
 {
   cs_retry_window_t window;
   cs_retry_window_init (&window, 0.2, 10 * SECOND);
-  EXPECT_FALSE (cs_retry_window_take (&window, 0.9, SECOND));
-  EXPECT_TRUE (cs_retry_window_take (&window, 1.5, SECOND));
-  EXPECT_FALSE (cs_retry_window_take (&window, 1.5, 2 * SECOND));
+  EXPECT_FALSE (cs_retry_window_take (&window, { 1, 0.9 }, SECOND));
+  EXPECT_TRUE (cs_retry_window_take (&window, { 1, 1.5 }, SECOND));
+  EXPECT_FALSE (cs_retry_window_take (&window, { 1, 1.5 }, 2 * SECOND));
+}
+
+// Routers that were all killed used the budget twice within one window.
+TEST (RetryWindow, ShareOfARestartedRouterGrowsOverAWindow)
+{
+  cs_retry_window_t window;
+  cs_retry_window_init (&window, 0.2, 10 * SECOND);
+  for (int i = 0; i < 40; i++)
+    cs_retry_window_first_attempt (&window, 100 * SECOND);
+  int retries = 0;
+  for (int tenths = 0; tenths < 100; tenths++)
+    {
+      cs_time_us_t age = tenths * SECOND / 10;
+      cs_retry_share_t share = cs_retry_window_restart_share (&window, 6, age);
+      while (cs_retry_window_take (&window, share, 100 * SECOND + age))
+        retries++;
+      EXPECT_LE (retries, 8 * tenths / 100.0);
+    }
+  EXPECT_GE (retries, 7);
+  cs_retry_share_t whole
+      = cs_retry_window_restart_share (&window, 6, 10 * SECOND);
+  EXPECT_EQ (whole.ratio_share, 1);
+  EXPECT_EQ (whole.allowance, 6);
 }
 
 // Regression test: when a data centre was cut off, streams on its targets hung
