Ask whether a request is the first of its connection before its answer

A stand-in's thread that was held up between its answer and the question whether the second part of the test had begun found that it had, as the test had read all ten answers by then, and left its connection as it was. The log shows ten and nine requests served, and no fault of the router. It asks before the answer now, when the test can't have gone on; what is checked is the same.

--- a/tests/router/standstill_test.cc
+++ b/tests/router/standstill_test.cc
@@ -60,9 +60,11 @@
   {
     set_engine_scripts ([=, this] (wire::Socket &socket,
                                    const wire::Message &message) {
+      // Not asked after the answer, when the test may have gone on.
+      bool is_first = !end->is_due;
       Router::eventually ([this] { return engine_request_count () >= few; });
       Target::respond_with ("hello") (socket, message);
-      if (end->is_due)
+      if (!is_first)
         return true;
       Router::eventually ([&] { return end->is_due.load (); });
       end->run (socket);
