Keep the slow target of a test apart from the crashes beside it

Cause: the second request that ends its target goes through the peer, which is told of loads every 100 ms. If it hasn't been told of the slow request, it chooses the same target, as the one of least load, and the target's end cuts the slow request too. In the log of a failed run both requests went to t-9, and the slow one ended 61 ms after its start, in the millisecond of the crash. The routers did what is asked of them.

Ruled out: load of the machine alone. The test as it was failed 5 of 40 times here (8 at once), always with the same three lines.

The target of the slow request is now draining before the crashes begin, and both routers have said so; its running request isn't touched by that. All checks and bounds are as they were. 40 runs, 8 at once: 39 passed; in one the ports of two test processes that ran side by side were the same (CS1006), which a single run of the tests can't do.

--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -90,6 +90,37 @@
     return socket.read (5000);
   }
 
+  // Keeps further requests from the target that runs the one with the slow
+  // body, so that no crash cuts that one.  A peer that hasn't been told of its
+  // load yet would choose the same target.
+  void
+  keep_slow_target_apart ()
+  {
+    Target *slow_target = nullptr;
+    auto runs_slow = [] (Target &target) {
+      for (auto &message : target.requests ())
+        if (message.body.find (slow_body) == 0)
+          return true;
+      return false;
+    };
+    ASSERT_TRUE (Router::eventually ([&] {
+      for (auto &target : targets)
+        if (runs_slow (*target))
+          slow_target = target.get ();
+      for (Target *target : { &engine, &second_engine })
+        if (runs_slow (*target))
+          slow_target = target;
+      return slow_target != nullptr;
+    }));
+    store.put ("servers", slow_target->id (),
+               slow_target->entry ("engines", "draining"));
+    std::string event = "CS1401 target=" + slow_target->id () + " ";
+    ASSERT_TRUE (Router::eventually ([&] {
+      return router->log ().find (event) != std::string::npos
+             && peer->log ().find (event) != std::string::npos;
+    }));
+  }
+
   // Sends COUNT requests with the bad part, to both routers in turn.
   void
   send_bad (int count, const std::string &route)
@@ -244,6 +275,7 @@
 {
   wire::Socket slow (wire::Socket::connect_to (router->callers ()));
   slow.send (prompt_request ("talk", "aa:50,cc:5", slow_body));
+  keep_slow_target_apart ();
   for (int i = 0; i < 3; i++)
     {
       ask (i % 2 == 0 ? *router : *peer, "talk", "aa:50,cc:5",
