Reserve the ports of test routers among all test processes

Cause: a test looks for a free port, closes it, and gives it to its router. The search begins at 101 times the process id, so two test processes whose ids differ by a multiple of 99 look at the same ports, and both can find one free before either router listens. Two runs of the tests beside each other, as before a landing, can meet this.

--- a/tests/router/router_process.h
+++ b/tests/router/router_process.h
@@ -5,9 +5,12 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstddef>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -18,6 +21,25 @@
 
 extern char **environ;
 
+// Reserves PORT among all test processes until this one ends.  False if it
+// is reserved.
+inline bool
+reserve_port (int port)
+{
+  // The name of an abstract socket begins with a zero byte.
+  std::string name = std::string (1, '\0') + "cranberrystile-test-port-"
+                     + std::to_string (port);
+  sockaddr_un address = {};
+  address.sun_family = AF_UNIX;
+  std::copy (name.begin (), name.end (), address.sun_path);
+  int fd = socket (AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  socklen_t len = offsetof (sockaddr_un, sun_path) + name.size ();
+  if (bind (fd, reinterpret_cast<sockaddr *> (&address), len) == 0)
+    return true;
+  close (fd);
+  return false;
+}
+
 // Returns a free port below the kernel's ephemeral range: an outgoing
 // connection could take an ephemeral port before the router listens on it.
 inline int
@@ -38,7 +60,7 @@
           = bind (fd, reinterpret_cast<sockaddr *> (&address), sizeof address)
             == 0;
       close (fd);
-      if (is_free)
+      if (is_free && reserve_port (first + next))
         return first + next;
     }
 }
