Dial members of a data centre that have not come back to their hub

What callers saw: a host that restarts while the platform is away answered 503 until the platform was back, although its neighbours went on serving.

Cause: hosts are diskless, and the list of routers is the only way in which one learns its peers. Members dial hubs and nobody dials members, so a restarted member had no peer to read the configuration and targets from. Restarted hubs were dialled by their members, as the test beside the new one shows. It also held for the first hub of another data centre that ranks after the own one, and for the second of two hosts in a data centre.

A hub now opens a connection to those that should have opened one to it and haven't for 2 s: members of its data centre, and the first hubs of the others for a first hub. The Hello tells the restarted host where its hub is, and it dials the hub as usual; then the hub closes its own connection. Routers that start together dial within 1.5 s by the times of the directory's lists, so a usual start makes no second connections. A host that is gone costs one connection attempt in 16 s.

Test: Peers.RestartedMembersLearnFromHubsWhileThePlatformIsAway, which failed before (not ready within 4 s), and HubPlan.HubsDialAbsentMembersAndFirstHubs without processes.

--- a/cranberrystile/membership/hub_plan.c
+++ b/cranberrystile/membership/hub_plan.c
@@ -38,12 +38,13 @@
   role->is_first = role->rank == 0;
   for (size_t i = 0; i < count; i++)
     {
+      bool before = cs_hub_ranks_before (&members[i], self);
       dial[i] = false;
-      if (!cs_hub_ranks_before (&members[i], self))
+      if (!before && !members[i].is_absent)
         continue;
       size_t rank = rank_of (&members[i], self, members, count, false);
       if (members[i].data_centre == self->data_centre)
-        dial[i] = rank < CS_HUBS_PER_DATA_CENTRE;
+        dial[i] = before ? rank < CS_HUBS_PER_DATA_CENTRE : role->is_hub;
       else
         dial[i] = role->is_first && rank == 0;
     }
--- a/include/cranberrystile/hub_plan.h
+++ b/include/cranberrystile/hub_plan.h
@@ -24,6 +24,8 @@
   uint32_t capacity;    /* relative, to serve peers */
   uint64_t data_centre; /* hash of the data centre's name */
   bool is_unreachable;  /* could not be reached recently */
+  bool is_absent;       /* should have opened a connection to this router, and
+                           hasn't for some time */
 } cs_hub_member_t;
 
 typedef struct
@@ -43,7 +45,9 @@
 /* Determines the role of SELF among the COUNT other MEMBERS, and sets DIAL[i]
    to whether SELF opens a connection to MEMBERS[i].  It connects to the hubs
    of its data centre that rank before it and, if it is the first hub, to the
-   first hubs of other data centres that rank before it.  */
+   first hubs of other data centres that rank before it.  A hub also connects
+   to absent routers that would otherwise connect to it: one that restarts
+   while the platform is away knows no peer.  */
 void cs_hub_plan (const cs_hub_member_t *self, const cs_hub_member_t *members,
                   size_t count, cs_hub_role_t *role, bool *dial);
 
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -25,9 +25,11 @@
   struct sockaddr_in address;
   uint64_t id; /* hash of the name */
   uint64_t data_centre;
-  uint32_t capacity;     /* relative, to serve peers; 0: not stated */
-  cs_time_us_t retry_at; /* not dialled before this time after a failure */
-  uint32_t failures;     /* consecutive */
+  uint32_t capacity;        /* relative, to serve peers; 0: not stated */
+  cs_time_us_t retry_at;    /* not dialled before this time after a failure */
+  uint32_t failures;        /* consecutive */
+  cs_time_us_t accepted_at; /* when a link that it dialled was last open, or it
+                               became known */
   uint32_t lists_absent; /* consecutive platform lists without this member */
   cs_renewal_t renewal;  /* renewals of its entry in the platform's store */
 } cs_member_t;
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -8,6 +8,8 @@
 
 /* A link is closed after this many heartbeat intervals without a frame.  */
 #define MAX_SILENT_HEARTBEATS 4
+/* Routers that start together open their connections within this time.  */
+#define ABSENT_AFTER_US (2 * CS_US_PER_S)
 /* Number of members assumed until the platform's list has been read; larger
    than any fleet.  */
 #define ASSUMED_MEMBERS 1000
@@ -41,11 +43,15 @@
   };
   for (size_t i = 0; i < mesh->member_count; i++)
     {
-      const cs_member_t *member = &mesh->members[i];
+      cs_member_t *member = &mesh->members[i];
+      if (find_link (mesh, member->id, false) != NULL)
+        member->accepted_at = now;
       mesh->plan_members[i].id = member->id;
       mesh->plan_members[i].capacity = member->capacity;
       mesh->plan_members[i].data_centre = member->data_centre;
       mesh->plan_members[i].is_unreachable = now < member->retry_at;
+      mesh->plan_members[i].is_absent
+          = now - member->accepted_at >= ABSENT_AFTER_US;
     }
   cs_hub_plan (&self, mesh->plan_members, mesh->member_count, &mesh->role,
                mesh->plan_dial);
--- a/tests/router/peers_test.cc
+++ b/tests/router/peers_test.cc
@@ -181,6 +181,26 @@
   EXPECT_EQ (engine.count (), count);
 }
 
+// A member that restarts while the platform is away knows no peer, and nobody
+// dialled it: it was not ready until the platform was back.
+TEST_F (Peers, RestartedMembersLearnFromHubsWhileThePlatformIsAway)
+{
+  store.error_status = 503;
+  Router &second_member = *routers[0];
+  for (Router *one : { router.get (), &second_member })
+    one->signal (SIGKILL);
+  // Longer than the hubs' first attempts.
+  std::this_thread::sleep_for (std::chrono::milliseconds (3000));
+  for (Router *one : { router.get (), &second_member })
+    one->restart ();
+  for (Router *one : { router.get (), &second_member })
+    {
+      ASSERT_TRUE (
+          Router::eventually ([&] { return one->is_ready (); }, 4000));
+      EXPECT_EQ (send_to (*one, "k1").status (), 200);
+    }
+}
+
 TEST_F (Peers, ShutdownRemovesTheEntry)
 {
   router->signal (SIGTERM);
--- a/tests/unit/sharing_test.cc
+++ b/tests/unit/sharing_test.cc
@@ -29,7 +29,7 @@
   std::vector<cs_hub_member_t> all;
   for (uint64_t id : { 1, 2, 3, 4, 11, 12, 13 })
     if (id != self)
-      all.push_back ({ id, 0, id > 10 ? 2U : 1U, false });
+      all.push_back ({ id, 0, id > 10 ? 2U : 1U, false, false });
   return all;
 }
 
@@ -45,7 +45,7 @@
 {
   Plan out = {};
   bool dial[16];
-  cs_hub_member_t me = { self, capacity, self > 10 ? 2U : 1U, false };
+  cs_hub_member_t me = { self, capacity, self > 10 ? 2U : 1U, false, false };
   cs_hub_plan (&me, members.data (), members.size (), &out.role, dial);
   for (size_t i = 0; i < members.size (); i++)
     if (dial[i])
@@ -65,8 +65,8 @@
       std::vector<char> dial (300);
       for (uint64_t id = 1; id <= 300; id++)
         if (id != self)
-          members.push_back ({ id, 0, id % 6, false });
-      cs_hub_member_t me = { self, 0, self % 6, false };
+          members.push_back ({ id, 0, id % 6, false, false });
+      cs_hub_member_t me = { self, 0, self % 6, false, false };
       cs_hub_role_t role;
       cs_hub_plan (&me, members.data (), members.size (), &role,
                    reinterpret_cast<bool *> (dial.data ()));
@@ -112,6 +112,23 @@
       << "only one side of each pair dials";
 }
 
+// Routers that restarted while the platform was away were never dialled.
+TEST (HubPlan, HubsDialAbsentMembersAndFirstHubs)
+{
+  auto all_absent = [] (uint64_t self) {
+    auto members = members_without (self);
+    for (auto &member : members)
+      member.is_absent = true;
+    return members;
+  };
+  EXPECT_EQ (plan (1, all_absent (1)).dialled,
+             (std::vector<uint64_t>{ 2, 3, 4, 11 }));
+  EXPECT_EQ (plan (2, all_absent (2)).dialled,
+             (std::vector<uint64_t>{ 1, 3, 4 }));
+  EXPECT_EQ (plan (4, all_absent (4)).dialled,
+             (std::vector<uint64_t>{ 1, 2 }));
+}
+
 // A configuration for fifty members takes a host with a small link a second to
 // send, during which it can't serve callers.
 TEST (HubPlan, HostsWithMoreCapacityAreHubsFirst)
