Tell a router that has no list of routers which ones its peers know

What callers saw: after most hosts of a data centre had lost power while the platform was away, those that came back after their hubs answered 503 until the platform was back.

Cause: a restarted hub learns from its peers' Hello where these are, and knows no other router, so it can't dial the members that restart after it.

A Hello says now whether its sender has read a list of routers; a peer that gets one without sends the routers that it knows (Members). The receiver adds those that it doesn't know and can dial; one odd entry among them doesn't spoil the others. Hosts that start while the platform answers have read their list before they dial, so nothing more is sent then. Routers of earlier versions neither ask for the frame nor get it.

Files of protocol/*.pb-c.* were generated anew.

--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -52,6 +52,96 @@
   assert(message->base.descriptor == &cs__router__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__member__init
+                     (Cs__Router__Member         *message)
+{
+  static const Cs__Router__Member init_value = CS__ROUTER__MEMBER__INIT;
+  *message = init_value;
+}
+size_t cs__router__member__get_packed_size
+                     (const Cs__Router__Member *message)
+{
+  assert(message->base.descriptor == &cs__router__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__member__pack
+                     (const Cs__Router__Member *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__member__pack_to_buffer
+                     (const Cs__Router__Member *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Member *
+       cs__router__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Member *)
+     protobuf_c_message_unpack (&cs__router__member__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__member__free_unpacked
+                     (Cs__Router__Member *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cs__router__members__init
+                     (Cs__Router__Members         *message)
+{
+  static const Cs__Router__Members init_value = CS__ROUTER__MEMBERS__INIT;
+  *message = init_value;
+}
+size_t cs__router__members__get_packed_size
+                     (const Cs__Router__Members *message)
+{
+  assert(message->base.descriptor == &cs__router__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__members__pack
+                     (const Cs__Router__Members *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__members__pack_to_buffer
+                     (const Cs__Router__Members *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Members *
+       cs__router__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Members *)
+     protobuf_c_message_unpack (&cs__router__members__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__members__free_unpacked
+                     (Cs__Router__Members *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__load__init
                      (Cs__Router__Load         *message)
 {
@@ -637,7 +727,7 @@
   assert(message->base.descriptor == &cs__router__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[7] =
 {
   {
     "name",
@@ -711,19 +801,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needs_members",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Hello, needs_members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = capacity */
   1,   /* field[1] = data_centre */
   0,   /* field[0] = name */
+  6,   /* field[6] = needs_members */
   4,   /* field[4] = reads_compressed */
   5,   /* field[5] = saves_streams */
 };
 static const ProtobufCIntRange cs__router__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cs__router__hello__descriptor =
 {
@@ -733,13 +836,141 @@
   "Cs__Router__Hello",
   "cs.router",
   sizeof(Cs__Router__Hello),
-  6,
+  7,
   cs__router__hello__field_descriptors,
   cs__router__hello__field_indices_by_name,
   1,  cs__router__hello__number_ranges,
   (ProtobufCMessageInit) cs__router__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__router__member__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Member, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Member, data_centre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Member, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Member, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Member, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__member__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  4,   /* field[4] = capacity */
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = name */
+  3,   /* field[3] = port */
+};
+static const ProtobufCIntRange cs__router__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cs__router__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Member",
+  "Member",
+  "Cs__Router__Member",
+  "cs.router",
+  sizeof(Cs__Router__Member),
+  5,
+  cs__router__member__field_descriptors,
+  cs__router__member__field_indices_by_name,
+  1,  cs__router__member__number_ranges,
+  (ProtobufCMessageInit) cs__router__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__members__field_descriptors[1] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Members, n_members),
+    offsetof(Cs__Router__Members, members),
+    &cs__router__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__members__field_indices_by_name[] = {
+  0,   /* field[0] = members */
+};
+static const ProtobufCIntRange cs__router__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cs__router__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Members",
+  "Members",
+  "Cs__Router__Members",
+  "cs.router",
+  sizeof(Cs__Router__Members),
+  1,
+  cs__router__members__field_descriptors,
+  cs__router__members__field_indices_by_name,
+  1,  cs__router__members__number_ranges,
+  (ProtobufCMessageInit) cs__router__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__router__load__field_descriptors[5] =
 {
   {
@@ -1898,7 +2129,7 @@
   (ProtobufCMessageInit) cs__router__streams_saved__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[8] =
 {
   {
     "hello",
@@ -1984,11 +2215,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Frame, body_case),
+    offsetof(Cs__Router__Frame, members),
+    &cs__router__members__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__frame__field_indices_by_name[] = {
   1,   /* field[1] = beat */
   4,   /* field[4] = compressed */
   0,   /* field[0] = hello */
+  7,   /* field[7] = members */
   2,   /* field[2] = routing */
   5,   /* field[5] = streams */
   6,   /* field[6] = streams_saved */
@@ -1997,7 +2241,7 @@
 static const ProtobufCIntRange cs__router__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cs__router__frame__descriptor =
 {
@@ -2007,7 +2251,7 @@
   "Cs__Router__Frame",
   "cs.router",
   sizeof(Cs__Router__Frame),
-  7,
+  8,
   cs__router__frame__field_descriptors,
   cs__router__frame__field_indices_by_name,
   1,  cs__router__frame__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -16,6 +16,8 @@
 
 
 typedef struct Cs__Router__Hello Cs__Router__Hello;
+typedef struct Cs__Router__Member Cs__Router__Member;
+typedef struct Cs__Router__Members Cs__Router__Members;
 typedef struct Cs__Router__Load Cs__Router__Load;
 typedef struct Cs__Router__Beat Cs__Router__Beat;
 typedef struct Cs__Router__Crash Cs__Router__Crash;
@@ -60,10 +62,51 @@
    * reads Streams
    */
   protobuf_c_boolean saves_streams;
+  /*
+   * has no list of routers from the platform yet
+   */
+  protobuf_c_boolean needs_members;
 };
 #define CS__ROUTER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Cs__Router__Member
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * hash of its name
+   */
+  uint64_t data_centre;
+  /*
+   * network byte order; for connections of peers
+   */
+  uint32_t address;
+  uint32_t port;
+  /*
+   * as in Hello
+   */
+  uint32_t capacity;
+};
+#define CS__ROUTER__MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__member__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * The routers that the sender knows, for a receiver that needs them.
+ */
+struct  Cs__Router__Members
+{
+  ProtobufCMessage base;
+  size_t n_members;
+  Cs__Router__Member **members;
+};
+#define CS__ROUTER__MEMBERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__members__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -378,7 +421,8 @@
   CS__ROUTER__FRAME__BODY_TARGETS = 4,
   CS__ROUTER__FRAME__BODY_COMPRESSED = 5,
   CS__ROUTER__FRAME__BODY_STREAMS = 6,
-  CS__ROUTER__FRAME__BODY_STREAMS_SAVED = 7
+  CS__ROUTER__FRAME__BODY_STREAMS_SAVED = 7,
+  CS__ROUTER__FRAME__BODY_MEMBERS = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__ROUTER__FRAME__BODY__CASE)
 } Cs__Router__Frame__BodyCase;
 
@@ -397,6 +441,7 @@
     ProtobufCBinaryData compressed;
     Cs__Router__Streams *streams;
     Cs__Router__StreamsSaved *streams_saved;
+    Cs__Router__Members *members;
   };
 };
 #define CS__ROUTER__FRAME__INIT \
@@ -423,6 +468,44 @@
 void   cs__router__hello__free_unpacked
                      (Cs__Router__Hello *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Member methods */
+void   cs__router__member__init
+                     (Cs__Router__Member         *message);
+size_t cs__router__member__get_packed_size
+                     (const Cs__Router__Member   *message);
+size_t cs__router__member__pack
+                     (const Cs__Router__Member   *message,
+                      uint8_t             *out);
+size_t cs__router__member__pack_to_buffer
+                     (const Cs__Router__Member   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Member *
+       cs__router__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__member__free_unpacked
+                     (Cs__Router__Member *message,
+                      ProtobufCAllocator *allocator);
+/* Cs__Router__Members methods */
+void   cs__router__members__init
+                     (Cs__Router__Members         *message);
+size_t cs__router__members__get_packed_size
+                     (const Cs__Router__Members   *message);
+size_t cs__router__members__pack
+                     (const Cs__Router__Members   *message,
+                      uint8_t             *out);
+size_t cs__router__members__pack_to_buffer
+                     (const Cs__Router__Members   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Members *
+       cs__router__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__members__free_unpacked
+                     (Cs__Router__Members *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Load methods */
 void   cs__router__load__init
                      (Cs__Router__Load         *message);
@@ -675,6 +758,12 @@
 typedef void (*Cs__Router__Hello_Closure)
                  (const Cs__Router__Hello *message,
                   void *closure_data);
+typedef void (*Cs__Router__Member_Closure)
+                 (const Cs__Router__Member *message,
+                  void *closure_data);
+typedef void (*Cs__Router__Members_Closure)
+                 (const Cs__Router__Members *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Load_Closure)
                  (const Cs__Router__Load *message,
                   void *closure_data);
@@ -721,6 +810,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor cs__router__hello__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__member__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__members__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__load__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__beat__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__crash__descriptor;
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -49,6 +49,7 @@
   bool call_in_flight;
   size_t delays_used;
   bool has_answered;    /* the first list was read or failed */
+  bool has_list;        /* a list was read */
   size_t lists_read;    /* complete lists; the first one if it counts */
   cs_name_t page_after; /* last name on the previous page */
   bool had_entry;       /* of an earlier start of this router */
@@ -300,6 +301,7 @@
       directory->has_answered = true;
       if (!cs_http_is_success (status))
         return false;
+      directory->has_list = true;
       if (directory->written_at == 0)
         on_first_list_read (directory);
       else
@@ -365,6 +367,12 @@
   return directory->has_answered;
 }
 
+bool
+cs_directory_has_list (const cs_directory_t *directory)
+{
+  return directory != NULL && directory->has_list;
+}
+
 bool
 cs_directory_had_entry (const cs_directory_t *directory)
 {
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -95,6 +95,7 @@
     case CS__ROUTER__FRAME__BODY_STREAMS:
       return frame->streams->n_streams == frame->streams->n_versions;
     case CS__ROUTER__FRAME__BODY_STREAMS_SAVED:
+    case CS__ROUTER__FRAME__BODY_MEMBERS:
       return true;
     case CS__ROUTER__FRAME__BODY_TARGETS:
       return are_valid_targets (frame->targets);
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -229,6 +229,12 @@
                                  const cs_router_entry_t *entry);
 void cs_mesh_remove_member (cs_mesh_t *mesh, uint64_t id);
 
+/* Sends the peer of LINK all members.  */
+void cs_members_send (cs_link_t *link);
+
+/* Adds those of a peer's members that aren't known yet and can be dialled.  */
+void cs_members_read (cs_mesh_t *mesh, const Cs__Router__Members *members);
+
 /* Record that a dialled link to member ID was lost, or that a link to it is
    established.  */
 void cs_mesh_on_link_lost (cs_mesh_t *mesh, uint64_t id, cs_time_us_t now);
@@ -330,6 +336,9 @@
 /* Whether the first call for the list has ended, with or without a list.  */
 bool cs_directory_has_answered (const cs_directory_t *directory);
 
+/* Whether any list has been read.  */
+bool cs_directory_has_list (const cs_directory_t *directory);
+
 /* Whether the store had an entry of an earlier start of this router.  */
 bool cs_directory_had_entry (const cs_directory_t *directory);
 
--- a/router/peer/link.c
+++ b/router/peer/link.c
@@ -57,6 +57,7 @@
   hello.capacity = cs_router_settings_capacity (settings);
   hello.reads_compressed = true;
   hello.saves_streams = true;
+  hello.needs_members = !cs_directory_has_list (link->mesh->directory);
   frame.body_case = CS__ROUTER__FRAME__BODY_HELLO;
   frame.hello = &hello;
   cs_link_send (link, &frame);
@@ -93,6 +94,8 @@
   cs_log (CS_EV_PEER_CONNECTED, "peer=%016llx name=%s data_centre=%s",
           (unsigned long long)link->id, hello->name, hello->data_centre);
   cs_mesh_on_link_established (mesh, link->id);
+  if (hello->needs_members)
+    cs_members_send (link);
   /* The peer's next heartbeat echoes this one, and then dates its state.  */
   cs_link_send_heartbeat (link, cs_loop_now (mesh->router->loop));
 }
@@ -123,6 +126,9 @@
     case CS__ROUTER__FRAME__BODY_TARGETS:
       cs_sync_read_targets (link, frame->targets, now);
       return CS_OK;
+    case CS__ROUTER__FRAME__BODY_MEMBERS:
+      cs_members_read (link->mesh, frame->members);
+      return CS_OK;
     case CS__ROUTER__FRAME__BODY_STREAMS:
       cs_streams_read (link, frame->streams, now);
       return CS_OK;
--- a/router/peer/members.c
+++ b/router/peer/members.c
@@ -1,5 +1,7 @@
-/* Known routers: listed by the platform, or connected to this one.  */
+/* Known routers: listed by the platform, connected to this one, or known to a
+   peer.  */
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 
 #include "common/address.h"
@@ -72,6 +74,62 @@
   return member;
 }
 
+void
+cs_members_send (cs_link_t *link)
+{
+  const cs_mesh_t *mesh = link->mesh;
+  size_t count = mesh->member_count;
+  Cs__Router__Members members = CS__ROUTER__MEMBERS__INIT;
+  cs_router_frame_t frame = CS__ROUTER__FRAME__INIT;
+  Cs__Router__Member *list = calloc (count + 1, sizeof *list);
+  Cs__Router__Member **pointers = calloc (count + 1, sizeof (void *));
+  if (list == NULL || pointers == NULL)
+    goto out;
+  for (size_t i = 0; i < count; i++)
+    {
+      cs_member_t *member = &mesh->members[i];
+      cs__router__member__init (&list[i]);
+      list[i].name = member->name.text;
+      list[i].data_centre = member->data_centre;
+      list[i].address = member->address.sin_addr.s_addr;
+      list[i].port = ntohs (member->address.sin_port);
+      list[i].capacity = member->capacity;
+      pointers[i] = &list[i];
+    }
+  members.members = pointers;
+  members.n_members = count;
+  frame.body_case = CS__ROUTER__FRAME__BODY_MEMBERS;
+  frame.members = &members;
+  cs_link_send (link, &frame);
+out:
+  free (list);
+  free (pointers);
+}
+
+void
+cs_members_read (cs_mesh_t *mesh, const Cs__Router__Members *members)
+{
+  for (size_t i = 0; i < members->n_members; i++)
+    {
+      const Cs__Router__Member *listed = members->members[i];
+      uint64_t id = cs_hash (cs_str (listed->name), 0);
+      if (id == mesh->id || find_member (mesh, id) != NULL
+          || !cs_name_is_valid (listed->name) || listed->port == 0
+          || listed->port > UINT16_MAX)
+        continue;
+      cs_member_t *member = append_member (mesh);
+      if (member == NULL)
+        return;
+      cs_name_set (&member->name, cs_str (listed->name));
+      member->id = id;
+      member->data_centre = listed->data_centre;
+      member->capacity = listed->capacity;
+      member->address.sin_family = AF_INET;
+      member->address.sin_addr.s_addr = listed->address;
+      member->address.sin_port = htons ((uint16_t)listed->port);
+    }
+}
+
 void
 cs_mesh_on_link_lost (cs_mesh_t *mesh, uint64_t id, cs_time_us_t now)
 {
--- a/tests/router/peers_test.cc
+++ b/tests/router/peers_test.cc
@@ -201,6 +201,26 @@
     }
 }
 
+// Hubs that restarted themselves while the platform was away did not know the
+// other members, and so did not dial those that restarted after them.
+TEST_F (Peers, RestartedHubsLearnOfOtherMembersWhileThePlatformIsAway)
+{
+  store.error_status = 503;
+  for (auto &one : routers)
+    one->signal (SIGKILL);
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  for (int hub : { 1, 2 })
+    routers[hub]->restart ();
+  for (int hub : { 1, 2 })
+    ASSERT_TRUE (
+        Router::eventually ([&] { return routers[hub]->is_ready (); }, 4000));
+  std::this_thread::sleep_for (std::chrono::milliseconds (1000));
+  Router &member = *routers[0];
+  member.restart ();
+  ASSERT_TRUE (Router::eventually ([&] { return member.is_ready (); }, 4000));
+  EXPECT_EQ (send_to (member, "k1").status (), 200);
+}
+
 TEST_F (Peers, ShutdownRemovesTheEntry)
 {
   router->signal (SIGTERM);
