Rank members of other data centres at first hubs only

The plan of connections ranked absent members of other data centres on every host at each heartbeat, although only a first hub connects to them. The time at which a member became known is now set where the present time is at hand.

--- a/cranberrystile/membership/hub_plan.c
+++ b/cranberrystile/membership/hub_plan.c
@@ -38,14 +38,15 @@
   role->is_first = role->rank == 0;
   for (size_t i = 0; i < count; i++)
     {
-      bool before = cs_hub_ranks_before (&members[i], self);
-      dial[i] = false;
-      if (!before && !members[i].is_absent)
-        continue;
-      size_t rank = rank_of (&members[i], self, members, count, false);
-      if (members[i].data_centre == self->data_centre)
-        dial[i] = before ? rank < CS_HUBS_PER_DATA_CENTRE : role->is_hub;
+      const cs_hub_member_t *member = &members[i];
+      bool before = cs_hub_ranks_before (member, self);
+      if (member->data_centre != self->data_centre)
+        dial[i] = role->is_first && (before || member->is_absent)
+                  && rank_of (member, self, members, count, false) == 0;
+      else if (before)
+        dial[i] = rank_of (member, self, members, count, false)
+                  < CS_HUBS_PER_DATA_CENTRE;
       else
-        dial[i] = role->is_first && rank == 0;
+        dial[i] = role->is_hub && member->is_absent;
     }
 }
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -119,7 +119,6 @@
   cs_directory_t *directory = context;
   const cs_router_settings_t *settings = &directory->mesh->router->settings;
   cs_str_t name = cs_str (settings->name);
-  cs_str_t no_name = { "", 0 };
   if (directory->call_in_flight || directory->step == STEP_DONE)
     return;
   if (directory->leaving)
@@ -131,7 +130,7 @@
   switch (directory->step)
     {
     case STEP_CREATE:
-      write_entry (directory, "POST", no_name);
+      write_entry (directory, "POST", (cs_str_t){ "", 0 });
       return;
     case STEP_REPLACE:
       write_entry (directory, "PUT", name);
@@ -260,12 +259,11 @@
 static void
 set_timer (cs_directory_t *directory)
 {
-  const cs_router_t *router = directory->mesh->router;
-  cs_time_us_t pause = router->settings.directory_s * CS_US_PER_S;
-  if (directory->delays_used < INITIAL_DELAYS)
-    pause = initial_delays_ms[directory->delays_used] * CS_US_PER_MS;
-  directory->delays_used++;
-  cs_timer_set (&directory->timer, pause);
+  const cs_router_settings_t *settings = &directory->mesh->router->settings;
+  size_t used = directory->delays_used++;
+  cs_timer_set (&directory->timer, used < INITIAL_DELAYS
+                                       ? initial_delays_ms[used] * CS_US_PER_MS
+                                       : settings->directory_s * CS_US_PER_S);
 }
 
 /* Handles the response to the current step's call and selects the next step.
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -29,7 +29,7 @@
   cs_time_us_t retry_at;    /* not dialled before this time after a failure */
   uint32_t failures;        /* consecutive */
   cs_time_us_t accepted_at; /* when a link that it dialled was last open, or it
-                               became known */
+                               became known; 0: just now */
   uint32_t lists_absent; /* consecutive platform lists without this member */
   cs_renewal_t renewal;  /* renewals of its entry in the platform's store */
 } cs_member_t;
--- a/router/peer/members.c
+++ b/router/peer/members.c
@@ -48,9 +48,7 @@
   if (members == NULL || plan == NULL || dial == NULL)
     return NULL;
   mesh->member_count = count;
-  members[count - 1] = (cs_member_t){
-    .accepted_at = cs_loop_now (mesh->router->loop),
-  };
+  members[count - 1] = (cs_member_t){ 0 };
   return &members[count - 1];
 }
 
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -44,7 +44,8 @@
   for (size_t i = 0; i < mesh->member_count; i++)
     {
       cs_member_t *member = &mesh->members[i];
-      if (find_link (mesh, member->id, false) != NULL)
+      if (member->accepted_at == 0
+          || find_link (mesh, member->id, false) != NULL)
         member->accepted_at = now;
       mesh->plan_members[i].id = member->id;
       mesh->plan_members[i].capacity = member->capacity;
