Send peers the whole list where removals before it are not known

Cause: all hubs of a data centre, and those next in rank, were killed for half a second, in which the target left. They read the list without it, and as their record of removals was empty, they took it for complete: their members, who had an older list, were sent the differences since then, with no removal in them. The hubs' confirmations then kept the members from asking the platform. In the logs front-riga-c-18 gets revision 309 as a difference from 255 (CS1401 and CS1407 of single targets) and never a CS1408 for the target; all hosts that weren't killed then have theirs within 0.1 s.

The class: a fact that a kill erases.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -19,6 +19,8 @@
   cs_revision_t revision;
   cs_revision_t evicted_revision; /* newest removal that is no longer
                                      recorded; zeros: none */
+  cs_revision_t list_revision;    /* of the last list: which targets were
+                                     removed before it is not known */
   cs_time_us_t hold_us;
   removal_record_t *removals; /* ring buffer, allocated on first use */
   size_t next_removal;
@@ -305,7 +307,8 @@
 {
   bool all_recorded
       = since.era == fleet->revision.era
-        && cs_revision_compare (since, fleet->evicted_revision) >= 0;
+        && cs_revision_compare (since, fleet->evicted_revision) >= 0
+        && cs_revision_compare (since, fleet->list_revision) >= 0;
   *count = 0;
   if (fleet->removals == NULL)
     return all_recorded;
@@ -359,6 +362,7 @@
   for (size_t i = fleet->count; i-- > 0;)
     if (!fleet->listed[i])
       remove_or_retain (fleet, i, kept_until, now);
+  fleet->list_revision = fleet->revision;
 }
 
 void
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -142,7 +142,8 @@
 
 /* Stores the ids removed after revision SINCE, newest first, and their number
    in *COUNT.  Returns false if some of them are no longer recorded, or SINCE
-   is of an earlier era, so that the full list has to be sent.  */
+   is of an earlier era or before the last list, so that the full list has to
+   be sent.  */
 bool cs_fleet_removed_since (const cs_fleet_t *fleet, cs_revision_t since,
                              const cs_name_t *out[CS_FLEET_REMOVALS],
                              size_t *count);
--- a/tests/router/peers_test.cc
+++ b/tests/router/peers_test.cc
@@ -221,6 +221,41 @@
   EXPECT_EQ (send_to (member, "k1").status (), 200);
 }
 
+// A target left while the hubs, and those who take their place, restarted.
+// They read the list without it, and told the other members of what had
+// changed since, but not that it had left.
+TEST_F (Peers, MembersLearnWhatLeftWhileTheirHubsRestarted)
+{
+  for (const char *name : { "r5", "r6" })
+    routers.push_back (std::make_unique<Router> (
+        name, store.address (), "[host]\ncpu_share = 1\nlink_mbps = 100000\n"));
+  ASSERT_TRUE (
+      Router::eventually ([this] { return store.count ("routers") == 6; }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (6000));
+  // The hubs read the platform's list before their members dial them.
+  Router &second_member = *routers[0];
+  for (Router *member : { router.get (), &second_member })
+    member->signal (SIGSTOP);
+  for (int hub : { 1, 2, 3, 4 })
+    routers[hub]->signal (SIGKILL);
+  store.remove ("servers", "i-1");
+  for (int hub : { 1, 2, 3, 4 })
+    routers[hub]->restart ();
+  EXPECT_TRUE (Router::eventually ([this] {
+    return std::all_of (routers.begin () + 1, routers.end (),
+                        [] (auto &hub) { return hub->is_ready (); });
+  }));
+  for (Router *member : { router.get (), &second_member })
+    member->signal (SIGCONT);
+  EXPECT_TRUE (Router::eventually (
+      [&] {
+        return router->log ().find ("CS1408 target=i-1") != std::string::npos
+               && second_member.log ().find ("CS1408 target=i-1")
+                      != std::string::npos;
+      },
+      2000));
+}
+
 TEST_F (Peers, ShutdownRemovesTheEntry)
 {
   router->signal (SIGTERM);
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -346,6 +346,26 @@
   EXPECT_EQ (cs_fleet_revision (fleet).era, 2U);
 }
 
+// What left before a list was read is not known from it.  A router that had
+// just started sent its peers the differences since before its list, without
+// the targets that had left, and these stayed in use.
+TEST_F (Fleet, ListsDoNotTellWhatLeftBefore)
+{
+  const cs_name_t *ids[CS_FLEET_REMOVALS];
+  size_t count;
+  cs_fleet_set_revision (fleet, { 1, 50 });
+  cs_fleet_list_begin (fleet);
+  put ("t");
+  cs_fleet_list_end (fleet, 0, SECOND);
+  EXPECT_FALSE (cs_fleet_removed_since (fleet, { 1, 49 }, ids, &count));
+  EXPECT_TRUE (cs_fleet_removed_since (fleet, { 1, 50 }, ids, &count));
+  EXPECT_FALSE (cs_fleet_was_removed (fleet, cs_str ("u")));
+  cs_fleet_set_revision (fleet, { 1, 60 });
+  cs_fleet_remove (fleet, cs_str ("t"), 0, SECOND);
+  EXPECT_TRUE (cs_fleet_removed_since (fleet, { 1, 50 }, ids, &count));
+  EXPECT_EQ (count, 1U);
+}
+
 // Half of the targets refuse and ask for pauses; then the other half too.
 TEST_F (Chooser, TargetsThatAskedForAPauseGetNoCalls)
 {
