--- a/tests/router/peers_test.cc
+++ b/tests/router/peers_test.cc
@@ -228,7 +228,8 @@
 {
   for (const char *name : { "r5", "r6" })
     routers.push_back (std::make_unique<Router> (
-        name, store.address (), "[host]\ncpu_share = 1\nlink_mbps = 100000\n"));
+        name, store.address (),
+        "[host]\ncpu_share = 1\nlink_mbps = 100000\n"));
   ASSERT_TRUE (
       Router::eventually ([this] { return store.count ("routers") == 6; }));
   std::this_thread::sleep_for (std::chrono::milliseconds (6000));
