Keep the late engines of a test apart from silent ones

Cause, from its log: the test's first events came after 700 ms, and a target counts as silent after 800 ms (CS1402 after 802 ms), or 500 ms after an event, where the test paused for 1,800 ms. The router did what it should.

The test now uses a route with an objective of 100 ms, first events after 400 ms and an event each 100 ms, and waits for CS1414 in place of a time. Its checks are the same, the bound of the refusal is that by which it is told from an answer of an engine (400 ms; 300 before), and one was added: all 14 chats have reached the engines.

--- a/tests/router/late_test.cc
+++ b/tests/router/late_test.cc
@@ -8,23 +8,33 @@
 class LateEngines : public RouterTest
 {
 protected:
-  // Together 16 slots; the objective is 600 ms.
-  static constexpr int first_ms = 700;
+  // Together 16 slots.  The objective of route "quick" is far below the time
+  // after which a target counts as silent.
+  static constexpr int first_ms = 400;
+  static constexpr int pause_ms = 100;
 
-  // Streams two events, the first after FIRST_MS and the last after LAST_MS.
+  void
+  SetUp () override
+  {
+    RouterTest::SetUp ();
+    store.put ("config", "main",
+               config (2, ",{\"name\":\"quick\",\"host\":\"h.example\","
+                          "\"path_prefix\":\"/quick/\",\"kind\":\"streaming\","
+                          "\"service\":\"engines\",\"target_latency_ms\":100,"
+                          "\"max_attempts\":1,\"timeout_ms\":9000,"
+                          "\"session_affinity\":true}"));
+    ASSERT_TRUE (Router::eventually ([this] {
+      return router->log ().find ("CS1103 version=2") != std::string::npos;
+    }));
+  }
+
+  // Streams COUNT events, the first after FIRST_MS.
   static Target::Script
-  stream (int last_ms)
+  stream (int count)
   {
     return [=] (wire::Socket &socket, const wire::Message &message) {
       std::this_thread::sleep_for (std::chrono::milliseconds (first_ms));
-      socket.send (Target::signed_head (message, "200 OK",
-                                        "Content-Type: text/event-stream\r\n"
-                                        "Transfer-Encoding: chunked\r\n\r\n")
-                   + Target::chunk (Target::event (1)));
-      std::this_thread::sleep_for (
-          std::chrono::milliseconds (last_ms - first_ms));
-      return socket.send (Target::chunk (Target::event (2))
-                          + Target::chunk (""));
+      return Target::stream (count, 0, pause_ms) (socket, message);
     };
   }
 
@@ -33,7 +43,7 @@
   {
     auto socket = std::make_unique<wire::Socket> (
         wire::Socket::connect_to (router->callers ()));
-    socket->send (request ("POST", "/chat/x", "", "b"));
+    socket->send (request ("POST", "/quick/x", "", "b"));
     return socket;
   }
 };
@@ -42,19 +52,22 @@
 // of their slots were in use: the more requests, the later.
 TEST_F (LateEngines, GetFewerRequestsUntilTheyAreOnTimeAgain)
 {
-  set_engine_scripts (stream (2500));
+  set_engine_scripts (stream (30));
   std::vector<std::unique_ptr<wire::Socket>> chats;
   for (int i = 0; i < 14; i++)
     chats.push_back (start_chat ());
-  std::this_thread::sleep_for (std::chrono::milliseconds (first_ms + 300));
-  size_t sent = engine_request_count ();
+  ASSERT_TRUE (
+      Router::eventually ([this] { return engine_request_count () == 14; }));
+  ASSERT_TRUE (Router::eventually ([this] {
+    return router->log ().find ("CS1414 service=engines") != std::string::npos;
+  }));
   int64_t asked_at = wire::now_ms ();
   wire::Message refusal = start_chat ()->read (3000);
   EXPECT_EQ (refusal.status (), 503);
-  EXPECT_LT (wire::now_ms () - asked_at, 300) << "refused at once";
+  EXPECT_LT (wire::now_ms () - asked_at, first_ms) << "refused at once";
   EXPECT_NE (refusal.body.find ("overloaded"), std::string::npos);
   EXPECT_FALSE (refusal.field ("retry-after").empty ());
-  EXPECT_EQ (engine_request_count (), sent);
+  EXPECT_EQ (engine_request_count (), 14);
   for (auto &chat : chats)
     EXPECT_EQ (chat->read (5000).status (), 200) << "has begun, so it ends";
   EXPECT_EQ (start_chat ()->read (5000).status (), 200) << "slots are free";
