--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -247,6 +247,7 @@
         self.callers = callers
         self.cut = False
         self.cut_from = set()
+        self.refuses = False  # channels are reset in a cut, not silent
         self.pairs = []
         self.port = 0
 
@@ -259,11 +260,21 @@
         live = [pair for pair in self.pairs
                 if not pair[0].transport.is_closing()]
         chosen = live[:int(len(live) * share)]
-        for client, backend in chosen:
+        for client, backend, _ in chosen:
             reset(client)
             reset(backend)
         return len(chosen)
 
+    def is_cut(self, caller):
+        return self.cut or caller in self.cut_from
+
+    def reset_cut(self):
+        """Resets the channels that a cut holds."""
+        for pair in self.pairs:
+            if self.is_cut(pair[2]):
+                reset(pair[0])
+                reset(pair[1])
+
     async def wait(self, caller):
         while self.cut or caller in self.cut_from:
             await asyncio.sleep(self.POLL_S)
@@ -275,6 +286,9 @@
             for name in self.callers:
                 if name.encode() in first:
                     caller = name
+        if self.refuses and self.is_cut(caller):
+            reset(writer)
+            return
         await self.wait(caller)
         try:
             back_reader, back_writer = await asyncio.open_connection(
@@ -282,7 +296,7 @@
         except OSError:
             reset(writer)
             return
-        self.pairs.append((writer, back_writer))
+        self.pairs.append((writer, back_writer, caller))
         await asyncio.gather(self.pump(reader, back_writer, caller, first),
                              self.pump(back_reader, writer, caller))
 
