Review: a stream sent to a second version is taken up at the first

Rule ORDER: more than two streams hold events from servers of two software versions of one service, by any machine, in touch or not.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""A router that is being stopped takes requests later than 3 s after SIGTERM
-and cuts their streams before the end of the grace time."""
+"""A stream that a router sent to a second version, after the first one had been
+saved in the store, is taken up elsewhere at the first."""
 
 import asyncio
 import os
@@ -8,7 +8,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
-from harness import (Answer, CannotRun, Channel, Router, Server, Store,
+from harness import (Answer, CannotRun, Channel, Link, Router, Server, Store,
                      main, now, until)  # noqa: E402
 
 DESIRED_STATE = {
@@ -28,87 +28,89 @@
                "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     "tenants": [{"name": "yard", "api_keys": ["key-1"], "priority": 1}]}
 
-LOSS_SLACK_S = 0.2
-TERM_EXCUSE_S = 3.0  # of requests that run into the end of the grace time
-GRACE_S = 8.0
-# When the requesters send, after SIGTERM: on channels that they have kept, and
-# on new ones.
-KEPT_AT_S = [3.02 + 0.02 * n for n in range(10)]
+PER_S = 60  # new streams at the router that is killed, for less than a second
+# How long the tokens of a server's requests are delayed while it reads long
+# prompts.  A requester waits for 2.4 s (8 x target_gap_ms).
+DELAY_S = 1.5
+CUT_S = 2.0  # until the kill
+
+
+class Delayed(Server):
+    """A server that reads a long prompt now and then: the tokens of all
+    requests that run beside it are delayed."""
+
+    delayed_until = 0.0
+
+    async def stream(self, request, run, writer):
+        first = int(request.field("last-event-id") or 0) + 1
+        while now() < self.delayed_until:
+            await asyncio.sleep(0.02)
+            if writer.transport.is_closing():
+                raise ConnectionError
+        writer.write(self.head(
+            request, 200, f"X-Response-Signature: {self.name}.{run[0]}\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(first, self.events + 1):
+            while now() < self.delayed_until:
+                await asyncio.sleep(0.02)
+                if writer.transport.is_closing():
+                    raise ConnectionError
+            event = f"id: {number}\ndata: {self.version} {number}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            run[2] = run[2] or number
+            run[3] = number
+            await asyncio.sleep(self.pause_s)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
 
 
 class Requester:
-    def __init__(self, name, record):
-        self.name = name
+    count = 0
+
+    def __init__(self, record):
+        Requester.count += 1
+        self.number = Requester.count
         self.record = record
-        self.channel = Channel()
+        self.id = f"a{self.number:04d}"
+        self.retry_id = f"b{self.number:04d}"
         self.sent_at = 0.0
-        self.ended_at = 0.0
-        self.answer = Answer()
+        self.first = Answer()
+        self.second = None
 
-    async def ask(self, request_id):
-        """Sends a request and reads its answer; keeps the channel."""
-        self.answer = Answer()
-        number = int(request_id[1:], 10)
-        self.sent_at = now()
-        self.channel.send(
-            "POST", "/order-confirm/q", "desk.example", request_id,
-            {"X-Model": "m", "X-Token-Usage": "1460,400",
-             "X-Prompt-Prefix": f"5c1e07a2:800,{0x1000 + number:x}:400,"
-                                f"{0x9000 + number:x}:260",
-             "X-Deadline": 12000, "X-Key": "key-1"}, b"question")
-        await self.channel.read(self.answer)
-        self.ended_at = now()
-        return self.answer
-
-
-async def keep(requester, router, number):
-    """Opens a channel and has a request served on it, which then rests."""
-    await requester.channel.connect(router.front)
-    answer = await requester.ask(f"k{number}")
-    if not answer.complete:
-        raise CannotRun("a request before the stop was not served")
-
-
-async def stop(record, trouble, router, servers, requesters, base):
-    """Stops ROUTER as the platform does, while REQUESTERS go on using their
-    channels.  Returns the number of lost requests."""
-    for server in servers:
-        server.pause_s = 0.2  # 30 events in 6 s
-    at = now()
-    if trouble:
-        router.signal(signal.SIGTERM)
-        record.line(f"SIGTERM to {router.name}")
-
-    async def send(requester, delay, number):
-        await asyncio.sleep(at + delay - now())
+    async def request(self, port, request_id, answer, deadline_ms, extra):
+        channel = Channel()
         try:
-            await requester.ask(f"q{number}")
+            await channel.connect(port)
+            channel.send(
+                "POST", "/order-confirm/q", "desk.example", request_id,
+                {"X-Model": "m", "X-Token-Usage": "1460,400",
+                 "X-Prompt-Prefix":
+                 f"5c1e07a2:800,{0x1000 + self.number:x}:400,"
+                 f"{0x9000 + self.number:x}:260",
+                 "X-Deadline": deadline_ms, "X-Key": "key-1", **extra},
+                b"question")
+            await channel.read(answer)
         except OSError:
-            requester.ended_at = now()
-
-    await asyncio.gather(*[send(r, KEPT_AT_S[n], base + n)
-                           for n, r in enumerate(requesters)])
-    await until(lambda: router.process.returncode is not None,
-                at + GRACE_S - now())
-    lost = 0
-    ran = {run[0]: run for server in servers for run in server.runs}
-    for n, requester in enumerate(requesters):
-        request_id = f"q{base + n}"
-        sent = requester.sent_at - at
-        ended = requester.ended_at - at
-        run = ran.get(request_id)
-        ids = requester.answer.event_ids()
-        record.line(
-            f"requester {request_id}: sent {sent:.3f} s after, "
-            f"{'passed on to a server' if run else 'not passed on'}, status "
-            f"{requester.answer.status}, {len(ids)} events, "
-            f"{'complete' if requester.answer.complete else 'ended without a complete answer'}"
-            f" {ended:.3f} s after")
-        if not requester.answer.complete and run is not None \
-                and sent > TERM_EXCUSE_S and ended - sent < 12.0 \
-                and ended < GRACE_S + 1:
-            lost += 1
-    return lost
+            pass
+        channel.close()
+        ids = answer.event_ids()
+        self.record.line(
+            f"requester {request_id}: status {answer.status}, events "
+            f"{ids[0] if ids else '-'} to {ids[-1] if ids else '-'}, "
+            f"{'complete' if answer.complete else 'cut'}")
+
+    async def begin(self, port):
+        self.sent_at = now()
+        await self.request(port, self.id, self.first, 12000, {})
+
+    async def take_up(self, port):
+        left = int(12000 - (now() - self.sent_at) * 1000)
+        self.second = Answer()
+        await self.request(port, self.retry_id, self.second, left,
+                           {"Last-Event-Id": self.first.event_ids()[-1],
+                            "Resumes": self.id})
 
 
 async def case(record, folder, trouble, routers):
@@ -116,42 +118,76 @@
     await store.start()
     store.put("config", "main", DESIRED_STATE)
     servers = []
-    for number in range(2):
-        server = Server(f"i-{number}", "cranberry-pool", "tln-a", record)
-        server.events = 30
-        server.pause_s = 0.005
+    for name, version in (("i-old0", "1.0"), ("i-old1", "1.0"),
+                          ("i-new0", "2.0"), ("i-new1", "2.0")):
+        server = Delayed(name, "cranberry-pool", "tln-a", record, version)
+        servers.append(server)
+        server.events = 40
+        server.pause_s = 0.2  # 8 s
         await server.start()
         store.put("servers", server.name, server.entry())
-        servers.append(server)
-    for name in ("front-tln-a-1", "front-tln-a-2"):
-        router = Router(name, "tln-a", store.port, folder)
+    link = None
+    for name, zone in (("front-tln-a-1", "tln-a"), ("front-tln-a-2", "tln-a"),
+                       ("front-mrd-a-1", "mrd-a")):
+        link = Link(store.port)
+        link.refuses = True
+        await link.start()
+        router = Router(name, zone, link.port, folder)
         routers.append(router)
         await router.start()
     for router in routers:
         if not await until(router.is_ready, 10):
             raise CannotRun("a router is not ready")
-    await asyncio.sleep(1)
-
-    lost = 0
-    for round_, router in enumerate(routers):
-        base = round_ * 100
-        for server in servers:
-            server.pause_s = 0.005
-        requesters = [Requester(f"{base + n}", record)
-                      for n in range(len(KEPT_AT_S))]
-        for n, requester in enumerate(requesters):
-            await keep(requester, router, base + n)
-        lost += await stop(record, trouble, router, servers, requesters, base)
-        if trouble:
-            # The platform starts the process again.
-            await router.end()
-            await router.start()
-            if not await until(router.is_ready, 10):
-                raise CannotRun("a router is not ready after its restart")
-    record.line(f"{lost} requests were sent later than {TERM_EXCUSE_S} s after "
-                "the SIGTERM, passed on to a server, and ended without a "
-                "complete answer (none allowed)")
-    return lost > 0
+    await asyncio.sleep(6)
+    other, last = routers[0], routers[2]
+
+    requesters, tasks = [], []
+
+    async def begin_for(seconds, port):
+        end = now() + seconds
+        while now() < end:
+            requester = Requester(record)
+            requesters.append(requester)
+            tasks.append(asyncio.create_task(requester.begin(port)))
+            await asyncio.sleep(1 / PER_S)
+
+    await begin_for(0.3, last.front)
+    servers[0].delayed_until = now() + DELAY_S
+    record.line(f"i-old0 reads long prompts for {DELAY_S} s")
+    await begin_for(0.55, last.front)
+    await asyncio.sleep(0.1)
+    if trouble:
+        record.line(f"{last.name} is cut off from the store")
+        link.cut = True
+        link.reset_cut()
+    await asyncio.sleep(CUT_S)
+    running = [r for r, t in zip(requesters, tasks) if not t.done()]
+    last.signal(signal.SIGKILL)
+    record.line(f"{last.name} is killed while {len(running)} streams run")
+    await last.process.wait()
+    link.cut = False
+    restart = asyncio.create_task(last.start())
+    await asyncio.sleep(0.1)
+    again = [r for r in running if r.first.event_ids()
+             and not r.first.complete]
+    await asyncio.gather(*tasks)
+    await asyncio.gather(*[r.take_up(other.front)
+                           for r in again])
+    await restart
+    mixed = 0
+    for requester in requesters:
+        versions = requester.first.versions()
+        if requester.second is not None:
+            versions |= requester.second.versions()
+        if len(versions) > 1:
+            mixed += 1
+            record.line(f"mixed: the stream that {requester.id} began and "
+                        f"{requester.retry_id} took up holds events of "
+                        f"versions {sorted(v.decode() for v in versions)}")
+    went_on = sum(r.second.status == 200 for r in again)
+    record.line(f"{len(again)} streams were taken up, {went_on} went on, "
+                f"{mixed} hold events of two versions (at most 2 allowed)")
+    return mixed > 2
 
 
 main(case, FOLDER)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,10 @@
-"""A part of a prompt crashes servers; the routers block another part, which
-sound requests share, and refuse these."""
+"""A router that is being stopped takes requests later than 3 s after SIGTERM
+and cuts their streams before the end of the grace time."""
 
 import asyncio
 import os
+import signal
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
@@ -28,87 +28,101 @@
                "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     "tenants": [{"name": "yard", "api_keys": ["key-1"], "priority": 1}]}
 
-CONTACT_S = 3.0
-QUIET_S = float(os.environ.get("QUIET_S", "62"))
-SOUND = 24  # sound requests before the crashes, and as many after them
-BAD_PART = "bad0bad0"
-FIRST_PART = "5c1e07a2:800"  # the instructions of the assistant
-LAST_SHARED_PART = "7e0407a2:300"  # the desk's terms
+LOSS_SLACK_S = 0.2
+TERM_EXCUSE_S = 3.0  # of requests that run into the end of the grace time
+GRACE_S = 8.0
+# When the requesters send, after SIGTERM: on channels that they have kept, and
+# on new ones.
+KEPT_AT_S = [3.02 + 0.02 * n for n in range(10)]
 
 
 class Requester:
-    count = 0
-
-    def __init__(self, record, part):
-        Requester.count += 1
-        self.id = f"q{Requester.count:04d}"
+    def __init__(self, name, record):
+        self.name = name
         self.record = record
-        self.prefix = (f"{FIRST_PART},{part}:400,{LAST_SHARED_PART},"
-                       f"{0x9000 + Requester.count:x}:260")
+        self.channel = Channel()
+        self.sent_at = 0.0
+        self.ended_at = 0.0
         self.answer = Answer()
 
-    async def ask(self, port):
-        channel = Channel()
-        await channel.connect(port)
-        channel.send(
-            "POST", "/order-confirm/q", "desk.example", self.id,
-            {"X-Model": "m", "X-Token-Usage": "1760,100",
-             "X-Prompt-Prefix": self.prefix, "X-Deadline": 12000,
-             "X-Key": "key-1"}, f"question {self.id}".encode())
-        await channel.read(self.answer)
-        channel.close()
-        self.record.line(
-            f"requester {self.id}: {self.prefix}: status {self.answer.status},"
-            f" {len(self.answer.event_ids())} events, "
-            f"{'complete' if self.answer.complete else 'cut'}, retry-after "
-            f"{self.answer.fields.get('retry-after', '-')}")
-
-
-class Platform:
-    """Servers that crash on the bad part and are back after 2 s."""
-
-    def __init__(self, record, store):
-        self.record = record
-        self.store = store
-        self.servers = []
-        self.crashes = 0
-        self.last_crash = 0.0
-
-    async def start(self, name):
-        server = Server(name, "cranberry-pool", "tln-a", self.record)
-        server.events = 6
-        server.pause_s = 0.03
-        server.on_run = lambda request: self.on_run(server, request)
-        await server.start()
-        self.store.put("servers", name, server.entry())
-        self.servers.append(server)
-
-    def on_run(self, server, request):
-        if BAD_PART not in request.field("x-prompt-prefix"):
-            return False
-        self.crashes += 1
-        self.last_crash = now()
-        self.record.line(f"server {server.name} crashes as it begins to write "
-                         f"an answer to {request.field('x-request-id')}: "
-                         f"crash {self.crashes}")
-        server.crash()
-        asyncio.create_task(self.restart(server))
-        return True
-
-    async def restart(self, server):
-        await asyncio.sleep(2)
-        server.born = int(time.time() * 1000)
-        await server.start()
-        self.store.put("servers", server.name, server.entry())
+    async def ask(self, request_id):
+        """Sends a request and reads its answer; keeps the channel."""
+        self.answer = Answer()
+        number = int(request_id[1:], 10)
+        self.sent_at = now()
+        self.channel.send(
+            "POST", "/order-confirm/q", "desk.example", request_id,
+            {"X-Model": "m", "X-Token-Usage": "1460,400",
+             "X-Prompt-Prefix": f"5c1e07a2:800,{0x1000 + number:x}:400,"
+                                f"{0x9000 + number:x}:260",
+             "X-Deadline": 12000, "X-Key": "key-1"}, b"question")
+        await self.channel.read(self.answer)
+        self.ended_at = now()
+        return self.answer
+
+
+async def keep(requester, router, number):
+    """Opens a channel and has a request served on it, which then rests."""
+    await requester.channel.connect(router.front)
+    answer = await requester.ask(f"k{number}")
+    if not answer.complete:
+        raise CannotRun("a request before the stop was not served")
+
+
+async def stop(record, trouble, router, servers, requesters, base):
+    """Stops ROUTER as the platform does, while REQUESTERS go on using their
+    channels.  Returns the number of lost requests."""
+    for server in servers:
+        server.pause_s = 0.2  # 30 events in 6 s
+    at = now()
+    if trouble:
+        router.signal(signal.SIGTERM)
+        record.line(f"SIGTERM to {router.name}")
+
+    async def send(requester, delay, number):
+        await asyncio.sleep(at + delay - now())
+        try:
+            await requester.ask(f"q{number}")
+        except OSError:
+            requester.ended_at = now()
+
+    await asyncio.gather(*[send(r, KEPT_AT_S[n], base + n)
+                           for n, r in enumerate(requesters)])
+    await until(lambda: router.process.returncode is not None,
+                at + GRACE_S - now())
+    lost = 0
+    ran = {run[0]: run for server in servers for run in server.runs}
+    for n, requester in enumerate(requesters):
+        request_id = f"q{base + n}"
+        sent = requester.sent_at - at
+        ended = requester.ended_at - at
+        run = ran.get(request_id)
+        ids = requester.answer.event_ids()
+        record.line(
+            f"requester {request_id}: sent {sent:.3f} s after, "
+            f"{'passed on to a server' if run else 'not passed on'}, status "
+            f"{requester.answer.status}, {len(ids)} events, "
+            f"{'complete' if requester.answer.complete else 'ended without a complete answer'}"
+            f" {ended:.3f} s after")
+        if not requester.answer.complete and run is not None \
+                and sent > TERM_EXCUSE_S and ended - sent < 12.0 \
+                and ended < GRACE_S + 1:
+            lost += 1
+    return lost
 
 
 async def case(record, folder, trouble, routers):
     store = Store(record)
     await store.start()
     store.put("config", "main", DESIRED_STATE)
-    platform = Platform(record, store)
-    for number in range(4):
-        await platform.start(f"i-{number}")
+    servers = []
+    for number in range(2):
+        server = Server(f"i-{number}", "cranberry-pool", "tln-a", record)
+        server.events = 30
+        server.pause_s = 0.005
+        await server.start()
+        store.put("servers", server.name, server.entry())
+        servers.append(server)
     for name in ("front-tln-a-1", "front-tln-a-2"):
         router = Router(name, "tln-a", store.port, folder)
         routers.append(router)
@@ -116,50 +130,28 @@
     for router in routers:
         if not await until(router.is_ready, 10):
             raise CannotRun("a router is not ready")
-    await asyncio.sleep(5)
-
-    async def ask_sound(record_text):
-        requesters = [Requester(record, f"{0x1000 + n:x}")
-                      for n in range(SOUND)]
-        tasks = []
+    await asyncio.sleep(1)
+
+    lost = 0
+    for round_, router in enumerate(routers):
+        base = round_ * 100
+        for server in servers:
+            server.pause_s = 0.005
+        requesters = [Requester(f"{base + n}", record)
+                      for n in range(len(KEPT_AT_S))]
         for n, requester in enumerate(requesters):
-            tasks.append(asyncio.create_task(
-                requester.ask(routers[n % 2].front)))
-            await asyncio.sleep(0.25)
-        await asyncio.gather(*tasks)
-        begun = sum(r.answer.status == 200 and len(r.answer.event_ids()) > 0
-                    for r in requesters)
-        record.line(f"{begun} of {SOUND} sound requests began at the first "
-                    f"attempt {record_text}")
-        return begun
-
-    before = await ask_sound("before the crashes")
-    record.line(f"a quiet minute: {QUIET_S} s without a request")
-    await asyncio.sleep(QUIET_S)
-
-    # Requests with the bad part, no two alike, now at one machine, now at the
-    # other, until the end.
-    part = BAD_PART if trouble else f"{0x2000:x}"
-    ending = asyncio.Event()
-
-    async def ask_bad():
-        n = 0
-        while not ending.is_set():
-            requester = Requester(record, part)
-            await requester.ask(routers[n % 2].front)
-            n += 1
-            await asyncio.sleep(1.2)
-
-    bad = asyncio.create_task(ask_bad())
-    await asyncio.sleep(4)
-    await until(lambda: now() > platform.last_crash + 2 * CONTACT_S + 0.5, 20)
-    record.line(f"{platform.crashes} crashes so far")
-    after = await ask_sound("from 2 x contact_ms after the last crash on")
-    ending.set()
-    await bad
-    record.line(f"{after} of {SOUND} after {before} of {SOUND} "
-                "(less than half as many breaks the rule)")
-    return after * 2 < before
+            await keep(requester, router, base + n)
+        lost += await stop(record, trouble, router, servers, requesters, base)
+        if trouble:
+            # The platform starts the process again.
+            await router.end()
+            await router.start()
+            if not await until(router.is_ready, 10):
+                raise CannotRun("a router is not ready after its restart")
+    record.line(f"{lost} requests were sent later than {TERM_EXCUSE_S} s after "
+                "the SIGTERM, passed on to a server, and ended without a "
+                "complete answer (none allowed)")
+    return lost > 0
 
 
 main(case, FOLDER)
