Add messages for evacuated data centres and cold targets

Routers need to pass on which data centres are evacuated and which targets are cold. No behaviour changes.

--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &cs__router__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__cold__init
+                     (Cs__Router__Cold         *message)
+{
+  static const Cs__Router__Cold init_value = CS__ROUTER__COLD__INIT;
+  *message = init_value;
+}
+size_t cs__router__cold__get_packed_size
+                     (const Cs__Router__Cold *message)
+{
+  assert(message->base.descriptor == &cs__router__cold__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__cold__pack
+                     (const Cs__Router__Cold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__cold__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__cold__pack_to_buffer
+                     (const Cs__Router__Cold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__cold__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Cold *
+       cs__router__cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Cold *)
+     protobuf_c_message_unpack (&cs__router__cold__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__cold__free_unpacked
+                     (Cs__Router__Cold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__cold__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__crash__init
                      (Cs__Router__Crash         *message)
 {
@@ -772,6 +817,51 @@
   assert(message->base.descriptor == &cs__router__version_found__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__evacuations__init
+                     (Cs__Router__Evacuations         *message)
+{
+  static const Cs__Router__Evacuations init_value = CS__ROUTER__EVACUATIONS__INIT;
+  *message = init_value;
+}
+size_t cs__router__evacuations__get_packed_size
+                     (const Cs__Router__Evacuations *message)
+{
+  assert(message->base.descriptor == &cs__router__evacuations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__evacuations__pack
+                     (const Cs__Router__Evacuations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__evacuations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__evacuations__pack_to_buffer
+                     (const Cs__Router__Evacuations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__evacuations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Evacuations *
+       cs__router__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Evacuations *)
+     protobuf_c_message_unpack (&cs__router__evacuations__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__evacuations__free_unpacked
+                     (Cs__Router__Evacuations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__evacuations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__frame__init
                      (Cs__Router__Frame         *message)
 {
@@ -817,7 +907,7 @@
   assert(message->base.descriptor == &cs__router__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[9] =
 {
   {
     "name",
@@ -915,6 +1005,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_evacuations",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Hello, reads_evacuations),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -924,12 +1026,13 @@
   0,   /* field[0] = name */
   6,   /* field[6] = needs_members */
   4,   /* field[4] = reads_compressed */
+  8,   /* field[8] = reads_evacuations */
   5,   /* field[5] = saves_streams */
 };
 static const ProtobufCIntRange cs__router__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cs__router__hello__descriptor =
 {
@@ -939,7 +1042,7 @@
   "Cs__Router__Hello",
   "cs.router",
   sizeof(Cs__Router__Hello),
-  8,
+  9,
   cs__router__hello__field_descriptors,
   cs__router__hello__field_indices_by_name,
   1,  cs__router__hello__number_ranges,
@@ -1164,7 +1267,7 @@
   (ProtobufCMessageInit) cs__router__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__beat__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cs__router__beat__field_descriptors[24] =
 {
   {
     "routing_version",
@@ -1394,11 +1497,76 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations_revision",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Beat, evacuations_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_era",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Beat, evacuations_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_age_ms",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Beat, evacuations_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_evacuations_age",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Beat, has_evacuations_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Beat, n_cold),
+    offsetof(Cs__Router__Beat, cold),
+    &cs__router__cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__beat__field_indices_by_name[] = {
   16,   /* field[16] = blocked */
+  23,   /* field[23] = cold */
   14,   /* field[14] = crashes */
   11,   /* field[11] = echo */
+  21,   /* field[21] = evacuations_age_ms */
+  20,   /* field[20] = evacuations_era */
+  19,   /* field[19] = evacuations_revision */
+  22,   /* field[22] = has_evacuations_age */
   9,   /* field[9] = has_others */
   4,   /* field[4] = has_routing_age */
   5,   /* field[5] = has_targets_age */
@@ -1419,7 +1587,7 @@
 static const ProtobufCIntRange cs__router__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor cs__router__beat__descriptor =
 {
@@ -1429,13 +1597,77 @@
   "Cs__Router__Beat",
   "cs.router",
   sizeof(Cs__Router__Beat),
-  19,
+  24,
   cs__router__beat__field_descriptors,
   cs__router__beat__field_indices_by_name,
   1,  cs__router__beat__number_ranges,
   (ProtobufCMessageInit) cs__router__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__router__cold__field_descriptors[3] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Cold, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Cold, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hops",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Cold, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__cold__field_indices_by_name[] = {
+  2,   /* field[2] = hops */
+  1,   /* field[1] = remaining_ms */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange cs__router__cold__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cs__router__cold__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Cold",
+  "Cold",
+  "Cs__Router__Cold",
+  "cs.router",
+  sizeof(Cs__Router__Cold),
+  3,
+  cs__router__cold__field_descriptors,
+  cs__router__cold__field_indices_by_name,
+  1,  cs__router__cold__number_ranges,
+  (ProtobufCMessageInit) cs__router__cold__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__router__crash__field_descriptors[5] =
 {
   {
@@ -1885,7 +2117,7 @@
   (ProtobufCMessageInit) cs__router__routing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__target__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cs__router__target__field_descriptors[11] =
 {
   {
     "id",
@@ -2007,9 +2239,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Target, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__target__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  10,   /* field[10] = cold_ms */
   2,   /* field[2] = data_centre */
   7,   /* field[7] = draining */
   0,   /* field[0] = id */
@@ -2023,7 +2268,7 @@
 static const ProtobufCIntRange cs__router__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cs__router__target__descriptor =
 {
@@ -2033,7 +2278,7 @@
   "Cs__Router__Target",
   "cs.router",
   sizeof(Cs__Router__Target),
-  10,
+  11,
   cs__router__target__field_descriptors,
   cs__router__target__field_indices_by_name,
   1,  cs__router__target__number_ranges,
@@ -2360,7 +2605,71 @@
   (ProtobufCMessageInit) cs__router__version_found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cs__router__evacuations__field_descriptors[3] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Evacuations, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "era",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Evacuations, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centres",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cs__Router__Evacuations, n_data_centres),
+    offsetof(Cs__Router__Evacuations, data_centres),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__evacuations__field_indices_by_name[] = {
+  2,   /* field[2] = data_centres */
+  1,   /* field[1] = era */
+  0,   /* field[0] = revision */
+};
+static const ProtobufCIntRange cs__router__evacuations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cs__router__evacuations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Evacuations",
+  "Evacuations",
+  "Cs__Router__Evacuations",
+  "cs.router",
+  sizeof(Cs__Router__Evacuations),
+  3,
+  cs__router__evacuations__field_descriptors,
+  cs__router__evacuations__field_indices_by_name,
+  1,  cs__router__evacuations__number_ranges,
+  (ProtobufCMessageInit) cs__router__evacuations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[11] =
 {
   {
     "hello",
@@ -2482,10 +2791,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Frame, body_case),
+    offsetof(Cs__Router__Frame, evacuations),
+    &cs__router__evacuations__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__frame__field_indices_by_name[] = {
   1,   /* field[1] = beat */
   4,   /* field[4] = compressed */
+  10,   /* field[10] = evacuations */
   8,   /* field[8] = find_version */
   0,   /* field[0] = hello */
   7,   /* field[7] = members */
@@ -2498,7 +2820,7 @@
 static const ProtobufCIntRange cs__router__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cs__router__frame__descriptor =
 {
@@ -2508,7 +2830,7 @@
   "Cs__Router__Frame",
   "cs.router",
   sizeof(Cs__Router__Frame),
-  10,
+  11,
   cs__router__frame__field_descriptors,
   cs__router__frame__field_indices_by_name,
   1,  cs__router__frame__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Cs__Router__Members Cs__Router__Members;
 typedef struct Cs__Router__Load Cs__Router__Load;
 typedef struct Cs__Router__Beat Cs__Router__Beat;
+typedef struct Cs__Router__Cold Cs__Router__Cold;
 typedef struct Cs__Router__Crash Cs__Router__Crash;
 typedef struct Cs__Router__Served Cs__Router__Served;
 typedef struct Cs__Router__Blocked Cs__Router__Blocked;
@@ -32,6 +33,7 @@
 typedef struct Cs__Router__StreamsSaved Cs__Router__StreamsSaved;
 typedef struct Cs__Router__FindVersion Cs__Router__FindVersion;
 typedef struct Cs__Router__VersionFound Cs__Router__VersionFound;
+typedef struct Cs__Router__Evacuations Cs__Router__Evacuations;
 typedef struct Cs__Router__Frame Cs__Router__Frame;
 
 
@@ -72,10 +74,14 @@
    * reads FindVersion
    */
   protobuf_c_boolean finds_versions;
+  /*
+   * frames with the body EVACUATIONS
+   */
+  protobuf_c_boolean reads_evacuations;
 };
 #define CS__ROUTER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cs__Router__Member
@@ -203,10 +209,49 @@
    * data centres.
    */
   protobuf_c_boolean reaches_all;
+  /*
+   * The evacuated data centres that the sender knows, as of this revision.
+   */
+  uint64_t evacuations_revision;
+  /*
+   * of evacuations_revision
+   */
+  uint64_t evacuations_era;
+  /*
+   * since the platform last confirmed them
+   */
+  uint32_t evacuations_age_ms;
+  protobuf_c_boolean has_evacuations_age;
+  /*
+   * Targets that have turned cold.
+   */
+  size_t n_cold;
+  Cs__Router__Cold **cold;
 };
 #define CS__ROUTER__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * A target is cold: it takes few requests for this much longer.
+ */
+struct  Cs__Router__Cold
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the incarnation
+   */
+  uint64_t target;
+  uint32_t remaining_ms;
+  /*
+   * routers that have passed it on
+   */
+  uint32_t hops;
+};
+#define CS__ROUTER__COLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__cold__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -356,10 +401,14 @@
    * hash of the service and its software's version
    */
   uint64_t version;
+  /*
+   * it is cold for this much longer; 0: it isn't
+   */
+  uint32_t cold_ms;
 };
 #define CS__ROUTER__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__target__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -465,6 +514,25 @@
     , 0, 0 }
 
 
+/*
+ * All evacuated data centres, as of this revision of the platform's store.
+ */
+struct  Cs__Router__Evacuations
+{
+  ProtobufCMessage base;
+  uint64_t revision;
+  /*
+   * of the revision; 0: not stated
+   */
+  uint64_t era;
+  size_t n_data_centres;
+  char **data_centres;
+};
+#define CS__ROUTER__EVACUATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__evacuations__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 typedef enum {
   CS__ROUTER__FRAME__BODY__NOT_SET = 0,
   CS__ROUTER__FRAME__BODY_HELLO = 1,
@@ -476,7 +544,8 @@
   CS__ROUTER__FRAME__BODY_STREAMS_SAVED = 7,
   CS__ROUTER__FRAME__BODY_MEMBERS = 8,
   CS__ROUTER__FRAME__BODY_FIND_VERSION = 9,
-  CS__ROUTER__FRAME__BODY_VERSION_FOUND = 10
+  CS__ROUTER__FRAME__BODY_VERSION_FOUND = 10,
+  CS__ROUTER__FRAME__BODY_EVACUATIONS = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__ROUTER__FRAME__BODY__CASE)
 } Cs__Router__Frame__BodyCase;
 
@@ -498,6 +567,7 @@
     Cs__Router__Members *members;
     Cs__Router__FindVersion *find_version;
     Cs__Router__VersionFound *version_found;
+    Cs__Router__Evacuations *evacuations;
   };
 };
 #define CS__ROUTER__FRAME__INIT \
@@ -600,6 +670,25 @@
 void   cs__router__beat__free_unpacked
                      (Cs__Router__Beat *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Cold methods */
+void   cs__router__cold__init
+                     (Cs__Router__Cold         *message);
+size_t cs__router__cold__get_packed_size
+                     (const Cs__Router__Cold   *message);
+size_t cs__router__cold__pack
+                     (const Cs__Router__Cold   *message,
+                      uint8_t             *out);
+size_t cs__router__cold__pack_to_buffer
+                     (const Cs__Router__Cold   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Cold *
+       cs__router__cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__cold__free_unpacked
+                     (Cs__Router__Cold *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Crash methods */
 void   cs__router__crash__init
                      (Cs__Router__Crash         *message);
@@ -828,6 +917,25 @@
 void   cs__router__version_found__free_unpacked
                      (Cs__Router__VersionFound *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Evacuations methods */
+void   cs__router__evacuations__init
+                     (Cs__Router__Evacuations         *message);
+size_t cs__router__evacuations__get_packed_size
+                     (const Cs__Router__Evacuations   *message);
+size_t cs__router__evacuations__pack
+                     (const Cs__Router__Evacuations   *message,
+                      uint8_t             *out);
+size_t cs__router__evacuations__pack_to_buffer
+                     (const Cs__Router__Evacuations   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Evacuations *
+       cs__router__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__evacuations__free_unpacked
+                     (Cs__Router__Evacuations *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Frame methods */
 void   cs__router__frame__init
                      (Cs__Router__Frame         *message);
@@ -864,6 +972,9 @@
 typedef void (*Cs__Router__Beat_Closure)
                  (const Cs__Router__Beat *message,
                   void *closure_data);
+typedef void (*Cs__Router__Cold_Closure)
+                 (const Cs__Router__Cold *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Crash_Closure)
                  (const Cs__Router__Crash *message,
                   void *closure_data);
@@ -900,6 +1011,9 @@
 typedef void (*Cs__Router__VersionFound_Closure)
                  (const Cs__Router__VersionFound *message,
                   void *closure_data);
+typedef void (*Cs__Router__Evacuations_Closure)
+                 (const Cs__Router__Evacuations *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Frame_Closure)
                  (const Cs__Router__Frame *message,
                   void *closure_data);
@@ -914,6 +1028,7 @@
 extern const ProtobufCMessageDescriptor cs__router__members__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__load__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__beat__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__cold__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__crash__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__served__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__blocked__descriptor;
@@ -926,6 +1041,7 @@
 extern const ProtobufCMessageDescriptor cs__router__streams_saved__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__find_version__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__version_found__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
