Order routes of equal prefixes by their position

Routes are sorted with qsort by the length of their prefix only. Of two routes with the same host and prefix the first one in the document serves, but only because glibc's qsort happens to be a merge sort for small arrays. The position in the document is now kept in cs_route_t and is the second key.

--- a/cranberrystile/routing/routing.c
+++ b/cranberrystile/routing/routing.c
@@ -71,13 +71,17 @@
                       ((const cs_api_key_t *)b)->text);
 }
 
-/* Longest prefix first, so that the first match is the longest.  */
+/* Longest prefix first, so that the first match is the longest.  Equal ones
+   stay in the order of the configuration, which qsort doesn't guarantee.  */
 static int
 compare_routes (const void *a, const void *b)
 {
-  size_t left = ((const cs_route_t *)a)->prefix.len;
-  size_t right = ((const cs_route_t *)b)->prefix.len;
-  return (left < right) - (left > right);
+  const cs_route_t *left = a;
+  const cs_route_t *right = b;
+  if (left->prefix.len != right->prefix.len)
+    return left->prefix.len < right->prefix.len ? 1 : -1;
+  return (left->position > right->position)
+         - (left->position < right->position);
 }
 
 int
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -30,7 +30,8 @@
 {
   cs_str_t name;
   cs_str_t host;
-  cs_str_t prefix; /* begins and ends with a slash */
+  cs_str_t prefix;   /* begins and ends with a slash */
+  uint32_t position; /* in the configuration's list of routes */
   cs_route_kind_t kind;
   cs_weighted_service_t *weighted_services;
   size_t weighted_service_count;
@@ -111,8 +112,9 @@
    CS_ERR_NO_MEMORY.  */
 int cs_routing_assign_priority_levels (cs_routing_t *routing);
 
-/* The route of HOST with the longest prefix of PATH, or NULL.  HOST is matched
-   without its port and regardless of case; PATH has no query.  */
+/* The route of HOST with the longest prefix of PATH, or NULL; of several with
+   this prefix, the first in the configuration.  HOST is matched without its
+   port and regardless of case; PATH has no query.  */
 const cs_route_t *cs_routing_find_route (const cs_routing_t *routing,
                                          cs_str_t host, cs_str_t path);
 
