--- a/ctl/commands/check.c
+++ b/ctl/commands/check.c
@@ -1,8 +1,10 @@
 /* check NOTE [DOCUMENT]: validates a release note against DOCUMENT, the newest
    release in the platform, or an empty release.  The routers validate releases
-   with the same code.  */
+   with the same code.  With --routing, it checks a configuration instead; see
+   check_routing.c.  */
 
 #include <stdio.h>
+#include <string.h>
 
 #include "api/release_store.h"
 #include "ctl/commands.h"
@@ -33,9 +35,21 @@
   return rc;
 }
 
+static bool
+has_routing_option (int argc, char **argv)
+{
+  static const char option[] = "--routing";
+  for (int i = 1; i < argc; i++)
+    if (strncmp (argv[i], option, sizeof option - 1) == 0)
+      return true;
+  return false;
+}
+
 int
 cs_command_check (int argc, char **argv)
 {
+  if (has_routing_option (argc, argv))
+    return cs_command_check_routing (argc, argv);
   cs_options_t options;
   cs_release_t *base = NULL;
   cs_release_t *next = NULL;
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -14,7 +14,8 @@
   cs_command_fn *run;
 } commands[] = {
   { "audit", "show who changed what and when", cs_command_audit },
-  { "check", "validate a release note", cs_command_check },
+  { "check", "validate a release note, or a configuration (--routing)",
+    cs_command_check },
   { "drain", "make a router leave the fleet gracefully", cs_command_drain },
   { "explain", "show where a chat is placed, and why", cs_command_explain },
   { "release", "plan or apply a release, show history or diff",
--- a/include/ctl/commands.h
+++ b/include/ctl/commands.h
@@ -8,6 +8,7 @@
 
 cs_command_fn cs_command_audit;
 cs_command_fn cs_command_check;
+cs_command_fn cs_command_check_routing; /* check --routing */
 cs_command_fn cs_command_drain;
 cs_command_fn cs_command_explain;
 cs_command_fn cs_command_release;
