--- a/cranberrystile/routing/check.c
+++ b/cranberrystile/routing/check.c
@@ -15,6 +15,9 @@
   size_t shown = key.len / 4;
   if (shown > MAX_SHOWN_KEY_BYTES)
     shown = MAX_SHOWN_KEY_BYTES;
+  /* No part of a character of UTF-8 is shown.  */
+  while (shown > 0 && ((unsigned char)key.data[shown] & 0xc0) == 0x80)
+    shown--;
   snprintf (out, CS_MASKED_KEY_SIZE, "%.*s***", (int)shown, key.data);
 }
 
--- a/ctl/commands/check_report.c
+++ b/ctl/commands/check_report.c
@@ -55,46 +55,69 @@
                                                                : "sound";
 }
 
+/* Appends DIFFERENCE as a line to OUT.  Returns 0 or CS_ERR_NO_MEMORY.  */
+static int
+write_difference (const cs_difference_t *difference, cs_buf_t *out)
+{
+  bool is_named = difference->name[0] != '\0';
+  bool is_whole = difference->property == NULL;
+  const char *old_text = difference->old_text;
+  const char *new_text = difference->new_text;
+  int rc = cs_buf_printf (
+      out, "%s: %s%s%s%s%s%s", change_text (difference->change),
+      part_text (difference->part), is_named ? " \"" : "", difference->name,
+      is_named ? "\"" : "", is_whole ? "" : ", ",
+      is_whole ? "" : difference->property);
+  if (rc == 0 && old_text != NULL && new_text != NULL)
+    return cs_buf_printf (out, ": was %s, is %s", old_text, new_text);
+  if (rc == 0 && (old_text != NULL || new_text != NULL))
+    return cs_buf_printf (out, ": %s", old_text != NULL ? old_text : new_text);
+  return rc;
+}
+
+/* Prints LINE and empties it.  Control characters, which names may contain,
+   are replaced, so that each entry is one line.  */
 static void
-print_difference (const cs_difference_t *difference)
+print_line (cs_buf_t *line)
 {
-  printf ("%s: %s", change_text (difference->change),
-          part_text (difference->part));
-  if (difference->name[0] != '\0')
-    printf (" \"%s\"", difference->name);
-  if (difference->property != NULL)
-    printf (", %s", difference->property);
-  if (difference->old_text != NULL && difference->new_text != NULL)
-    printf (": was %s, is %s", difference->old_text, difference->new_text);
-  else if (difference->old_text != NULL || difference->new_text != NULL)
-    printf (": %s", difference->old_text != NULL ? difference->old_text
-                                                 : difference->new_text);
-  printf ("\n");
+  for (size_t i = 0; i < line->len; i++)
+    if ((unsigned char)line->data[i] < ' ' || line->data[i] == '\x7f')
+      line->data[i] = '?';
+  printf ("%s\n", line->data);
+  cs_buf_clear (line);
 }
 
 int
 cs_check_print_text (const cs_findings_t *findings)
 {
-  if (findings->out_of_memory)
-    return CS_ERR_NO_MEMORY;
-  for (size_t i = 0; i < findings->finding_count; i++)
+  cs_buf_t line = { 0 };
+  int rc = findings->out_of_memory ? CS_ERR_NO_MEMORY : CS_OK;
+  for (size_t i = 0; rc == 0 && i < findings->finding_count; i++)
     {
       const cs_finding_t *finding = &findings->findings[i];
-      printf ("%s: %s: %s (%s)\n", severity_text (finding->severity),
-              finding->path, finding->message, finding->code);
+      rc = cs_buf_printf (&line, "%s: %s: %s (%s)",
+                          severity_text (finding->severity), finding->path,
+                          finding->message, finding->code);
+      if (rc == 0)
+        print_line (&line);
     }
-  for (size_t i = 0; i < findings->difference_count; i++)
-    print_difference (&findings->differences[i]);
-  printf ("%s: errors %zu, warnings %zu, differences %zu\n",
-          result_text (findings),
-          cs_findings_count (findings, CS_SEVERITY_ERROR),
-          cs_findings_count (findings, CS_SEVERITY_WARNING),
-          findings->difference_count);
-  return CS_OK;
+  for (size_t i = 0; rc == 0 && i < findings->difference_count; i++)
+    {
+      rc = write_difference (&findings->differences[i], &line);
+      if (rc == 0)
+        print_line (&line);
+    }
+  cs_buf_free (&line);
+  if (rc == 0)
+    printf ("%s: errors %zu, warnings %zu, differences %zu\n",
+            result_text (findings),
+            cs_findings_count (findings, CS_SEVERITY_ERROR),
+            cs_findings_count (findings, CS_SEVERITY_WARNING),
+            findings->difference_count);
+  return rc;
 }
 
-/* Returns the string TEXT, or null.  Bytes that aren't UTF-8 can't occur: all
-   texts come from JSON.  */
+/* Returns the string TEXT, or null.  */
 static json_t *
 text_or_null (const char *text)
 {
--- a/tests/unit/routing_check_test.cc
+++ b/tests/unit/routing_check_test.cc
@@ -29,6 +29,8 @@
  "tenants":[{"name":"o","api_keys":["key-of-o-1","key-of-o-2"],"priority":1},
   {"name":"p","api_keys":["key-of-p-1"]}]})";
 
+const int ODD_DOCUMENTS = 10000;
+
 class Document
 {
 public:
@@ -187,6 +189,63 @@
     }
 }
 
+// Replaces a value in VALUE, at a random depth, by one of another type.
+void
+corrupt (json_t *value, cs_random_t *random)
+{
+  static const char *const odd[]
+      = { "null", "true",   "-1", "0",        "1e300",     "\"\"",
+          "[]",   "[null]", "{}", "[[{}],1]", "{\"a\":1}", "\"a\\n\"" };
+  json_t *replacement = json_loads (odd[cs_random_u64 (random) % 12],
+                                    JSON_DECODE_ANY, nullptr);
+  size_t size = json_is_array (value) ? json_array_size (value)
+                                      : json_object_size (value);
+  size_t index = size == 0 ? 0 : cs_random_u64 (random) % size;
+  void *member = json_object_iter (value);
+  for (size_t i = 0; json_is_object (value) && i < index; i++)
+    member = json_object_iter_next (value, member);
+  json_t *child = json_is_array (value) ? json_array_get (value, index)
+                                        : json_object_iter_value (member);
+  if (json_is_array (child) || json_is_object (child))
+    if (cs_random_u64 (random) % 4 > 0)
+      {
+        json_decref (replacement);
+        return corrupt (child, random);
+      }
+  if (json_is_array (value))
+    json_array_set_new (value, index, replacement);
+  else if (size > 0)
+    json_object_iter_set_new (value, member, replacement);
+  else
+    json_decref (replacement);
+}
+
+// Guards against a crash of the check, or a refusal that it doesn't report, on
+// a document that is odd anywhere.
+TEST (RoutingCheck, SurvivesOddDocuments)
+{
+  cs_random_t random = { 31, 0 };
+  Document sound (SOUND);
+  cs_store_version_t sound_version = { sound.spec, sound.routing };
+  for (int i = 0; i < ODD_DOCUMENTS; i++)
+    {
+      json_t *spec = json_deep_copy (sound.spec);
+      for (size_t k = 0; k <= cs_random_u64 (&random) % 4; k++)
+        corrupt (spec, &random);
+      cs_findings_t findings = {};
+      cs_routing_t *routing = cs_store_check_routing (spec, &findings);
+      cs_store_version_t version = { spec, routing };
+      if (routing != nullptr)
+        cs_store_compare_routing (&version, &sound_version, &findings);
+      else
+        EXPECT_GT (cs_findings_count (&findings, CS_SEVERITY_ERROR), 0U);
+      EXPECT_FALSE (findings.out_of_memory);
+      cs_routing_release (routing);
+      cs_findings_free (&findings);
+      json_decref (spec);
+    }
+}
+
 // Guards against an API key in the output, which ends up in logs of CI.
 TEST (RoutingCheck, ShowsNoWholeKey)
 {
