End responses that break the protocol at once

Statuses below 100 and 101 were taken for interim responses, so that the caller waited until its deadline, and 600 to 999 were passed on. A head that could no longer become valid was waited for, and a 204 or 304 with a length either waited for its body or passed the body on behind a head without a length.

The reader now checks the head of a response while it arrives and marks it as broken as soon as it can't become that of a response with a status of 100 to 599 except 101. Interim responses are skipped up to the same bound as before. CS1440 and invalid_responses_total report each one.

--- a/http/reader.c
+++ b/http/reader.c
@@ -1,12 +1,12 @@
 #include "http/reader.h"
 
-#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <http_parser.h>
 
 #include "common/error.h"
+#include "http/response_head.h"
 
 /* A message with more header fields is an attack, or was caught in a
    forwarding loop.  */
@@ -27,6 +27,8 @@
   bool no_body;
   bool stop; /* on_head returned false */
   int error;
+  const char *fault;   /* of a broken message; "" if there is none */
+  size_t head_checked; /* bytes of a response's head, see response_head.h */
 };
 
 static int
@@ -61,6 +63,14 @@
   return cs_http_head_add (&reader->head, reader->field_name, value) != 0;
 }
 
+/* Whether a response of STATUS has no body, whatever its fields say (RFC 9112,
+   section 6.3).  The parser would wait for the body that they announce.  */
+static bool
+is_bodiless (unsigned status)
+{
+  return status < 200 || status == 204 || status == 304;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -75,9 +85,12 @@
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->ends_at_close = reader->kind == CS_HTTP_RESPONSES && !reader->no_body
                         && !head->chunked && !head->has_length
-                        && head->status >= 200 && head->status != 204
-                        && head->status != 304;
-  return reader->no_body ? 1 : 0;
+                        && !is_bodiless (head->status);
+  return reader->no_body
+                 || (reader->kind == CS_HTTP_RESPONSES
+                     && is_bodiless (head->status))
+             ? 1
+             : 0;
 }
 
 static int
@@ -127,6 +140,7 @@
   reader->max_head = max_head;
   reader->handlers = *handlers;
   reader->context = context;
+  reader->fault = "";
   init_parser (reader);
   return reader;
 }
@@ -141,10 +155,11 @@
 }
 
 static void
-set_broken (cs_http_reader_t *reader, int error)
+set_broken (cs_http_reader_t *reader, int error, const char *fault)
 {
   reader->state = CS_HTTP_BROKEN;
   reader->error = error;
+  reader->fault = fault;
 }
 
 /* Requires each line to end in CR LF, and rejects folded lines and any other
@@ -171,17 +186,6 @@
   return true;
 }
 
-static bool
-is_token (cs_str_t name)
-{
-  static const char others[] = "!#$%&'*+-.^_`|~";
-  for (size_t i = 0; i < name.len; i++)
-    if (!isalnum ((unsigned char)name.data[i])
-        && (name.data[i] == '\0' || strchr (others, name.data[i]) == NULL))
-      return false;
-  return name.len > 0;
-}
-
 /* Debian's build of http-parser accepts spaces in field names, so that
    "Transfer-Encoding : chunked" would not frame the body here but might do so
    at the next server.  */
@@ -189,11 +193,22 @@
 has_valid_names (const cs_http_head_t *head)
 {
   for (size_t i = 0; i < head->count; i++)
-    if (!is_token (head->fields[i].name))
+    if (!cs_http_is_token (head->fields[i].name))
       return false;
   return true;
 }
 
+/* Whether HEAD has a Content-Length that the parser has not taken, such as an
+   empty one, or is of an interim response with a body.  */
+static bool
+has_invalid_length (const cs_http_head_t *head)
+{
+  size_t lengths = cs_http_head_count (head, "content-length");
+  return (lengths > 0 && !head->has_length)
+         || (head->status < 200
+             && (head->chunked || (head->has_length && head->length > 0)));
+}
+
 /* Rejects messages whose body length is ambiguous: repeated framing fields, or
    both Content-Length and Transfer-Encoding.  */
 static bool
@@ -229,7 +244,7 @@
   cs_http_head_t *head = &reader->head;
   if (!has_valid_lines (cs_buf_str (&head->bytes)))
     {
-      set_broken (reader, CS_ERR_BAD_REQUEST);
+      set_broken (reader, CS_ERR_BAD_REQUEST, "line");
       return;
     }
   reader->state = CS_HTTP_IN_BODY;
@@ -239,10 +254,16 @@
   bool is_parsed = error == HPE_OK || error == HPE_PAUSED;
   if (!is_parsed || parsed < head->bytes.len || reader->parser.upgrade != 0
       || head->minor > 1 || reader->parser.http_major != 1
-      || !has_valid_names (head) || !has_unambiguous_framing (head)
+      || !has_valid_names (head)
       || (reader->kind == CS_HTTP_REQUESTS && !read_request_line (head)))
     {
-      set_broken (reader, CS_ERR_BAD_REQUEST);
+      set_broken (reader, CS_ERR_BAD_REQUEST, "head");
+      return;
+    }
+  if (!has_unambiguous_framing (head)
+      || (reader->kind == CS_HTTP_RESPONSES && has_invalid_length (head)))
+    {
+      set_broken (reader, CS_ERR_BAD_REQUEST, "framing");
       return;
     }
   if (!reader->handlers.on_head (reader->context, head))
@@ -252,6 +273,17 @@
 static const char head_end[] = "\r\n\r\n";
 #define HEAD_END_LEN (sizeof head_end - 1)
 
+/* Marks a response as broken if its head, as far as it is there, can't become
+   valid.  */
+static void
+check_response_head (cs_http_reader_t *reader)
+{
+  const char *fault = cs_http_response_head_fault (
+      cs_buf_str (&reader->head.bytes), &reader->head_checked);
+  if (fault != NULL)
+    set_broken (reader, CS_ERR_BAD_REQUEST, fault);
+}
+
 /* Appends DATA to the buffered head, and parses it once it is complete.  Skips
    empty lines before a request.  Returns the number of bytes consumed.  */
 static size_t
@@ -270,7 +302,7 @@
     part.len = available;
   if (cs_buf_append (bytes, part) != 0)
     {
-      set_broken (reader, CS_ERR_NO_MEMORY);
+      set_broken (reader, CS_ERR_NO_MEMORY, "memory");
       return data.len;
     }
   size_t search_from = before < HEAD_END_LEN ? 0 : before - HEAD_END_LEN + 1;
@@ -278,19 +310,19 @@
                   ? NULL
                   : memmem (bytes->data + search_from,
                             bytes->len - search_from, head_end, HEAD_END_LEN);
-  if (end == NULL)
+  size_t consumed = skipped + part.len;
+  if (end != NULL)
     {
-      if (bytes->len > reader->max_head)
-        set_broken (reader, CS_ERR_TOO_LARGE);
-      return skipped + part.len;
+      bytes->len = (size_t)(end - bytes->data) + HEAD_END_LEN;
+      consumed = skipped + bytes->len - before;
     }
-  size_t head_len = (size_t)(end - bytes->data) + HEAD_END_LEN;
-  bytes->len = head_len;
-  if (head_len > reader->max_head)
-    set_broken (reader, CS_ERR_TOO_LARGE);
-  else
+  if (bytes->len > reader->max_head)
+    set_broken (reader, CS_ERR_TOO_LARGE, "size");
+  else if (reader->kind == CS_HTTP_RESPONSES)
+    check_response_head (reader);
+  if (end != NULL && reader->state == CS_HTTP_IN_HEAD)
     parse_head (reader);
-  return skipped + head_len - before;
+  return consumed;
 }
 
 size_t
@@ -306,7 +338,7 @@
       &reader->parser, &callbacks, data.data + consumed, data.len - consumed);
   enum http_errno error = HTTP_PARSER_ERRNO (&reader->parser);
   if (error != HPE_OK && error != HPE_PAUSED)
-    set_broken (reader, CS_ERR_BAD_REQUEST);
+    set_broken (reader, CS_ERR_BAD_REQUEST, "body");
   return consumed + parsed;
 }
 
@@ -317,7 +349,8 @@
     reader->state = CS_HTTP_COMPLETE;
   else if (reader->state != CS_HTTP_COMPLETE
            && cs_http_reader_has_begun (reader))
-    set_broken (reader, CS_ERR_BAD_REQUEST);
+    set_broken (reader, CS_ERR_BAD_REQUEST,
+                reader->state == CS_HTTP_IN_HEAD ? "head-cut" : "body-cut");
 }
 
 void
@@ -328,6 +361,7 @@
   reader->state = CS_HTTP_IN_HEAD;
   reader->head_parsed = false;
   reader->trailer_count = 0;
+  reader->head_checked = 0;
   reader->no_body = false;
 }
 
@@ -355,6 +389,12 @@
   return reader->error;
 }
 
+const char *
+cs_http_reader_fault (const cs_http_reader_t *reader)
+{
+  return reader->fault;
+}
+
 cs_http_head_t *
 cs_http_reader_head (cs_http_reader_t *reader)
 {
--- a/include/http/reader.h
+++ b/include/http/reader.h
@@ -1,6 +1,8 @@
 /* An incremental reader of the HTTP/1.1 messages of one connection.  It uses
    libhttp-parser and adds checks that the parser's strict mode lacks: line
-   endings, folded fields, repeated Content-Length.
+   endings, folded fields, repeated Content-Length.  A response is broken as
+   soon as its head can't become that of one with a status of 100 to 599 except
+   101.
 
    The head is buffered until it is complete and then parsed as a whole; the
    body is passed on as it arrives.  Not thread-safe.  */
@@ -73,6 +75,10 @@
    CS_ERR_TOO_LARGE when its head exceeds the bound, or CS_ERR_NO_MEMORY.  */
 int cs_http_reader_error (const cs_http_reader_t *reader);
 
+/* Returns what is wrong with a broken message, in one word for a log line, or
+   "".  */
+const char *cs_http_reader_fault (const cs_http_reader_t *reader);
+
 /* Returns the last head read; valid until cs_http_reader_next.  */
 cs_http_head_t *cs_http_reader_head (cs_http_reader_t *reader);
 
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -25,6 +25,7 @@
   X (connects, "connections opened to targets")                               \
   X (connects_failed, "connections to targets that could not be opened")      \
   X (wrong_answers, "answers of targets that could not be used")              \
+  X (invalid_responses, "responses of targets that broke the protocol")       \
   X (stale_answers, "answers of earlier requests that were dropped")          \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "common/log.h"
 #include "http/reader.h"
 #include "net/channel.h"
 
@@ -169,6 +170,16 @@
   return !has_excess (connection);
 }
 
+/* Records that what the target has sent is no response.  */
+static void
+report_invalid (const cs_connection_t *connection, const char *fault)
+{
+  connection->env.counters->invalid_responses++;
+  cs_log (CS_EV_INVALID_RESPONSE, "target=%s id=%.*s fault=%s",
+          connection->target->id.text, CS_STR_ARG (connection->request_id),
+          fault);
+}
+
 static void
 on_data (void *context, cs_str_t data)
 {
@@ -189,7 +200,13 @@
   if (connection->aborted)
     destroy (connection);
   else if (state == CS_HTTP_BROKEN || has_excess (connection))
-    finish_request (connection, CS_ERR_WRONG_ANSWER);
+    {
+      report_invalid (connection,
+                      state == CS_HTTP_BROKEN
+                          ? cs_http_reader_fault (connection->reader)
+                          : "excess");
+      finish_request (connection, CS_ERR_WRONG_ANSWER);
+    }
   else if (state == CS_HTTP_COMPLETE
            && cs_http_reader_state (connection->reader) == CS_HTTP_COMPLETE)
     {
@@ -198,6 +215,20 @@
     }
 }
 
+/* Reports a head that ended with its connection, or interim responses without
+   a final one.  A body that was cut is a failed attempt like others.  */
+static void
+report_cut_head (const cs_connection_t *connection)
+{
+  const cs_http_reader_t *reader = connection->reader;
+  if (cs_http_reader_state (reader) != CS_HTTP_IN_HEAD)
+    return;
+  if (cs_http_reader_has_begun (reader))
+    report_invalid (connection, "head-cut");
+  else if (connection->interim_count > 0)
+    report_invalid (connection, "interim-only");
+}
+
 static void
 on_end (void *context, int error)
 {
@@ -205,6 +236,7 @@
   connection->must_close = true;
   if (error == CS_OK)
     {
+      report_cut_head (connection);
       cs_http_reader_end (connection->reader);
       error = CS_ERR_CUT;
       if (cs_http_reader_state (connection->reader) == CS_HTTP_COMPLETE
