Limit the requests that cold targets get from all routers together

A target that has just started handles a few requests a second and crashes at rates well above that. Routers took it for an idle one and sent it more than its share, each from its own view.

The configuration's cold_per_s permits of each second are now dealt to the routers by a rendezvous hash of router and incarnation over all known routers, so that neither a message nor a contact to the platform is needed. A target is cold by its entry, its responses (X-Cold-Remaining), the words of peers, a recent start, or after it couldn't be reached. Targets without a permit are no candidates, also for repeats, streams that are taken up and the last resort. Nothing changes where cold_per_s is 0 or not stated.

--- /dev/null
+++ b/cranberrystile/admission/cold_limit.c
@@ -0,0 +1,161 @@
+#include "cranberrystile/cold_limit.h"
+
+#include "common/hash.h"
+
+#define PART_US (CS_US_PER_S / CS_COLD_PARTS)
+#define RING_SIZE (CS_COLD_PARTS + 1)
+
+/* Statements that travel, by peers or by the store, arrive late and then seem
+   to be of a longer period.  They count if they say so much more.  */
+#define MIN_LONGER_US (500 * CS_US_PER_MS)
+
+/* A target that can't be reached is taken to be cold for so long after the
+   last failure.  Routers without a permit send it nothing, and may not learn
+   that others have reached it.  */
+#define AWAY_MAX_US (20 * CS_US_PER_S)
+/* Peers' reports of successes are up to so old: three hops of a heartbeat of
+   0.3 s, and a margin.  */
+#define REPORT_AGE_US (1500 * CS_US_PER_MS)
+
+uint32_t
+cs_cold_permits (uint32_t per_s, size_t rank, size_t routers)
+{
+  if (routers == 0)
+    return 0;
+  return (uint32_t)(per_s / routers + (rank < per_s % routers));
+}
+
+uint64_t
+cs_cold_score (uint64_t router, uint64_t incarnation)
+{
+  return cs_hash_pair (router, incarnation);
+}
+
+bool
+cs_cold_record (cs_cold_limit_t *limit, const cs_cold_statement_t *statement,
+                cs_time_us_t now)
+{
+  cs_time_us_t remaining = statement->remaining_us < CS_COLD_MAX_US
+                               ? statement->remaining_us
+                               : CS_COLD_MAX_US;
+  cs_time_us_t until = now + remaining;
+  bool is_longer = until > limit->until + MIN_LONGER_US;
+  /* The store's entry and what peers say may be older than an answer that
+     states a longer period.  */
+  bool counts = is_longer || statement->source == CS_COLD_ANSWER
+                || (statement->source == CS_COLD_ENTRY && limit->is_assumed);
+  if (!counts)
+    return false;
+  limit->until = until;
+  limit->is_assumed = false;
+  limit->awaits_success = false;
+  if (remaining == 0 || until <= limit->told_until + MIN_LONGER_US)
+    return false;
+  limit->told_until = until;
+  return true;
+}
+
+void
+cs_cold_assume (cs_cold_limit_t *limit, cs_time_us_t until, cs_time_us_t now)
+{
+  if (until <= limit->until || until <= now)
+    return;
+  limit->until = until;
+  limit->is_assumed = true;
+}
+
+void
+cs_cold_failed (cs_cold_limit_t *limit, cs_time_us_t start_us,
+                cs_time_us_t now)
+{
+  if (start_us == 0)
+    return;
+  cs_cold_assume (limit, now + AWAY_MAX_US, now);
+  limit->awaits_success = true;
+  limit->failed_at = now;
+}
+
+void
+cs_cold_succeeded (cs_cold_limit_t *limit, cs_time_us_t start_us,
+                   bool by_peers, cs_time_us_t now)
+{
+  if (!limit->awaits_success
+      || (by_peers && now < limit->failed_at + REPORT_AGE_US))
+    return;
+  limit->awaits_success = false;
+  if (!limit->is_assumed && now < limit->until)
+    return;
+  limit->until = now + start_us;
+  limit->is_assumed = true;
+}
+
+bool
+cs_cold_is_in_force (const cs_cold_limit_t *limit, cs_time_us_t now)
+{
+  return now < limit->until && limit->per_s > 0;
+}
+
+uint32_t
+cs_cold_stated_ms (const cs_cold_limit_t *limit, cs_time_us_t now)
+{
+  if (limit->is_assumed || !cs_cold_is_in_force (limit, now))
+    return 0;
+  return (uint32_t)((limit->until - now) / CS_US_PER_MS);
+}
+
+/* Returns the number of the first part that may hold requests of the second
+   before NOW.  */
+static uint64_t
+first_part (cs_time_us_t now)
+{
+  uint64_t part = now / PART_US;
+  return part > CS_COLD_PARTS ? part - CS_COLD_PARTS : 0;
+}
+
+static uint32_t
+count_sent (const cs_cold_limit_t *limit, cs_time_us_t now)
+{
+  uint32_t sum = 0;
+  for (uint64_t part = first_part (now); part <= limit->latest_part; part++)
+    sum += limit->sent[part % RING_SIZE];
+  return sum;
+}
+
+bool
+cs_cold_allows (const cs_cold_limit_t *limit, cs_time_us_t now)
+{
+  return !cs_cold_is_in_force (limit, now)
+         || count_sent (limit, now) < limit->permits;
+}
+
+cs_time_us_t
+cs_cold_allows_at (const cs_cold_limit_t *limit, cs_time_us_t now)
+{
+  if (cs_cold_allows (limit, now))
+    return now;
+  if (limit->permits == 0)
+    return limit->until;
+  uint32_t sum = count_sent (limit, now);
+  uint64_t part = first_part (now);
+  while (sum >= limit->permits)
+    sum -= limit->sent[part++ % RING_SIZE];
+  /* The last part that was left out is out of the second by then.  */
+  cs_time_us_t at = (part + CS_COLD_PARTS) * PART_US;
+  return at < limit->until ? at : limit->until;
+}
+
+void
+cs_cold_take (cs_cold_limit_t *limit, cs_time_us_t now)
+{
+  uint64_t part = now / PART_US;
+  if (limit->per_s == 0)
+    return;
+  uint64_t next = first_part (now);
+  if (next <= limit->latest_part)
+    next = limit->latest_part + 1;
+  for (; next <= part; next++)
+    limit->sent[next % RING_SIZE] = 0;
+  if (part > limit->latest_part)
+    limit->latest_part = part;
+  limit->sent[part % RING_SIZE]++;
+}
--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -67,7 +67,7 @@
 declines (const cs_choice_request_t *request, const cs_target_t *target,
           cs_time_us_t now)
 {
-  return now < target->paused_until
+  return now < target->paused_until || !cs_cold_allows (&target->cold, now)
          || !cs_named_limit_allows (&target->named_limit, request->routers,
                                     now);
 }
@@ -78,6 +78,8 @@
 {
   cs_time_us_t at
       = cs_named_limit_allows_at (&target->named_limit, request->routers, now);
+  cs_time_us_t warm_at = cs_cold_allows_at (&target->cold, now);
+  at = at > warm_at ? at : warm_at;
   return at > target->paused_until ? at : target->paused_until;
 }
 
@@ -97,11 +99,18 @@
   size_t total;
   cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
   candidates->count = 0;
+  candidates->avoided_cold = false;
   for (size_t i = 0; i < total; i++)
     {
       cs_target_t *target = targets[i];
-      if (!is_usable (request, target, now) || declines (request, target, now))
+      if (!is_usable (request, target, now))
         continue;
+      if (declines (request, target, now))
+        {
+          candidates->avoided_cold = candidates->avoided_cold
+                                     || !cs_cold_allows (&target->cold, now);
+          continue;
+        }
       if (filter != CANDIDATES_ALL
           && cs_eject_is_ejected (&target->eject, now))
         continue;
--- a/cranberrystile/placement/candidates.h
+++ b/cranberrystile/placement/candidates.h
@@ -22,6 +22,7 @@
   cs_rank_member_t *members;
   size_t count;
   size_t capacity;
+  bool avoided_cold; /* one was left out as it is cold */
 } candidates_t;
 
 void candidates_free (candidates_t *candidates);
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -262,6 +262,7 @@
                                   now);
       out->reason = CS_CHOICE_LAST_RESORT;
     }
+  out->avoided_cold = candidates->avoided_cold;
   if (count == 0)
     {
       out->available_at = candidates_first_accepts_at (fleet, request, now);
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -55,6 +55,8 @@
   uint32_t own;              /* calls of this router at these targets */
   cs_time_us_t available_at; /* with CS_ERR_OVERLOADED: when the first target
                                 takes a request */
+  bool avoided_cold; /* a cold target had as many requests as it takes from
+                        this router */
 } cs_choice_t;
 
 typedef struct cs_chooser cs_chooser_t;
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -11,6 +11,7 @@
 
 #include "common/clock.h"
 #include "common/str.h"
+#include "cranberrystile/cold_limit.h"
 #include "cranberrystile/eject.h"
 #include "cranberrystile/named_limit.h"
 #include "cranberrystile/outcomes.h"
@@ -25,7 +26,8 @@
   struct sockaddr_in address;
   uint64_t started_ms; /* wall clock; a later start is a new incarnation */
   uint32_t slots;
-  uint32_t cold_ms; /* warm-up time after its start */
+  bool states_cold; /* COLD_MS is set */
+  uint32_t cold_ms; /* it is cold for this much longer; 0: it isn't */
   uint64_t version; /* hash of the service and its software's version */
   bool draining;
   cs_revision_t revision; /* of the platform's store, at this entry */
@@ -66,6 +68,7 @@
   cs_time_us_t held_until;   /* not used before: it was gone before the store
                                 was restored, whose copy lists it; 0: never */
   cs_named_limit_t named_limit;
+  cs_cold_limit_t cold;
   double weight; /* in the choice of targets; below 1 with a limit */
   cs_target_load_t load;
   uint32_t in_flight;         /* calls of this router */
@@ -107,6 +110,10 @@
    known.  */
 bool cs_fleet_set_leaving (cs_fleet_t *fleet, cs_target_t *target);
 
+/* What peers have to know of TARGET has changed: its entry goes to those whose
+   list is older than the present revision.  */
+void cs_fleet_record_change (const cs_fleet_t *fleet, cs_target_t *target);
+
 /* Returns the target ID if its present incarnation is the one that started at
    STARTED_MS at ADDRESS, or NULL.  */
 cs_target_t *cs_fleet_find_incarnation (const cs_fleet_t *fleet, cs_str_t id,
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -53,6 +53,9 @@
   uint32_t slots;                  /* of an engine; 0: plain service */
   double kv_transfer_us_per_token; /* for a cached prefix from another target;
                                       0: not supported */
+  double cold_start_s; /* its targets are cold for so long after a start */
+  uint32_t cold_per_s; /* requests a second that a cold target takes from all
+                          routers together; 0: no limit */
 } cs_service_t;
 
 typedef struct
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -77,6 +77,9 @@
                             CS_TARGET_MAX_PAUSE_US; 0: not stated */
   bool is_limited;       /* the target names a limit */
   double limit_per_s;    /* requests that it takes from all routers together */
+  bool states_cold;      /* COLD_US is set */
+  cs_time_us_t cold_us;  /* the target is cold for this much longer; 0: it
+                            isn't */
 } cs_target_response_t;
 
 void cs_headers_read_response (const cs_http_head_t *head,
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -49,6 +49,16 @@
    routers has been read, returns a large number.  */
 double cs_mesh_count_routers (const cs_mesh_t *mesh);
 
+/* Returns a number that changes with the members; 0 until the list of routers
+   has been read so often that it shows the others of a starting fleet.  */
+uint64_t cs_mesh_membership (const cs_mesh_t *mesh);
+
+/* Returns the rank of this router, from 0, among the known routers, reachable
+   or not, for the target with the hash INCARNATION.  Stores their number, with
+   this one, in *ROUTERS; 0 if cs_mesh_membership is 0.  */
+size_t cs_mesh_rank (const cs_mesh_t *mesh, uint64_t incarnation,
+                     size_t *routers);
+
 /* Whether this router is the first hub of its data centre; false until it has
    read the list of routers.  */
 bool cs_mesh_is_first_hub (const cs_mesh_t *mesh);
@@ -70,6 +80,11 @@
 void cs_mesh_announce_limit (cs_mesh_t *mesh, const cs_target_t *target,
                              uint32_t hops);
 
+/* Reports to all routers that TARGET is cold.  HOPS routers have passed that
+   on.  */
+void cs_mesh_announce_cold (cs_mesh_t *mesh, const cs_target_t *target,
+                            uint32_t hops);
+
 /* Report to all routers that a target crashed, that a request with a part was
    answered, or that a part is blocked.  HOPS routers have passed the report
    on; those beyond a number that no sound mesh needs are dropped.  */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -43,6 +43,10 @@
   cs_sync_state_t targets_sync;
   cs_fleet_t *fleet; /* all known targets */
   bool fleet_synced; /* a complete list of targets has been received */
+  /* Versions of the configuration and of the membership for which the limits
+     of cold targets were computed.  */
+  uint64_t cold_version;
+  uint64_t cold_membership;
   cs_chooser_t *chooser;
   cs_quarantine_t *quarantine;
   cs_crash_check_t *crash_checks;    /* in progress */
--- a/router/apply.c
+++ b/router/apply.c
@@ -6,6 +6,7 @@
 #include "common/error.h"
 #include "common/log.h"
 #include "platform/store.h"
+#include "router/cold.h"
 #include "router/mesh.h"
 #include "router/stream_versions.h"
 
@@ -123,16 +124,23 @@
                  const char *source)
 {
   bool added;
-  if (cs_fleet_put (router->fleet, entry, cs_loop_now (router->loop), &added)
-      != 0)
-    cs_log (CS_EV_TARGET_REMOVED, "target=%.*s reason=\"out of memory\"",
-            CS_STR_ARG (entry->id));
-  else if (added)
+  cs_time_us_t now = cs_loop_now (router->loop);
+  if (cs_fleet_put (router->fleet, entry, now, &added) != 0)
+    {
+      cs_log (CS_EV_TARGET_REMOVED, "target=%.*s reason=\"out of memory\"",
+              CS_STR_ARG (entry->id));
+      return;
+    }
+  if (added)
     on_target_added (router, entry, source);
   else if (entry->draining)
     cs_log (CS_EV_TARGET_LEAVING, "target=%.*s source=%s revision=%llu",
             CS_STR_ARG (entry->id), source,
             (unsigned long long)entry->revision.number);
+  cs_target_t *target = cs_fleet_find_incarnation (
+      router->fleet, entry->id, entry->started_ms, &entry->address);
+  if (target != NULL)
+    cs_cold_apply_entry (router, target, entry, added, now);
 }
 
 void
@@ -176,6 +184,9 @@
 cs_apply_request_sent (cs_router_t *router, cs_target_t *target,
                        cs_time_us_t now)
 {
+  if (cs_cold_is_in_force (&target->cold, now))
+    router->counters.cold_sent++;
+  cs_cold_take (&target->cold, now);
   if (cs_named_limit_lapse (&target->named_limit, now))
     log_limit (target, "lapse");
   cs_named_limit_take (&target->named_limit,
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -1,5 +1,6 @@
 /* Choice of the target of an attempt.  */
 
+#include "router/cold.h"
 #include "router/forward/internal.h"
 #include "router/mesh.h"
 
@@ -63,8 +64,10 @@
   };
   for (uint32_t i = 0; i < forward->tried_count; i++)
     choice_request.avoid[i] = forward->tried_targets[i];
+  cs_cold_update (router, now);
   int rc = cs_chooser_choose (router->chooser, router->fleet, &choice_request,
                               now, choice);
+  router->counters.cold_avoided += choice->avoided_cold;
   if (rc != 0)
     {
       if (forward->connection == NULL)
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "router/apply.h"
 #include "router/caller.h"
+#include "router/cold.h"
 #include "router/forward/internal.h"
 #include "router/health.h"
 #include "router/quarantine.h"
@@ -45,6 +46,19 @@
     cs_apply_target_limit (forward->router, forward->target, &statement, now);
 }
 
+/* That the target isn't cold counts only in an answer that is surely its
+   own.  */
+static void
+record_cold (cs_forward_t *forward, const cs_target_response_t *response,
+             cs_time_us_t now)
+{
+  cs_cold_statement_t statement
+      = { .source = CS_COLD_ANSWER, .remaining_us = response->cold_us };
+  if (response->states_cold
+      && (response->cold_us > 0 || response->has_signature))
+    cs_cold_apply (forward->router, forward->target, &statement, 0, now);
+}
+
 /* Applies what the target says of itself.  */
 static void
 record_state (cs_forward_t *forward, const cs_target_response_t *response,
@@ -62,6 +76,7 @@
               (unsigned long long)(response->pause_us / CS_US_PER_MS));
     }
   record_limit (forward, response, now);
+  record_cold (forward, response, now);
   if (response->is_leaving)
     cs_apply_target_leaving (router, target, "response");
 }
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -13,6 +13,7 @@
 #include "net/listener.h"
 #include "router/blocked_parts.h"
 #include "router/caller.h"
+#include "router/cold.h"
 #include "router/crash_check.h"
 #include "router/follower.h"
 #include "router/mesh.h"
@@ -177,6 +178,8 @@
   process_t *process = context;
   prune_targets (&process->router, now);
   cs_limit_weights_update (process->router.fleet, now);
+  cs_cold_update (&process->router, now);
+  cs_cold_log_ended (&process->router, now);
   cs_stream_versions_update (process->router.stream_versions, now);
   reload_if_changed (process);
   process->router.counters.log_lines_dropped = cs_log_dropped ();
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -108,6 +108,7 @@
   uint64_t data_centre;
   cs_member_t *members;
   size_t member_count;
+  uint64_t member_changes;       /* members added or removed */
   cs_hub_member_t *plan_members; /* scratch array, as long as MEMBERS */
   bool *plan_dial;               /* likewise; whether to dial each member */
   cs_hub_role_t role;
@@ -115,6 +116,7 @@
   cs_packed_list_t packed_list;
   cs_notices_t leaving; /* that they are leaving */
   cs_notices_t limits;  /* a limit, or that there is none any more */
+  cs_notices_t cold;    /* that they are cold */
   cs_crash_notices_t *crash_notices; /* NULL until there are any */
   cs_timer_t notice_timer;           /* fires when notices are to be sent */
   bool notice_due;                   /* notice_timer is set */
@@ -159,6 +161,7 @@
   /* Positions in the mesh's notices.  */
   uint64_t leaving_sent;
   uint64_t limits_sent;
+  uint64_t cold_sent;
   uint64_t crash_notices_sent;
   /* Numbers of streams: sent to the peer for it to save; and received from it,
      of those in the save in progress, and in the last one that succeeded.  */
--- a/router/peer/members.c
+++ b/router/peer/members.c
@@ -48,6 +48,7 @@
   if (members == NULL || plan == NULL || dial == NULL)
     return NULL;
   mesh->member_count = count;
+  mesh->member_changes++;
   members[count - 1] = (cs_member_t){ 0 };
   return &members[count - 1];
 }
@@ -151,6 +152,30 @@
   member->retry_at = 0;
 }
 
+uint64_t
+cs_mesh_membership (const cs_mesh_t *mesh)
+{
+  if (mesh == NULL)
+    return 1;
+  /* While a fleet starts, its first lists show few of its routers.  */
+  return cs_directory_is_complete (mesh->directory) ? 1 + mesh->member_changes
+                                                    : 0;
+}
+
+size_t
+cs_mesh_rank (const cs_mesh_t *mesh, uint64_t incarnation, size_t *routers)
+{
+  size_t rank = 0;
+  *routers = cs_mesh_membership (mesh) == 0 ? 0 : 1;
+  if (mesh == NULL || *routers == 0)
+    return 0;
+  uint64_t own = cs_cold_score (mesh->id, incarnation);
+  for (size_t i = 0; i < mesh->member_count; i++)
+    rank += cs_cold_score (mesh->members[i].id, incarnation) > own;
+  *routers += mesh->member_count;
+  return rank;
+}
+
 static bool
 is_connected (const cs_mesh_t *mesh, uint64_t id)
 {
@@ -164,6 +189,7 @@
 remove_at (cs_mesh_t *mesh, size_t at)
 {
   mesh->member_count--;
+  mesh->member_changes++;
   mesh->members[at] = mesh->members[mesh->member_count];
 }
 
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -127,6 +127,7 @@
   for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
     if (link->leaving_sent < mesh->leaving.count
         || link->limits_sent < mesh->limits.count
+        || link->cold_sent < mesh->cold.count
         || cs_crash_notices_are_due (link))
       cs_link_send_heartbeat (link, now);
 }
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "router/apply.h"
+#include "router/cold.h"
 #include "router/peer/internal.h"
 
 /* Time for which notices are collected before they are sent: a release makes
@@ -11,6 +12,10 @@
    from their own answers, or from a later notice.  */
 #define MAX_LIMITS_PER_S 200
 
+/* More notices of cold targets are dropped.  Lists of targets and the targets'
+   own words bring them, too.  Some 15 bytes each.  */
+#define MAX_COLD_PER_S 200
+
 bool
 cs_notice_is_within_rate (cs_notice_rate_t *rate, uint32_t max_per_s,
                           cs_time_us_t now)
@@ -49,6 +54,16 @@
     add_notice (mesh, &mesh->limits, target, hops);
 }
 
+void
+cs_mesh_announce_cold (cs_mesh_t *mesh, const cs_target_t *target,
+                       uint32_t hops)
+{
+  if (mesh != NULL && hops <= CS_MAX_HOPS
+      && cs_notice_is_within_rate (&mesh->cold.rate, MAX_COLD_PER_S,
+                                   cs_loop_now (mesh->router->loop)))
+    add_notice (mesh, &mesh->cold, target, hops);
+}
+
 void
 cs_mesh_send_notices (cs_mesh_t *mesh)
 {
@@ -127,6 +142,28 @@
   link->limits_sent = notices->count;
 }
 
+static void
+fill_cold (cs_link_t *link, Cs__Router__Beat *beat, cs_time_us_t now)
+{
+  static Cs__Router__Cold entries[CS_NOTICES];
+  static Cs__Router__Cold *list[CS_NOTICES];
+  const cs_notices_t *notices = &link->mesh->cold;
+  beat->cold = list;
+  for (uint64_t at = first_unsent (notices, link->cold_sent);
+       at < notices->count; at++)
+    {
+      const cs_target_t *target = notices->targets[at % CS_NOTICES];
+      Cs__Router__Cold *entry = &entries[beat->n_cold];
+      cs__router__cold__init (entry);
+      entry->target = target->incarnation;
+      entry->remaining_ms = cs_cold_stated_ms (&target->cold, now);
+      entry->hops = notices->hops[at % CS_NOTICES];
+      if (entry->remaining_ms > 0)
+        list[beat->n_cold++] = entry;
+    }
+  link->cold_sent = notices->count;
+}
+
 void
 cs_notices_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat,
                            cs_time_us_t now)
@@ -136,6 +173,7 @@
     return;
   fill_leaving (link, beat);
   fill_limits (link, beat, now);
+  fill_cold (link, beat, now);
 }
 
 static void
@@ -163,6 +201,20 @@
     cs_apply_target_limit (router, target, &statement, now);
 }
 
+static void
+read_cold (cs_router_t *router, const Cs__Router__Cold *entry,
+           cs_time_us_t now)
+{
+  cs_cold_statement_t statement
+      = { .source = CS_COLD_PEER,
+          .remaining_us = entry->remaining_ms * CS_US_PER_MS };
+  cs_target_t *target = cs_fleet_find_by_hash (router->fleet, entry->target);
+  if (target != NULL)
+    cs_cold_apply (
+        router, target, &statement,
+        entry->hops < CS_MAX_HOPS ? entry->hops + 1 : CS_MAX_HOPS + 1, now);
+}
+
 void
 cs_notices_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat,
                            cs_time_us_t now)
@@ -172,6 +224,8 @@
     read_leaving (router, beat->leaving[i]);
   for (size_t i = 0; i < beat->n_limits; i++)
     read_limit (router, beat->limits[i], now);
+  for (size_t i = 0; i < beat->n_cold; i++)
+    read_cold (router, beat->cold[i], now);
 }
 
 void
@@ -182,6 +236,7 @@
     {
       cs_target_release (mesh->leaving.targets[i]);
       cs_target_release (mesh->limits.targets[i]);
+      cs_target_release (mesh->cold.targets[i]);
     }
   free (mesh->crash_notices);
 }
--- a/router/peer/sync.c
+++ b/router/peer/sync.c
@@ -165,6 +165,7 @@
   out->slots = target->slots;
   out->draining = target->leaving;
   out->version = target->version;
+  out->cold_ms = cs_cold_stated_ms (&target->cold, now);
   if (target->kept_until > now)
     out->kept_ms = (uint32_t)((target->kept_until - now) / CS_US_PER_MS) + 1;
 }
@@ -316,6 +317,8 @@
     .data_centre = cs_str (target->data_centre),
     .started_ms = target->started_ms,
     .slots = target->slots,
+    .states_cold = target->cold_ms > 0,
+    .cold_ms = target->cold_ms,
     .draining = target->draining,
     .version = target->version,
     .revision = revision,
