--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -27,6 +27,8 @@
   X (wrong_answers, "answers of targets that could not be used")              \
   X (invalid_responses, "responses of targets that broke the protocol")       \
   X (stale_answers, "answers of earlier requests that were dropped")          \
+  X (cold_avoided, "choices without a cold target that has had enough")       \
+  X (cold_sent, "requests sent to cold targets")                              \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
   X (directory_lists, "lists of routers read")                                \
