Prefer targets that say they are fast

Cause: X-Server-Load with a fourth number (how long work takes at the target, 100 = as usual) made the whole load unknown, and targets were compared by their calls alone.

Change: three or more numbers are read; a fourth from 1 to 10,000 is used, and what else follows is left out, counted and logged once per target. The last figure decays with its age towards a running average. Of the two targets that are drawn, the one with the shorter expected time is taken: slowness times the wait for a slot at plain services, slowness times calls for requests with a context away from their homes. Homes are chosen as before. Targets that never stated a figure are compared as before, with the same random draws.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -1,5 +1,6 @@
 #include "cranberrystile/chooser.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "common/error.h"
@@ -18,6 +19,11 @@
 /* Draws after which a target is taken whatever its weight.  */
 #define MAX_DRAWS 16
 
+/* What a call at a target with free slots adds to the expected time, relative
+   to the usual work.  It decides between targets that are as fast, and is too
+   small to outweigh a stated difference in speed.  */
+#define FREE_SLOT_COST 1e-3
+
 struct cs_chooser
 {
   cs_choice_policy_t policy;
@@ -92,14 +98,30 @@
   return index;
 }
 
-/* Returns the less loaded of two of the COUNT targets, drawn at random, or
-   NULL if there is none.  All routers see the same slightly outdated loads; if
-   each chose the least loaded target, they would overload it together
-   (Mitzenmacher, "How useful is old information?", 2000).  */
+/* Returns how long a request to TARGET is expected to take, relative to the
+   usual work.  Work at plain services doesn't take longer with the number of
+   calls as long as a slot is free.  Of targets that are as fast, the one with
+   fewer calls is preferred.  For requests with a context, and where the slots
+   are unknown, the time is in proportion to the calls.  */
+static double
+expected_time (const cs_chooser_t *chooser, const cs_choice_request_t *request,
+               const cs_target_t *target, cs_time_us_t now)
+{
+  double calls = effective_load (chooser, request, target, now) + 1;
+  double slowness = cs_slowness_now (&target->slowness, now);
+  if (request->context != NULL || target->slots == 0)
+    return calls * slowness;
+  return fmax (1, calls / target->slots) * slowness + calls * FREE_SLOT_COST;
+}
+
+/* Returns the better of two of the COUNT targets, drawn at random, or NULL if
+   there is none: the less loaded one, or where one of them states how slow it
+   is, the one that is expected to take less time.  All routers see the same
+   slightly outdated loads; if each chose the best target, they would overload
+   it together (Mitzenmacher, "How useful is old information?", 2000).  */
 static cs_target_t *
-less_loaded_of_two (cs_chooser_t *chooser, const cs_choice_request_t *request,
-                    cs_target_t *const *targets, size_t count,
-                    cs_time_us_t now)
+better_of_two (cs_chooser_t *chooser, const cs_choice_request_t *request,
+               cs_target_t *const *targets, size_t count, cs_time_us_t now)
 {
   if (count <= 1)
     return count == 0 ? NULL : targets[0];
@@ -107,6 +129,12 @@
   size_t second = draw (chooser, targets, count, first);
   cs_target_t *a = targets[first];
   cs_target_t *b = targets[second];
+  if (cs_slowness_is_stated (&a->slowness)
+      || cs_slowness_is_stated (&b->slowness))
+    return expected_time (chooser, request, b, now)
+                   < expected_time (chooser, request, a, now)
+               ? b
+               : a;
   return effective_load (chooser, request, b, now)
                  < effective_load (chooser, request, a, now)
              ? b
@@ -277,8 +305,8 @@
       out->reason = out->target != NULL ? CS_CHOICE_HOME : CS_CHOICE_SPILL;
     }
   if (out->target == NULL)
-    out->target = less_loaded_of_two (chooser, request, candidates->targets,
-                                      count, now);
+    out->target
+        = better_of_two (chooser, request, candidates->targets, count, now);
   out->load = cs_target_estimated_calls (out->target);
   if (key != 0 && request->can_fetch)
     out->source = find_source (chooser, fleet, request, key, out->target, now);
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -15,6 +15,7 @@
 #include "cranberrystile/named_limit.h"
 #include "cranberrystile/outcomes.h"
 #include "cranberrystile/revision.h"
+#include "cranberrystile/slowness.h"
 
 /* A target's entry in the platform's list.  The strings are borrowed.  */
 typedef struct
@@ -68,6 +69,8 @@
   cs_named_limit_t named_limit;
   double weight; /* in the choice of targets; below 1 with a limit */
   cs_target_load_t load;
+  cs_slowness_t slowness;
+  bool load_excess_logged;    /* a part of its load that was left out */
   uint32_t in_flight;         /* calls of this router */
   uint32_t peer_calls;        /* other routers' calls in flight, as reported */
   cs_time_us_t peer_calls_at; /* when they were reported; 0: never */
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -69,6 +69,10 @@
   uint32_t running;
   uint32_t waiting;
   uint32_t slots;
+  double slowness;       /* how long work takes there now, 1 = as usual; 0: not
+                            stated */
+  bool has_load_excess;  /* a part of the load after SLOTS was left out: out of
+                            range, no number, or unknown */
   uint32_t keep_alive_s; /* idle timeout of the target for connections; 0 if
                             absent */
   cs_str_t instance;     /* id of the instance that responded; may be empty */
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -26,6 +26,7 @@
   X (connects_failed, "connections to targets that could not be opened")      \
   X (wrong_answers, "answers of targets that could not be used")              \
   X (stale_answers, "answers of earlier requests that were dropped")          \
+  X (load_parts_ignored, "loads of targets of which a part was left out")     \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
   X (directory_lists, "lists of routers read")                                \
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -19,9 +19,10 @@
 #define STATUS_SERVER_ERROR 500
 
 static void
-record_load (cs_target_t *target, const cs_target_response_t *response,
+record_load (cs_forward_t *forward, const cs_target_response_t *response,
              cs_time_us_t now)
 {
+  cs_target_t *target = forward->target;
   if (!response->has_load)
     return;
   target->load.running = response->running;
@@ -30,6 +31,15 @@
   target->load.own_in_flight = target->in_flight;
   target->load.at = now;
   target->load.valid = true;
+  if (response->slowness > 0)
+    cs_slowness_record (&target->slowness, response->slowness, now);
+  if (!response->has_load_excess)
+    return;
+  forward->router->counters.load_parts_ignored++;
+  if (!target->load_excess_logged)
+    cs_log (CS_EV_LOAD_PART_IGNORED, "target=%s id=%.*s", target->id.text,
+            CS_STR_ARG (forward->request.id));
+  target->load_excess_logged = true;
 }
 
 /* That the target names no limit counts only in an answer that is surely its
@@ -52,7 +62,7 @@
 {
   cs_router_t *router = forward->router;
   cs_target_t *target = forward->target;
-  record_load (target, response, now);
+  record_load (forward, response, now);
   if (response->pause_us > 0
       && now + response->pause_us > target->paused_until)
     {
