--- a/include/common/event.h
+++ b/include/common/event.h
@@ -45,6 +45,7 @@
   X (TARGET_COLD, 1420, 5)                                                    \
   X (TARGET_WARM, 1421, 5)                                                    \
   X (INVALID_RESPONSE, 1440, 5)                                               \
+  X (LOAD_PART_IGNORED, 1441, 4)                                              \
   X (REQUEST_FAILED, 1501, 6)                                                 \
   X (STREAM_RESUMED, 1502, 6)                                                 \
   X (REQUEST_DONE, 1503, 6)                                                   \
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -29,6 +29,7 @@
   X (stale_answers, "answers of earlier requests that were dropped")          \
   X (cold_avoided, "choices without a cold target that has had enough")       \
   X (cold_sent, "requests sent to cold targets")                              \
+  X (load_parts_ignored, "loads of targets of which a part was left out")     \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
   X (directory_lists, "lists of routers read")                                \
