Follow a target that is moved to another data centre

An entry of the same start and address with another data centre left the target in the old one, also at peers, so a move was not seen by a choice that looks at data centres. A later entry now updates it and counts as a change.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -217,6 +217,7 @@
         return CS_OK;
       if (is_same_incarnation (target, entry))
         {
+          cs_target_update_data_centre (target, entry);
           if (target->kept_until != 0 || (entry->draining && !target->leaving))
             record_change (target, entry->revision);
           target->kept_until = 0;
--- a/cranberrystile/fleet/target.c
+++ b/cranberrystile/fleet/target.c
@@ -16,6 +16,19 @@
     free (target);
 }
 
+void
+cs_target_update_data_centre (cs_target_t *target,
+                              const cs_target_entry_t *entry)
+{
+  cs_name_t data_centre;
+  cs_name_set (&data_centre, entry->data_centre);
+  if (cs_revision_compare (entry->revision, target->changed_revision) <= 0
+      || cs_name_equal (&data_centre, &target->data_centre))
+    return;
+  target->data_centre = data_centre;
+  target->changed_revision = entry->revision;
+}
+
 /* Calls of other routers, from the newer report: that of the routers or that
    of the target.  */
 static uint32_t
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -168,6 +168,11 @@
 cs_target_t *cs_target_reference (cs_target_t *target);
 void cs_target_release (cs_target_t *target);
 
+/* Applies a later ENTRY of the same incarnation, which may have been moved to
+   another data centre.  */
+void cs_target_update_data_centre (cs_target_t *target,
+                                   const cs_target_entry_t *entry);
+
 /* Estimated number of calls at the target: this router's own, plus those of
    other routers as last reported by the target or by the routers.  */
 uint32_t cs_target_estimated_calls (const cs_target_t *target);
