--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -49,14 +49,20 @@
                        request->data_centre);
 }
 
+static bool
+is_evacuated (const cs_choice_request_t *request, const cs_target_t *target)
+{
+  return cs_evacuations_has (request->evacuations, &target->data_centre);
+}
+
 /* Whether TARGET may get calls of the service, apart from its health and its
-   location.  */
+   distance.  */
 static bool
 is_usable (const cs_choice_request_t *request, const cs_target_t *target,
            cs_time_us_t now)
 {
   return !target->leaving && now >= target->held_until
-         && !is_avoided (request, target)
+         && !is_avoided (request, target) && !is_evacuated (request, target)
          && (request->version == 0 || target->version == request->version)
          && cs_str_equal (cs_name_str (&target->service), request->service);
 }
@@ -113,13 +119,13 @@
 }
 
 void
-candidates_add_leaving (candidates_t *candidates, const cs_fleet_t *fleet,
+candidates_add_sources (candidates_t *candidates, const cs_fleet_t *fleet,
                         const cs_choice_request_t *request)
 {
   size_t total;
   cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
   for (size_t i = 0; i < total; i++)
-    if (targets[i]->leaving
+    if ((targets[i]->leaving || is_evacuated (request, targets[i]))
         && cs_str_equal (cs_name_str (&targets[i]->service), request->service))
       add (candidates, targets[i]);
 }
@@ -144,6 +150,19 @@
   return first;
 }
 
+bool
+candidates_are_evacuated (const cs_fleet_t *fleet,
+                          const cs_choice_request_t *request)
+{
+  size_t total;
+  cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
+  for (size_t i = 0; i < total; i++)
+    if (!targets[i]->leaving && is_evacuated (request, targets[i])
+        && cs_str_equal (cs_name_str (&targets[i]->service), request->service))
+      return true;
+  return false;
+}
+
 cs_choice_service_t
 candidates_sum_up (const candidates_t *candidates)
 {
--- a/cranberrystile/placement/candidates.h
+++ b/cranberrystile/placement/candidates.h
@@ -36,11 +36,15 @@
                            const cs_choice_request_t *request,
                            candidate_filter_t filter, cs_time_us_t now);
 
-/* Adds the leaving targets of the service: they get no calls, but hold their
-   cached contexts until they are gone.  */
-void candidates_add_leaving (candidates_t *candidates, const cs_fleet_t *fleet,
+/* Adds the leaving targets of the service and those in evacuated data centres:
+   they get no calls, but hold their cached contexts until they are gone.  */
+void candidates_add_sources (candidates_t *candidates, const cs_fleet_t *fleet,
                              const cs_choice_request_t *request);
 
+/* Whether the service has targets in evacuated data centres.  */
+bool candidates_are_evacuated (const cs_fleet_t *fleet,
+                               const cs_choice_request_t *request);
+
 /* Returns when the first of the usable targets that want no requests now takes
    one; 0 if there are none.  */
 cs_time_us_t candidates_first_accepts_at (const cs_fleet_t *fleet,
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -227,7 +227,7 @@
         return NULL;
     }
   candidates_t *candidates = &chooser->candidates;
-  candidates_add_leaving (candidates, fleet, request);
+  candidates_add_sources (candidates, fleet, request);
   size_t found
       = cs_rank (key, candidates->members, candidates->count, ranked, 2);
   if (found > 0 && candidates->targets[ranked[0]] != chosen)
@@ -265,6 +265,8 @@
   if (count == 0)
     {
       out->available_at = candidates_first_accepts_at (fleet, request, now);
+      out->is_evacuated = out->available_at == 0
+                          && candidates_are_evacuated (fleet, request);
       return out->available_at != 0 ? CS_ERR_OVERLOADED : CS_ERR_NO_TARGET;
     }
   cs_choice_service_t service = candidates_sum_up (candidates);
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -42,6 +42,9 @@
   X (TARGET_LIMITED, 1412, 5)                                                 \
   X (TARGET_LIMIT_ENDED, 1413, 5)                                             \
   X (SLOTS_REDUCED, 1414, 4)                                                  \
+  X (EVACUATED, 1421, 4)                                                      \
+  X (TAKEN_BACK, 1422, 5)                                                     \
+  X (EVACUATIONS_UNKNOWN, 1423, 4)                                            \
   X (REQUEST_FAILED, 1501, 6)                                                 \
   X (STREAM_RESUMED, 1502, 6)                                                 \
   X (REQUEST_DONE, 1503, 6)                                                   \
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -6,6 +6,7 @@
 #define CS_CHOOSER_H
 
 #include "cranberrystile/choice_policy.h"
+#include "cranberrystile/evacuations.h"
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/prompt_context.h"
 #include "cranberrystile/routing.h"
@@ -39,6 +40,8 @@
   size_t peers;          /* other routers, assumed to have as many callers */
   double routers;        /* all of them, by whom the limits that targets name
                             are shared */
+  const cs_evacuations_t *evacuations; /* data centres that get nothing;
+                                          NULL: none */
   const cs_target_t *avoid[CS_CHOICE_MAX_AVOIDED];
   uint32_t avoid_count;
 } cs_choice_request_t;
@@ -55,6 +58,8 @@
   uint32_t own;              /* calls of this router at these targets */
   cs_time_us_t available_at; /* with CS_ERR_OVERLOADED: when the first target
                                 takes a request */
+  bool is_evacuated; /* with CS_ERR_NO_TARGET: the service has targets in
+                        evacuated data centres */
 } cs_choice_t;
 
 typedef struct cs_chooser cs_chooser_t;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -21,7 +21,9 @@
   CS_STORE_TARGETS, /* one object per target */
   CS_STORE_ROUTERS, /* one object per router, written by the router itself */
   CS_STORE_BLOCKED_PARTS, /* one object per blocked part of prompts */
-  CS_STORE_STREAMS        /* see platform/streams.h */
+  CS_STORE_STREAMS,       /* see platform/streams.h */
+  CS_STORE_EVACUATIONS    /* one object per evacuated data centre, with its
+                             name; the spec has no meaning */
 } cs_store_kind_t;
 
 const char *cs_store_kind_name (cs_store_kind_t kind);
@@ -79,6 +81,7 @@
   cs_str_t name;
   cs_revision_t revision;
   const json_t *spec; /* NULL if it can't be read */
+  bool is_change;     /* from a watch; false: from a list */
   bool deleted;       /* the change is the object's deletion */
 } cs_store_object_t;
 
--- a/include/router/connection.h
+++ b/include/router/connection.h
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 
+#include "cranberrystile/evacuations.h"
 #include "cranberrystile/fleet.h"
 #include "http/head.h"
 #include "net/loop.h"
@@ -24,9 +25,9 @@
                        const cs_target_response_t *response);
   void (*on_body) (void *context, cs_str_t part);
   /* CS_OK: the response is complete.  CS_ERR_CONNECT: the connection could not
-     be established.  CS_ERR_CUT: it was closed early.  CS_ERR_WRONG_ANSWER:
-     the response was invalid.  WAS_SENT: a byte of the request may have
-     reached the target.  */
+     be established, or not before the target's data centre was evacuated.
+     CS_ERR_CUT: it was closed early.  CS_ERR_WRONG_ANSWER: the response was
+     invalid.  WAS_SENT: a byte of the request may have reached the target.  */
   void (*on_end) (void *context, int error, bool was_sent);
 } cs_connection_handlers_t;
 
@@ -36,6 +37,7 @@
   cs_loop_t *loop;
   const cs_router_settings_t *settings;
   cs_router_counters_t *counters;
+  const cs_evacuations_t *evacuations; /* NULL: they aren't followed */
 } cs_connection_env_t;
 
 /* A request to send.  The strings may be freed once cs_connection_send has
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -18,6 +18,8 @@
   X (attempts, "requests sent to targets")                                    \
   X (repeats, "attempts beyond the first of a request")                       \
   X (repeats_denied, "repeats that the budget did not allow")                 \
+  X (refused_evacuated,                                                       \
+     "requests refused as only evacuated targets were left")                  \
   X (streams_resumed, "cut streams taken up at another target")               \
   X (streams_not_recorded, "streams whose version could not be kept")         \
   X (streams_refused, "taken up streams of an unknown version")               \
--- a/include/router/follower.h
+++ b/include/router/follower.h
@@ -31,8 +31,9 @@
                                    const cs_follower_handlers_t *handlers);
 void cs_follower_destroy (cs_follower_t *follower);
 
-/* Handlers for routing documents and for targets.  */
+/* Handlers for routing documents, targets and evacuations.  */
 extern const cs_follower_handlers_t cs_routing_follower_handlers;
 extern const cs_follower_handlers_t cs_target_follower_handlers;
+extern const cs_follower_handlers_t cs_evacuation_follower_handlers;
 
 #endif
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -7,6 +7,7 @@
 
 #include "common/hash.h"
 #include "cranberrystile/chooser.h"
+#include "cranberrystile/evacuations.h"
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/quarantine.h"
 #include "cranberrystile/routing.h"
@@ -41,7 +42,10 @@
   uint64_t store_era; /* newest era of the platform's store that is known */
   cs_sync_state_t routing_sync;
   cs_sync_state_t targets_sync;
-  cs_fleet_t *fleet; /* all known targets */
+  cs_sync_state_t evacuations_sync;
+  cs_evacuations_t *evacuations;  /* NULL: they aren't followed */
+  const char *evacuations_source; /* of the change in progress, for the log */
+  cs_fleet_t *fleet;              /* all known targets */
   bool fleet_synced; /* a complete list of targets has been received */
   cs_chooser_t *chooser;
   cs_quarantine_t *quarantine;
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -38,9 +38,12 @@
   uint32_t watch_ms; /* maximum wait of a watch; the bounds may shorten it */
   uint32_t coalesce_ms; /* pause between watches, to batch changes */
   uint32_t call_timeout_ms;
-  uint32_t renewal_ms; /* interval at which targets renew their entries */
-  uint32_t lapse_ms;   /* targets that expired during an outage are listed
-                          again within this time after it */
+  uint32_t renewal_ms;    /* interval at which targets renew their entries */
+  uint32_t evacuation_ms; /* maximum time until targets in a data centre that
+                             is evacuated get no requests; 0: evacuations are
+                             not followed */
+  uint32_t lapse_ms;      /* targets that expired during an outage are listed
+                             again within this time after it */
   /* [retry] */
   double retry_ratio; /* retries per first attempt, over all routers */
   double retry_slack; /* additional retries per window, over all routers */
@@ -66,6 +69,17 @@
    the first was lost on a dead connection.  */
 uint32_t cs_router_settings_watch_ms (const cs_router_settings_t *settings);
 
+/* Age of the last confirmation of the evacuations from which a router asks the
+   platform itself.  */
+cs_time_us_t
+cs_router_settings_evacuation_age_us (const cs_router_settings_t *settings);
+
+/* Timeout of one watch of evacuations, which were confirmed AGE ago.  It may
+   exceed watch_ms.  */
+uint32_t
+cs_router_settings_evacuation_watch_ms (const cs_router_settings_t *settings,
+                                        cs_time_us_t age);
+
 /* Time after the last sign of an outage until targets whose entries are still
    missing are removed.  */
 cs_time_us_t
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -159,6 +159,7 @@
       return;
     }
   forward->choice = choice;
+  forward->router->counters.refused_evacuated += choice.is_evacuated;
   cs_forward_fail (forward, rc, now);
 }
 
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -59,6 +59,7 @@
     .route = cs_hash (forward->route->name, 1),
     .peers = cs_mesh_count_members (router->mesh),
     .routers = cs_mesh_count_routers (router->mesh),
+    .evacuations = router->evacuations,
     .avoid_count = forward->tried_count,
   };
   for (uint32_t i = 0; i < forward->tried_count; i++)
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -222,7 +222,8 @@
       = cs_headers_read_request (&forward->head, &forward->request, &reason);
   if (rc != 0)
     return rc;
-  if (forward->routing == NULL)
+  if (forward->routing == NULL
+      || !cs_evacuations_may_serve (router->evacuations))
     return CS_ERR_NOT_READY;
   forward->route = cs_routing_find_route (
       forward->routing, forward->request.host, forward->request.path);
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -14,6 +14,7 @@
 #include "router/blocked_parts.h"
 #include "router/caller.h"
 #include "router/crash_check.h"
+#include "router/evacuations.h"
 #include "router/follower.h"
 #include "router/mesh.h"
 #include "router/operator.h"
@@ -41,6 +42,7 @@
   cs_listener_t *metrics_listener;
   cs_follower_t *routing_follower;
   cs_follower_t *target_follower;
+  cs_follower_t *evacuation_follower; /* NULL: evacuations aren't followed */
   struct event *signals[3];
   cs_timer_t tick;
   cs_timer_t stop_timer; /* fires when new requests are no longer accepted */
@@ -49,7 +51,8 @@
 bool
 cs_router_is_ready (const cs_router_t *router)
 {
-  return router->routing != NULL && router->fleet_synced && !router->stopping;
+  return router->routing != NULL && router->fleet_synced && !router->stopping
+         && cs_evacuations_may_serve (router->evacuations);
 }
 
 static void
@@ -91,6 +94,8 @@
             reason.data);
   else
     {
+      /* Evacuations are followed from the start or not at all.  */
+      settings.evacuation_ms = process->router.settings.evacuation_ms;
       apply_settings (process, &settings);
       cs_log (CS_EV_SETTINGS_RELOADED, "file=%s", process->file);
     }
@@ -176,6 +181,7 @@
 {
   process_t *process = context;
   prune_targets (&process->router, now);
+  cs_router_evacuations_tick (&process->router, now);
   cs_limit_weights_update (process->router.fleet, now);
   cs_stream_versions_update (process->router.stream_versions, now);
   reload_if_changed (process);
@@ -219,8 +225,9 @@
   router->connection_env.loop = router->loop;
   router->connection_env.settings = &router->settings;
   router->connection_env.counters = &router->counters;
-  return router->loop != NULL && router->fleet != NULL
-         && router->chooser != NULL && router->quarantine != NULL;
+  return cs_router_evacuations_create (router) == 0 && router->loop != NULL
+         && router->fleet != NULL && router->chooser != NULL
+         && router->quarantine != NULL;
 }
 
 static cs_listener_t *
@@ -274,6 +281,14 @@
   process->target_follower
       = cs_follower_create (router, CS_STORE_TARGETS, &router->targets_sync,
                             &cs_target_follower_handlers);
+  if (router->evacuations != NULL)
+    {
+      process->evacuation_follower = cs_follower_create (
+          router, CS_STORE_EVACUATIONS, &router->evacuations_sync,
+          &cs_evacuation_follower_handlers);
+      if (process->evacuation_follower == NULL)
+        return false;
+    }
   router->blocked_parts = cs_blocked_parts_create (router);
   router->stream_versions = cs_stream_versions_create (router);
   if (process->routing_follower == NULL || process->target_follower == NULL
@@ -298,11 +313,13 @@
   router->stream_versions = NULL;
   cs_follower_destroy (process->routing_follower);
   cs_follower_destroy (process->target_follower);
+  cs_follower_destroy (process->evacuation_follower);
   cs_mesh_destroy (router->mesh);
   cs_listener_destroy (process->caller_listener);
   cs_listener_destroy (process->readiness_listener);
   cs_listener_destroy (process->metrics_listener);
   cs_fleet_destroy (router->fleet);
+  cs_evacuations_destroy (router->evacuations);
   cs_chooser_destroy (router->chooser);
   cs_quarantine_destroy (router->quarantine);
   cs_service_table_free (&router->services);
--- a/router/operator/operator.c
+++ b/router/operator/operator.c
@@ -51,16 +51,17 @@
   if (rc == 0)
     rc = cs_latency_print (&router->total, "total", out);
   if (rc == 0)
-    rc = cs_buf_printf (out,
-                        "cranberrystile_router_requests_in_flight %u\n"
-                        "cranberrystile_router_targets %zu\n"
-                        "cranberrystile_router_routing_version %llu\n"
-                        "cranberrystile_router_ready %d\n",
-                        router->in_flight, targets,
-                        router->routing == NULL
-                            ? 0ULL
-                            : (unsigned long long)router->routing->version,
-                        cs_router_is_ready (router));
+    rc = cs_buf_printf (
+        out,
+        "cranberrystile_router_requests_in_flight %u\n"
+        "cranberrystile_router_targets %zu\n"
+        "cranberrystile_router_evacuated_data_centres %zu\n"
+        "cranberrystile_router_routing_version %llu\n"
+        "cranberrystile_router_ready %d\n",
+        router->in_flight, targets, cs_evacuations_count (router->evacuations),
+        router->routing == NULL ? 0ULL
+                                : (unsigned long long)router->routing->version,
+        cs_router_is_ready (router));
   return rc;
 }
 
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -65,6 +65,15 @@
   return targets->since <= targets->revision;
 }
 
+static bool
+are_valid_names (char *const *names, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (!cs_name_is_valid (names[i]))
+      return false;
+  return true;
+}
+
 static bool
 are_valid_notices (const Cs__Router__Beat *beat)
 {
@@ -99,6 +108,9 @@
     case CS__ROUTER__FRAME__BODY_FIND_VERSION:
     case CS__ROUTER__FRAME__BODY_VERSION_FOUND:
       return true;
+    case CS__ROUTER__FRAME__BODY_EVACUATIONS:
+      return are_valid_names (frame->evacuations->data_centres,
+                              frame->evacuations->n_data_centres);
     case CS__ROUTER__FRAME__BODY_TARGETS:
       return are_valid_targets (frame->targets);
     default:
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -137,21 +137,23 @@
   cs_mesh_t *mesh;
   cs_link_t *next;
   cs_channel_t *channel;
-  cs_buf_t received;     /* incomplete frame */
-  bool dialled;          /* by this router */
-  bool hello_received;   /* the peer's Hello, which names it, has arrived */
-  uint64_t id;           /* of the peer; known before its Hello if dialled */
-  uint32_t capacity;     /* of the peer, from its Hello */
-  bool reads_compressed; /* the peer does */
-  bool saves_streams;    /* likewise */
-  bool finds_versions;   /* likewise */
-  bool reaches_all;      /* the peer is a first hub that reaches all routers */
+  cs_buf_t received;      /* incomplete frame */
+  bool dialled;           /* by this router */
+  bool hello_received;    /* the peer's Hello, which names it, has arrived */
+  uint64_t id;            /* of the peer; known before its Hello if dialled */
+  uint32_t capacity;      /* of the peer, from its Hello */
+  bool reads_compressed;  /* the peer does */
+  bool saves_streams;     /* likewise */
+  bool finds_versions;    /* likewise */
+  bool reads_evacuations; /* likewise */
+  bool reaches_all; /* the peer is a first hub that reaches all routers */
   uint64_t data_centre;
   cs_time_us_t last_received_at;
 
   /* The versions that the peer has, as last reported by it or sent to it.  */
   uint64_t routing_version;
   cs_revision_t targets_revision;
+  cs_revision_t evacuations_revision;
   bool was_behind;               /* at the previous heartbeat */
   cs_time_us_t targets_known_at; /* the earliest time at which the peer can
                                     have written its latest heartbeat */
@@ -261,6 +263,20 @@
 const cs_member_t *cs_mesh_find_expired_member (const cs_mesh_t *mesh);
 
 /* sync.c */
+
+/* Time since the platform last confirmed the state to this router, rounded up.
+   Meaningless if it never did.  */
+uint32_t cs_sync_age_ms (const cs_sync_state_t *sync_state, cs_time_us_t now);
+
+/* Records that the platform confirmed the state that this router holds, AGE
+   milliseconds before WRITTEN_AT.  */
+void cs_sync_record_confirmation (cs_sync_state_t *sync_state, uint32_t age,
+                                  cs_time_us_t written_at);
+
+/* A revision that a peer states.  One that states no era, such as a router of
+   an earlier version, is taken to be in this router's.  */
+cs_revision_t cs_sync_peer_revision (const cs_router_t *router, uint64_t era,
+                                     uint64_t number);
 void cs_sync_fill_heartbeat (cs_link_t *link, Cs__Router__Beat *beat,
                              cs_time_us_t now);
 void cs_sync_read_heartbeat (cs_link_t *link, const Cs__Router__Beat *beat,
@@ -273,6 +289,23 @@
 /* Sends the peer the routing and the target changes that it lacks.  */
 void cs_sync_send_missing (cs_link_t *link, cs_time_us_t now);
 
+/* evacuation_sync.c: the same for evacuations.  */
+void cs_evacuation_sync_fill_heartbeat (const cs_router_t *router,
+                                        Cs__Router__Beat *beat,
+                                        cs_time_us_t now);
+
+/* WRITTEN_AT is the earliest time at which the peer can have written BEAT.  */
+void cs_evacuation_sync_read_heartbeat (cs_link_t *link,
+                                        const Cs__Router__Beat *beat,
+                                        cs_time_us_t written_at);
+void cs_sync_read_evacuations (cs_link_t *link,
+                               const Cs__Router__Evacuations *evacuations,
+                               cs_time_us_t now);
+
+/* Whether the peer lacks what this router knows.  */
+bool cs_evacuation_sync_is_behind (const cs_link_t *link);
+void cs_evacuation_sync_send (cs_link_t *link);
+
 /* loads.c */
 
 /* Recomputes the sums of the loads that peers reported, once per heartbeat
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -131,37 +131,52 @@
       cs_link_send_heartbeat (link, now);
 }
 
+static bool
+is_of_evacuations (const cs_mesh_t *mesh, const cs_sync_state_t *sync_state)
+{
+  return sync_state == &mesh->router->evacuations_sync;
+}
+
 /* Returns the age from which confirmed state is too old.  */
 static cs_time_us_t
-max_confirmed_age (const cs_mesh_t *mesh)
+max_confirmed_age (const cs_mesh_t *mesh, const cs_sync_state_t *sync_state)
 {
+  if (is_of_evacuations (mesh, sync_state))
+    return cs_router_settings_evacuation_age_us (&mesh->router->settings);
   cs_time_us_t limit
       = cs_router_settings_update_limit_us (&mesh->router->settings);
   return limit > CALL_TIME_MARGIN_US ? limit - CALL_TIME_MARGIN_US : 0;
 }
 
-/* Whether this router may be a hub.  That shows when it first reads the
-   directory.  Until then it takes itself for none if a hub could tell it of
-   each of its watches in time, and relies on its own lists.  */
+/* Whether this router may be one that watches the store: a hub, or, for
+   evacuations, which may be known later than other changes, the first hub.
+   That shows when it first reads the directory.  Until then it takes itself
+   for none if a hub could tell it of each of its watches in time, and relies
+   on its own lists.  */
 static bool
-may_be_hub (const cs_mesh_t *mesh)
+may_be_watcher (const cs_mesh_t *mesh, const cs_sync_state_t *sync_state)
 {
   const cs_router_settings_t *settings = &mesh->router->settings;
-  cs_time_us_t hub_age = (cs_router_settings_watch_ms (settings)
-                          + CONFIRMATION_HEARTBEATS * settings->beat_ms)
-                         * CS_US_PER_MS;
-  return mesh->role.is_hub
+  bool is_of_all = !is_of_evacuations (mesh, sync_state);
+  uint32_t watch_ms
+      = is_of_all ? cs_router_settings_watch_ms (settings)
+                  : cs_router_settings_evacuation_watch_ms (settings, 0);
+  cs_time_us_t hub_age
+      = (watch_ms + CONFIRMATION_HEARTBEATS * settings->beat_ms)
+        * CS_US_PER_MS;
+  return (is_of_all ? mesh->role.is_hub : mesh->role.is_first)
          && (cs_directory_is_read (mesh->directory)
-             || hub_age >= max_confirmed_age (mesh));
+             || hub_age >= max_confirmed_age (mesh, sync_state));
 }
 
 bool
 cs_mesh_can_skip_watch (const cs_mesh_t *mesh,
                         const cs_sync_state_t *sync_state, cs_time_us_t now)
 {
-  if (mesh == NULL || sync_state->confirmed_at == 0 || may_be_hub (mesh))
+  if (mesh == NULL || sync_state->confirmed_at == 0
+      || may_be_watcher (mesh, sync_state))
     return false;
-  return now - sync_state->confirmed_at < max_confirmed_age (mesh);
+  return now - sync_state->confirmed_at < max_confirmed_age (mesh, sync_state);
 }
 
 bool
@@ -170,7 +185,8 @@
 {
   if (mesh == NULL || sync_state->own_confirmed_at != 0
       || (sync_state->confirmed_at != 0
-          && now - sync_state->confirmed_at >= max_confirmed_age (mesh)))
+          && now - sync_state->confirmed_at
+                 >= max_confirmed_age (mesh, sync_state)))
     return false;
   cs_start_t start = {
     .started_at = mesh->started_at,
--- a/router/peer/sync.c
+++ b/router/peer/sync.c
@@ -16,10 +16,8 @@
   return router->routing == NULL ? 0 : router->routing->version;
 }
 
-/* Time since the platform last confirmed the state to this router, rounded up.
-   Meaningless if it never did.  */
-static uint32_t
-age_ms (const cs_sync_state_t *sync_state, cs_time_us_t now)
+uint32_t
+cs_sync_age_ms (const cs_sync_state_t *sync_state, cs_time_us_t now)
 {
   cs_time_us_t age = (now - sync_state->own_confirmed_at) / CS_US_PER_MS + 1;
   return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
@@ -38,8 +36,9 @@
   beat->targets_era = cs_fleet_revision (router->fleet).era;
   beat->has_routing_age = router->routing_sync.own_confirmed_at != 0;
   beat->has_targets_age = router->targets_sync.own_confirmed_at != 0;
-  beat->routing_age_ms = age_ms (&router->routing_sync, now);
-  beat->targets_age_ms = age_ms (&router->targets_sync, now);
+  beat->routing_age_ms = cs_sync_age_ms (&router->routing_sync, now);
+  beat->targets_age_ms = cs_sync_age_ms (&router->targets_sync, now);
+  cs_evacuation_sync_fill_heartbeat (router, beat, now);
   beat->stopping = router->stopping;
   beat->reaches_all = link->mesh->reaches_all;
 }
@@ -56,11 +55,9 @@
   return link->heartbeat_sent_at[beat->echo % CS_HEARTBEAT_HISTORY];
 }
 
-/* Records that the platform confirmed the state that this router holds, AGE
-   milliseconds before WRITTEN_AT.  */
-static void
-record_confirmation (cs_sync_state_t *sync_state, uint32_t age,
-                     cs_time_us_t written_at)
+void
+cs_sync_record_confirmation (cs_sync_state_t *sync_state, uint32_t age,
+                             cs_time_us_t written_at)
 {
   cs_time_us_t age_us = age * CS_US_PER_MS;
   if (age_us < written_at && written_at - age_us > sync_state->confirmed_at)
@@ -80,13 +77,12 @@
 is_behind (const cs_link_t *link)
 {
   return link->routing_version < own_routing_version (link->mesh->router)
-         || lacks_targets (link);
+         || lacks_targets (link) || cs_evacuation_sync_is_behind (link);
 }
 
-/* A revision that a peer states.  One that states no era, such as a router of
-   an earlier version, is taken to be in this router's.  */
-static cs_revision_t
-peer_revision (const cs_router_t *router, uint64_t era, uint64_t number)
+cs_revision_t
+cs_sync_peer_revision (const cs_router_t *router, uint64_t era,
+                       uint64_t number)
 {
   return (cs_revision_t){ era != 0 ? era : router->store_era, number };
 }
@@ -97,7 +93,8 @@
 send_missing_and_age (cs_link_t *link, cs_time_us_t now)
 {
   bool is_starting
-      = link->routing_version == 0 || link->targets_revision.number == 0;
+      = link->routing_version == 0 || link->targets_revision.number == 0
+        || (link->reads_evacuations && link->evacuations_revision.number == 0);
   cs_sync_send_missing (link, now);
   if (is_starting)
     cs_link_send_heartbeat (link, now);
@@ -113,18 +110,19 @@
   link->targets_known_at = written_at;
   link->reaches_all = beat->reaches_all;
   link->routing_version = beat->routing_version;
-  link->targets_revision
-      = peer_revision (router, beat->targets_era, beat->targets_revision);
+  link->targets_revision = cs_sync_peer_revision (router, beat->targets_era,
+                                                  beat->targets_revision);
   if (beat->has_routing_age && router->routing != NULL
       && beat->routing_version <= own_routing_version (router))
-    record_confirmation (&router->routing_sync, beat->routing_age_ms,
-                         written_at);
+    cs_sync_record_confirmation (&router->routing_sync, beat->routing_age_ms,
+                                 written_at);
   if (beat->has_targets_age && router->fleet_synced
       && cs_revision_compare (link->targets_revision,
                               cs_fleet_revision (router->fleet))
              <= 0)
-    record_confirmation (&router->targets_sync, beat->targets_age_ms,
-                         written_at);
+    cs_sync_record_confirmation (&router->targets_sync, beat->targets_age_ms,
+                                 written_at);
+  cs_evacuation_sync_read_heartbeat (link, beat, written_at);
   bool behind = is_behind (link);
   /* A first hub sends the missing state immediately.  Other routers leave it
      one heartbeat to do so.  */
@@ -273,6 +271,8 @@
     send_routing (link);
   if (router->fleet_synced && lacks_targets (link))
     send_targets (link, now);
+  if (cs_evacuation_sync_is_behind (link))
+    cs_evacuation_sync_send (link);
 }
 
 void
@@ -285,7 +285,7 @@
       router,
       (cs_str_t){ (const char *)routing->document.data,
                   routing->document.len },
-      peer_revision (router, routing->era, routing->revision));
+      cs_sync_peer_revision (router, routing->era, routing->revision));
 }
 
 /* Changes apply to the list at revision SINCE.  A newer list already contains
@@ -348,7 +348,7 @@
 {
   cs_router_t *router = link->mesh->router;
   cs_revision_t revision
-      = peer_revision (router, targets->era, targets->revision);
+      = cs_sync_peer_revision (router, targets->era, targets->revision);
   if (!is_applicable (router, targets, revision))
     return;
   if (now - router->targets_sync.confirmed_at
--- a/router/settings.c
+++ b/router/settings.c
@@ -8,6 +8,15 @@
    call after it.  */
 #define WATCH_UPDATE_SHARE 0.75
 #define WATCH_CONTACT_SHARE 0.5
+/* Fraction of evacuation_ms that one watch of evacuations may take, and what
+   is left of evacuation_ms, besides call_timeout_ms, when a watch ends at the
+   latest: the watch may have been lost on a dead connection, which shows half
+   a second after its wait.  */
+#define WATCH_EVACUATION_SHARE 0.5
+#define EVACUATION_LOST_CALL_MS 500
+/* Bounds of the wait of a watch of evacuations.  */
+#define MIN_EVACUATION_WATCH_MS 100
+#define MAX_EVACUATION_WATCH_MS 30000
 /* Fraction of contact_ms after which missing targets expire.  The rest is for
    the requests that were already sent to them.  */
 #define MISSING_EXPIRY_SHARE 0.9
@@ -50,6 +59,8 @@
     600000, "3000" },
   { "platform", "drain_ms", CS_SETTING_FRACTION, OFFSET (drain_ms), 100,
     600000, "2000" },
+  { "platform", "evacuation_ms", CS_SETTING_NUMBER, OFFSET (evacuation_ms), 0,
+    600000, "0" },
   { "platform", "lapse_ms", CS_SETTING_NUMBER, OFFSET (lapse_ms), 0, 60000,
     "2200" },
   { "platform", "renewal_ms", CS_SETTING_NUMBER, OFFSET (renewal_ms), 1,
@@ -96,6 +107,30 @@
   return settings->watch_ms < max_ms ? settings->watch_ms : (uint32_t)max_ms;
 }
 
+cs_time_us_t
+cs_router_settings_evacuation_age_us (const cs_router_settings_t *settings)
+{
+  uint32_t call_ms = settings->call_timeout_ms + EVACUATION_LOST_CALL_MS;
+  return settings->evacuation_ms > call_ms
+             ? (settings->evacuation_ms - call_ms) * CS_US_PER_MS
+             : 0;
+}
+
+uint32_t
+cs_router_settings_evacuation_watch_ms (const cs_router_settings_t *settings,
+                                        cs_time_us_t age)
+{
+  cs_time_us_t max_age = cs_router_settings_evacuation_age_us (settings);
+  double wait_ms = WATCH_EVACUATION_SHARE * settings->evacuation_ms;
+  double left_ms = age < max_age ? (double)(max_age - age) / CS_US_PER_MS : 0;
+  if (wait_ms > left_ms)
+    wait_ms = left_ms;
+  if (wait_ms > MAX_EVACUATION_WATCH_MS)
+    return MAX_EVACUATION_WATCH_MS;
+  return wait_ms < MIN_EVACUATION_WATCH_MS ? MIN_EVACUATION_WATCH_MS
+                                           : (uint32_t)wait_ms;
+}
+
 cs_time_us_t
 cs_router_settings_missing_expiry_us (const cs_router_settings_t *settings)
 {
--- /dev/null
+++ b/router/store/evacuations.c
@@ -0,0 +1,34 @@
+/* Follows the evacuations in the store.  Only the names of the objects
+   count.  */
+
+#include "router/evacuations.h"
+#include "router/follower.h"
+
+static void
+on_list_begin (cs_router_t *router)
+{
+  cs_evacuations_list_begin (router->evacuations);
+}
+
+static void
+on_list_end (cs_router_t *router, cs_time_us_t kept_until, cs_time_us_t now)
+{
+  cs_router_evacuations_end_list (router, router->evacuations_sync.revision,
+                                  now);
+}
+
+static void
+on_object (cs_router_t *router, const cs_store_object_t *object,
+           cs_time_us_t kept_until, cs_time_us_t now)
+{
+  if (object->is_change)
+    cs_router_evacuations_change (router, object->name, !object->deleted,
+                                  object->revision);
+  else
+    (void)cs_evacuations_list_add (router->evacuations, object->name);
+}
+
+const cs_follower_handlers_t cs_evacuation_follower_handlers
+    = { .on_list_begin = on_list_begin,
+        .on_list_end = on_list_end,
+        .on_object = on_object };
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -56,6 +56,7 @@
   uint32_t relists;            /* lists begun since a watch last succeeded */
   uint64_t listed_era;         /* of the store when the last list began */
   cs_time_us_t call_started_at;
+  uint32_t watch_ms; /* wait of the last watch */
   cs_outage_t outage;
 };
 
@@ -84,6 +85,16 @@
   follower->page_after.len = 0;
 }
 
+static uint32_t
+watch_wait_ms (const cs_follower_t *follower, cs_time_us_t now)
+{
+  const cs_router_settings_t *settings = &follower->router->settings;
+  if (follower->kind == CS_STORE_EVACUATIONS)
+    return cs_router_settings_evacuation_watch_ms (
+        settings, now - follower->sync_state->confirmed_at);
+  return cs_router_settings_watch_ms (settings);
+}
+
 static void
 start_call (void *context, cs_time_us_t now)
 {
@@ -104,11 +115,11 @@
                              cs_name_str (&follower->page_after), &path);
   else
     {
-      uint32_t wait_ms = cs_router_settings_watch_ms (settings);
+      follower->watch_ms = watch_wait_ms (follower, now);
       rc = cs_store_watch_path (follower->kind,
-                                follower->sync_state->revision.number, wait_ms,
-                                &path);
-      timeout_ms = wait_ms + WATCH_TIMEOUT_MARGIN_MS;
+                                follower->sync_state->revision.number,
+                                follower->watch_ms, &path);
+      timeout_ms = follower->watch_ms + WATCH_TIMEOUT_MARGIN_MS;
     }
   if (rc == 0)
     cs_store_client_call (follower->client, "GET", cs_buf_str (&path),
@@ -290,8 +301,7 @@
   if (page->count > 0)
     cs_timer_set (&follower->timer, settings->coalesce_ms * CS_US_PER_MS);
   else if ((double)(now - follower->call_started_at)
-           < CUT_WATCH_SHARE * cs_router_settings_watch_ms (settings)
-                 * CS_US_PER_MS)
+           < CUT_WATCH_SHARE * follower->watch_ms * CS_US_PER_MS)
     schedule_call (follower, MAX_BACKOFF_MS);
   else
     start_call (follower, now);
--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -90,6 +90,13 @@
   cs_channel_set_owner (connection->channel, &idle_handlers, connection);
 }
 
+static bool
+is_evacuated (const cs_connection_t *connection)
+{
+  return cs_evacuations_has (connection->env.evacuations,
+                             &connection->target->data_centre);
+}
+
 /* Returns the connection to the pool or closes it, and reports the result to
    the owner.  */
 static void
@@ -99,6 +106,7 @@
   void *context = connection->context;
   bool was_sent = cs_channel_has_sent (connection->channel);
   if (error == CS_OK && !connection->must_close && !connection->target->leaving
+      && !is_evacuated (connection)
       && cs_channel_queued (connection->channel) == 0)
     return_to_pool (connection);
   else
@@ -106,6 +114,15 @@
   handlers.on_end (context, error, was_sent);
 }
 
+/* The target's data centre may have been evacuated while the connection was
+   being established: the request isn't sent then.  */
+static void
+on_open (void *context)
+{
+  if (is_evacuated (context))
+    finish_request (context, CS_ERR_CONNECT);
+}
+
 static bool
 on_head (void *context, const cs_http_head_t *head)
 {
@@ -217,7 +234,7 @@
 }
 
 static const cs_channel_handlers_t busy_handlers
-    = { .on_data = on_data, .on_end = on_end };
+    = { .on_open = on_open, .on_data = on_data, .on_end = on_end };
 
 static const cs_http_handlers_t reader_handlers
     = { .on_head = on_head, .on_body = on_body };
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -121,7 +121,8 @@
 {
   const cs_router_settings_t *settings = &router->settings;
   cs_crash_check_t *check;
-  if (target->leaving)
+  if (target->leaving
+      || cs_evacuations_has (router->evacuations, &target->data_centre))
     return;
   for (check = router->crash_checks; check != NULL; check = check->next)
     if (check->target == target && check->cut_us == 0 && cut_us == 0
--- a/router/target/health.c
+++ b/router/target/health.c
@@ -62,6 +62,10 @@
   /* A refusal is a valid response of a healthy target, not a failure.  */
   if (error == CS_ERR_REFUSED)
     return;
+  /* Connections to it are given up.  */
+  if (error == CS_ERR_CONNECT
+      && cs_evacuations_has (router->evacuations, &target->data_centre))
+    return;
   target->ended++;
   cs_outcomes_add (&target->outcomes, 1, error == CS_OK ? 0 : 1, now);
   if (error == CS_OK)
--- /dev/null
+++ b/tests/router/evacuation_test.cc
@@ -0,0 +1,160 @@
+// Evacuated data centres, with real router processes.
+
+#include "fixture.h"
+#include "relay.h"
+
+namespace
+{
+
+// The first engine is in the router's data centre, "a", and gets all requests
+// while it may; the second one has been moved to "b".
+class Evacuation : public RouterTest
+{
+protected:
+  void
+  SetUp () override
+  {
+    RouterTest::SetUp ();
+    store.put ("servers", "i-2",
+               second_engine.entry ("engines", "ready", "v1", "b"));
+    wait_for_directory ();
+  }
+
+  std::string
+  extra_settings () override
+  {
+    return settings ();
+  }
+
+  static std::string
+  settings ()
+  {
+    return "evacuation_ms = 2500\n" + std::string ("[retry]\nratio = 0.2\n")
+           + "slack = 10\n[peer]\ndirectory_s = 1\n";
+  }
+
+  static bool
+  wait_for_log (const Router &one, const std::string &text, int ms = 3000)
+  {
+    return Router::eventually (
+        [&] { return one.log ().find (text) != std::string::npos; }, ms);
+  }
+
+  wire::Message
+  send_to (const Router &one)
+  {
+    wire::Socket socket (wire::Socket::connect_to (one.callers ()));
+    socket.send (request ("GET", "/safe/x"));
+    return socket.read ();
+  }
+
+  // Sends COUNT requests.  Returns how many of them reached the first engine.
+  size_t
+  count_at_first (const Router &one, int count = 30)
+  {
+    size_t before = engine.count ();
+    for (int i = 0; i < count; i++)
+      EXPECT_EQ (send_to (one).status (), 200);
+    return engine.count () - before;
+  }
+};
+
+// Both the caller's connection and those to the targets are kept.
+TEST_F (Evacuation, KeptConnectionsCarryNothingThereUntilItIsTakenBack)
+{
+  EXPECT_EQ (count_at_first (*router), 30U);
+  wire::Socket caller (wire::Socket::connect_to (router->callers ()));
+  store.put ("evacuations", "a", "\"not an object\"");
+  ASSERT_TRUE (wait_for_log (*router, "CS1421 data_centre=a source=platform"));
+  size_t before = engine.count ();
+  for (int i = 0; i < 40; i++)
+    {
+      caller.send (request ("GET", "/safe/x"));
+      EXPECT_EQ (caller.read ().status (), 200);
+    }
+  EXPECT_EQ (engine.count (), before);
+  EXPECT_NE (router->metrics ().find ("evacuated_data_centres 1"),
+             std::string::npos);
+  store.remove ("evacuations", "a");
+  ASSERT_TRUE (wait_for_log (*router, "CS1422 data_centre=a"));
+  EXPECT_EQ (count_at_first (*router), 30U);
+}
+
+TEST_F (Evacuation, RequestInFlightThereEndsAndOthersAreRefusedAtOnce)
+{
+  store.remove ("servers", "i-2");
+  ASSERT_TRUE (wait_for_log (*router, "CS1408 target=i-2"));
+  engine.set (Target::stream (20, 0, 60));
+  wire::Socket stream (wire::Socket::connect_to (router->callers ()));
+  stream.send (request ("POST", "/talk/x", "", "b"));
+  ASSERT_TRUE (Router::eventually ([this] { return engine.count () == 1; }));
+  store.put ("evacuations", "a", "{}");
+  ASSERT_TRUE (wait_for_log (*router, "CS1421"));
+  int64_t start_ms = wire::now_ms ();
+  wire::Message refused = send_to (*router);
+  EXPECT_EQ (refused.status (), 503);
+  EXPECT_NE (refused.body.find ("no_target"), std::string::npos);
+  EXPECT_NE (refused.field ("retry-after"), "");
+  EXPECT_LT (wire::now_ms () - start_ms, 200);
+  EXPECT_EQ (router->counter ("refused_evacuated"), 1);
+  EXPECT_TRUE (stream.read (3000).is_complete);
+  EXPECT_EQ (engine.count (), 1U);
+}
+
+// Its heartbeats with the hub go on; without the hub it would be late.
+TEST_F (Evacuation, MemberThatIsCutOffFromTheStoreLearnsItFromAPeer)
+{
+  Relay relay (store.port ());
+  Router peer ("r2", relay.address (), settings ());
+  ASSERT_TRUE (Router::eventually ([&] {
+    return peer.is_ready () && peer.log ().find ("CS1301") != std::string::npos
+           && router->log ().find ("CS1301") != std::string::npos;
+  }));
+  relay.cut = true;
+  store.put ("evacuations", "a", "{}");
+  ASSERT_TRUE (wait_for_log (peer, "CS1421 data_centre=a source=peer", 2500));
+  EXPECT_EQ (count_at_first (peer), 0U);
+  store.remove ("evacuations", "a");
+  ASSERT_TRUE (wait_for_log (peer, "CS1422 data_centre=a source=peer", 2500));
+  EXPECT_EQ (count_at_first (peer), 30U);
+}
+
+// It must not be ready before it knows what is evacuated.
+TEST_F (Evacuation, RouterThatStartsDuringOneSendsNothingThere)
+{
+  store.put ("evacuations", "a", "{}");
+  Router late ("r2", store.address (), settings ());
+  ASSERT_TRUE (Router::eventually ([&] { return late.is_ready (); }));
+  EXPECT_EQ (count_at_first (late), 0U);
+  EXPECT_NE (late.log ().find ("CS1421 data_centre=a"), std::string::npos);
+}
+
+// The copy is older than the evacuation, and the operator writes it again.
+TEST_F (Evacuation, RestoredStoreDoesNotEndIt)
+{
+  Store::Copy copy = store.copy ();
+  store.put ("evacuations", "a", "{}");
+  ASSERT_TRUE (wait_for_log (*router, "CS1421"));
+  store.restore (copy);
+  ASSERT_TRUE (wait_for_log (*router, "CS1203"));
+  EXPECT_EQ (count_at_first (*router), 0U);
+  store.put ("evacuations", "a", "{}");
+  std::this_thread::sleep_for (std::chrono::milliseconds (3500));
+  EXPECT_EQ (count_at_first (*router), 0U);
+  EXPECT_EQ (router->log ().find ("CS1422"), std::string::npos);
+}
+
+// A store that does not answer this kind must not keep it from serving, where
+// no peer knows the set either.
+TEST_F (Evacuation, RouterThatCannotLearnThemServesWithoutInTheEnd)
+{
+  router->signal (SIGKILL);
+  store.refused_kind = "evacuations";
+  Router late ("r9", store.address (), "evacuation_ms = 1500\n");
+  std::this_thread::sleep_for (std::chrono::milliseconds (700));
+  EXPECT_FALSE (late.is_ready ());
+  ASSERT_TRUE (Router::eventually ([&] { return late.is_ready (); }, 6000));
+  EXPECT_NE (late.log ().find ("CS1423"), std::string::npos);
+}
+
+}
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -117,6 +117,8 @@
   std::atomic<bool> silent{ false };
   // If not 0, every call gets this status.
   std::atomic<int> error_status{ 0 };
+  // Calls for this kind get status 503.  Set it before they are made.
+  std::string refused_kind;
   // Number of calls that are still to be executed without a response; their
   // connections are closed.
   std::atomic<int> responses_to_drop{ 0 };
@@ -260,9 +262,11 @@
         kind = kind.substr (0, slash);
       }
     std::string since = query (target, "watch");
-    if (method == "GET" && !since.empty ()
-        && (std::stoull (since) < oldest_watch_revision
-            || std::stoull (since) > revision ()))
+    if (!refused_kind.empty () && kind == refused_kind)
+      respond (socket, 503, "{}");
+    else if (method == "GET" && !since.empty ()
+             && (std::stoull (since) < oldest_watch_revision
+                 || std::stoull (since) > revision ()))
       respond (socket, 410, "{}");
     else if (method == "GET" && !since.empty ())
       watch (socket, kind, std::stoull (since),
@@ -391,12 +395,13 @@
 
   std::string
   entry (const std::string &service, const std::string &state = "ready",
-         const std::string &version = "v1") const
+         const std::string &version = "v1",
+         const std::string &data_centre = "a") const
   {
     return "{\"service\":\"" + service + "\",\"address\":\""
-           + server_.address () + "\",\"zone\":\"a\",\"slots\":8,\"state\":\""
-           + state + "\",\"version\":\"" + version
-           + "\",\"born\":1000,\"sequence\":1}";
+           + server_.address () + "\",\"zone\":\"" + data_centre
+           + "\",\"slots\":8,\"state\":\"" + state + "\",\"version\":\""
+           + version + "\",\"born\":1000,\"sequence\":1}";
   }
 
   // Whether the router has closed a connection while silent () was serving a
--- /dev/null
+++ b/tests/unit/evacuation_test.cc
@@ -0,0 +1,261 @@
+// Evacuated data centres: the set, and the choice of targets.
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "common/error.h"
+#include "cranberrystile/chooser.h"
+#include "cranberrystile/evacuations.h"
+#include "cranberrystile/fleet.h"
+#include "router/settings.h"
+}
+
+namespace
+{
+
+const cs_time_us_t SECOND = CS_US_PER_S;
+
+class Evacuations : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    set = cs_evacuations_create (record, this);
+    fleet = cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr);
+    cs_choice_policy_t policy = cs_choice_policy_default ();
+    chooser = cs_chooser_create (&policy, 7);
+    request.service = cs_str ("engines");
+    request.data_centre = cs_str ("a");
+    request.evacuations = set;
+    request.peers = 1;
+  }
+
+  void
+  TearDown () override
+  {
+    cs_chooser_destroy (chooser);
+    cs_fleet_destroy (fleet);
+    cs_evacuations_destroy (set);
+  }
+
+  static void
+  record (void *context, const cs_name_t *name, bool is_evacuated)
+  {
+    static_cast<Evacuations *> (context)->changes
+        += (is_evacuated ? "+" : "-") + std::string (name->text);
+  }
+
+  void
+  replace (const std::vector<std::string> &names, cs_revision_t revision,
+           cs_time_us_t kept_until = 0)
+  {
+    std::vector<cs_name_t> list (names.size ());
+    for (size_t i = 0; i < names.size (); i++)
+      cs_name_set (&list[i], cs_str (names[i].c_str ()));
+    EXPECT_EQ (cs_evacuations_replace (set, list.data (), list.size (),
+                                       revision, kept_until),
+               CS_OK);
+  }
+
+  void
+  change (const char *name, bool is_evacuated, cs_revision_t revision)
+  {
+    EXPECT_EQ (
+        cs_evacuations_change (set, cs_str (name), is_evacuated, revision),
+        CS_OK);
+  }
+
+  bool
+  has (const char *name) const
+  {
+    cs_name_t text;
+    cs_name_set (&text, cs_str (name));
+    return cs_evacuations_has (set, &text);
+  }
+
+  void
+  put (const char *id, const char *data_centre, uint64_t revision = 1,
+       uint64_t started_ms = 1)
+  {
+    cs_target_entry_t entry = {};
+    bool added;
+    entry.id = cs_str (id);
+    entry.service = cs_str ("engines");
+    entry.data_centre = cs_str (data_centre);
+    entry.address.sin_port = 80;
+    entry.started_ms = started_ms;
+    entry.slots = 8;
+    entry.revision = { 1, revision };
+    cs_fleet_put (fleet, &entry, 0, &added);
+  }
+
+  int
+  choose ()
+  {
+    return cs_chooser_choose (chooser, fleet, &request, SECOND, &choice);
+  }
+
+  std::string changes;
+  cs_evacuations_t *set = nullptr;
+  cs_fleet_t *fleet = nullptr;
+  cs_chooser_t *chooser = nullptr;
+  cs_choice_request_t request = {};
+  cs_choice_t choice = {};
+};
+
+// A peer that is late would end an evacuation, or begin one again.
+TEST_F (Evacuations, OlderSetsAndChangesAreIgnored)
+{
+  replace ({ "a" }, { 1, 10 });
+  change ("b", true, { 1, 12 });
+  change ("a", false, { 1, 14 });
+  replace ({ "a" }, { 1, 13 });
+  change ("b", false, { 1, 11 });
+  change ("c", true, { 1, 9 });
+  EXPECT_EQ (changes, "+a+b-a");
+  EXPECT_EQ (cs_evacuations_revision (set).number, 14U);
+  replace ({ "c" }, { 1, 20 });
+  EXPECT_EQ (changes, "+a+b-a+c-b");
+}
+
+// The changes of one watch need not be in the order of their revisions.
+TEST_F (Evacuations, ChangesOfSeveralNamesComeInAnyOrder)
+{
+  replace ({}, { 1, 10 });
+  change ("b", true, { 1, 14 });
+  change ("a", true, { 1, 12 });
+  EXPECT_TRUE (has ("a") && has ("b"));
+}
+
+// A restored store lacks what was written after the copy was taken; the
+// operator writes it again.
+TEST_F (Evacuations, NamesThatARestoredStoreLacksStayForAWhile)
+{
+  replace ({ "a", "b", "c" }, { 1, 90 });
+  replace ({ "c" }, { 2, 50 }, 5 * SECOND);
+  EXPECT_TRUE (has ("a") && has ("b") && has ("c"));
+  EXPECT_STREQ (cs_evacuations_listed_at (set, 0)->text, "c");
+  EXPECT_EQ (cs_evacuations_listed_at (set, 1), nullptr)
+      << "a peer would keep it for good";
+  replace ({ "c" }, { 2, 51 });
+  change ("a", true, { 2, 52 });
+  cs_evacuations_expire (set, 5 * SECOND - 1);
+  EXPECT_TRUE (has ("b"));
+  cs_evacuations_expire (set, 5 * SECOND);
+  EXPECT_TRUE (has ("a") && !has ("b") && has ("c"));
+  EXPECT_EQ (changes, "+a+b+c-b");
+}
+
+// A set that a peer sends between two pages must not become part of the list.
+TEST_F (Evacuations, SetOfAPeerDoesNotDisturbAListInProgress)
+{
+  cs_evacuations_list_begin (set);
+  cs_evacuations_list_add (set, cs_str ("a"));
+  replace ({ "z" }, { 1, 5 });
+  cs_evacuations_list_add (set, cs_str ("b"));
+  cs_evacuations_list_end (set, { 1, 10 }, 0);
+  EXPECT_TRUE (has ("a") && has ("b") && !has ("z"));
+}
+
+TEST_F (Evacuations, StartingRouterWaitsForTheSetForALimitedTime)
+{
+  EXPECT_FALSE (cs_evacuations_wait (set, false, SECOND, 1 * SECOND));
+  EXPECT_FALSE (cs_evacuations_wait (set, true, SECOND, 9 * SECOND));
+  EXPECT_FALSE (cs_evacuations_wait (set, true, SECOND, 10 * SECOND - 1));
+  EXPECT_FALSE (cs_evacuations_may_serve (set));
+  EXPECT_TRUE (cs_evacuations_wait (set, true, SECOND, 10 * SECOND));
+  EXPECT_FALSE (cs_evacuations_wait (set, true, SECOND, 11 * SECOND));
+  EXPECT_TRUE (cs_evacuations_may_serve (set));
+  EXPECT_TRUE (cs_evacuations_may_serve (nullptr));
+}
+
+// Also where all others are ejected, so that the last resort is tried.
+TEST_F (Evacuations, TargetsThereGetNothing)
+{
+  for (const char *id : { "t1", "t2", "t3" })
+    put (id, "b");
+  put ("t4", "c");
+  replace ({ "b" }, { 1, 10 });
+  cs_eject_policy_t policy = cs_eject_policy_default ();
+  size_t count;
+  cs_eject_now (&cs_fleet_targets (fleet, &count)[3]->eject, &policy, SECOND);
+  for (int i = 0; i < 100; i++)
+    {
+      ASSERT_EQ (choose (), CS_OK);
+      ASSERT_STREQ (choice.target->id.text, "t4");
+    }
+  EXPECT_EQ (choice.reason, CS_CHOICE_LAST_RESORT);
+}
+
+// A target that asked for a pause would have the request wait for it.
+TEST_F (Evacuations, RequestIsRefusedAtOnceIfAllTargetsAreThere)
+{
+  put ("t1", "b");
+  put ("t2", "b");
+  size_t count;
+  cs_fleet_targets (fleet, &count)[0]->paused_until = 2 * SECOND;
+  replace ({ "b" }, { 1, 10 });
+  EXPECT_EQ (choose (), CS_ERR_NO_TARGET);
+  EXPECT_TRUE (choice.is_evacuated);
+  EXPECT_EQ (choice.available_at, 0U);
+  replace ({}, { 1, 11 });
+  EXPECT_EQ (choose (), CS_OK) << "taken back";
+}
+
+// Registered again with a later start, and moved without one.
+TEST_F (Evacuations, TargetThatJoinsOrMovesIsJudgedByItsDataCentre)
+{
+  replace ({ "b" }, { 1, 10 });
+  put ("t1", "b", 11);
+  EXPECT_EQ (choose (), CS_ERR_NO_TARGET);
+  put ("t1", "c", 12);
+  EXPECT_EQ (choose (), CS_OK);
+  put ("t1", "b", 11);
+  EXPECT_EQ (choose (), CS_OK) << "an older entry";
+  put ("t1", "b", 13);
+  EXPECT_EQ (choose (), CS_ERR_NO_TARGET);
+  put ("t1", "b", 14, 2);
+  EXPECT_EQ (choose (), CS_ERR_NO_TARGET);
+}
+
+// All contexts of an evacuated data centre would be computed again.
+TEST_F (Evacuations, ContextsAreStillCopiedFromThere)
+{
+  cs_prompt_context_t context = { { 42 }, { 0 }, 1, 0 };
+  put ("t1", "b");
+  request.context = &context;
+  request.can_fetch = true;
+  ASSERT_EQ (choose (), CS_OK);
+  put ("t2", "c");
+  replace ({ "b" }, { 1, 10 });
+  ASSERT_EQ (choose (), CS_OK);
+  EXPECT_STREQ (choice.target->id.text, "t2");
+  ASSERT_NE (choice.source, nullptr);
+  EXPECT_STREQ (choice.source->id.text, "t1");
+}
+
+// A watch may be lost on a dead connection, which shows half a second after
+// its wait; another call has to fit into the bound.
+TEST (EvacuationSettings, LostWatchLeavesTimeForAnother)
+{
+  cs_router_settings_t settings = {};
+  settings.evacuation_ms = 5000;
+  settings.call_timeout_ms = 800;
+  cs_time_us_t max_age = cs_router_settings_evacuation_age_us (&settings);
+  for (cs_time_us_t age = 0; age <= max_age; age += 50 * CS_US_PER_MS)
+    {
+      uint32_t wait_ms
+          = cs_router_settings_evacuation_watch_ms (&settings, age);
+      EXPECT_LE (age / CS_US_PER_MS + wait_ms + 500, 5000U - 700U);
+    }
+  EXPECT_EQ (cs_router_settings_evacuation_watch_ms (&settings, 0), 2500U);
+  EXPECT_LE (cs_router_settings_evacuation_watch_ms (&settings, 60 * SECOND),
+             100U);
+}
+
+}
