--- a/include/common/event.h
+++ b/include/common/event.h
@@ -44,6 +44,9 @@
   X (SLOTS_REDUCED, 1414, 4)                                                  \
   X (TARGET_COLD, 1420, 5)                                                    \
   X (TARGET_WARM, 1421, 5)                                                    \
+  X (EVACUATED, 1430, 4)                                                      \
+  X (TAKEN_BACK, 1431, 5)                                                     \
+  X (EVACUATIONS_UNKNOWN, 1432, 4)                                            \
   X (INVALID_RESPONSE, 1440, 5)                                               \
   X (LOAD_PART_IGNORED, 1441, 4)                                              \
   X (REQUEST_FAILED, 1501, 6)                                                 \
