Tell a target that breaks off from one that closes cleanly

A response without a length is complete when its connection ends. A target that closed its side while its upload was still being written, and was reset only then, had the part that it had sent delivered as a complete response. A reset that a send had reported already was read as a clean end. A caller of HTTP/1.0 saw a clean end when a long response broke off.

An end of the stream now counts as clean only if the whole request was written and acknowledged, no send has failed, and the socket has no error. A broken response without chunks to a caller of HTTP/1.0 ends with a reset.

--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -57,6 +57,10 @@
  */
 void cs_channel_close (cs_channel_t *channel);
 
+/* Likewise, with a reset, so that the peer can't take what it has received for
+   all that there is.  Not for a channel that is NULL or closed.  */
+void cs_channel_reset (cs_channel_t *channel);
+
 /* Sends the queued output, then closes the connection; the callbacks are not
    called any more.  Input is read and discarded for a short time (a lingering
    close), because closing a socket with unread input would reset the
@@ -83,6 +87,11 @@
 /* Returns the number of bytes queued but not yet written to the socket.  */
 size_t cs_channel_queued (const cs_channel_t *channel);
 
+/* Whether output is queued, or the peer's host has not acknowledged all that
+   was written.  A peer that closes after it has read all output has
+   acknowledged it with or before its close.  */
+bool cs_channel_has_unacknowledged (const cs_channel_t *channel);
+
 /* Whether any byte was written to the socket since the owner was last set.  */
 bool cs_channel_has_sent (const cs_channel_t *channel);
 
--- a/include/router/caller.h
+++ b/include/router/caller.h
@@ -20,8 +20,9 @@
 void cs_caller_complete (cs_caller_t *caller, bool close);
 
 /* Call when the current response broke off: closes the connection so that the
-   response cannot be mistaken for a complete one.  */
-void cs_caller_abort (cs_caller_t *caller);
+   response cannot be mistaken for a complete one, with a reset if the
+   connection's end would be that of the response.  */
+void cs_caller_abort (cs_caller_t *caller, bool ends_at_close);
 
 /* Whether the connection should be closed after the next response.  */
 bool cs_caller_should_close (const cs_caller_t *caller);
--- a/net/channel.c
+++ b/net/channel.c
@@ -1,10 +1,12 @@
 #include "internal.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -46,6 +48,15 @@
   return true;
 }
 
+void
+cs_channel_reset (cs_channel_t *channel)
+{
+  struct linger reset_on_close = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (channel->fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+              sizeof reset_on_close);
+  cs_channel_close (channel);
+}
+
 static void
 handle_end (cs_channel_t *channel, int error)
 {
@@ -64,6 +75,18 @@
   leave_callback (channel);
 }
 
+/* Returns the result of a connection from which no more can be read.  After a
+   reset, the kernel reports an end of the stream once the error has been
+   reported by a send, or if the peer had closed its side before.  */
+static int
+end_of_input (const cs_channel_t *channel)
+{
+  int error = 0;
+  socklen_t len = sizeof error;
+  getsockopt (channel->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+  return error != 0 || channel->send_failed ? CS_ERR_CUT : CS_OK;
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *argument)
 {
@@ -75,7 +98,7 @@
     return;
   if (got <= 0)
     {
-      handle_end (channel, got == 0 ? CS_OK : CS_ERR_CUT);
+      handle_end (channel, got == 0 ? end_of_input (channel) : CS_ERR_CUT);
       return;
     }
   if (channel->lingering)
@@ -267,6 +290,8 @@
           data.data += sent;
           data.len -= (size_t)sent;
         }
+      else if (sent < 0 && errno != EAGAIN && errno != EINTR)
+        channel->send_failed = true;
     }
   return data.len == 0 ? CS_OK : queue_output (channel, data);
 }
@@ -277,6 +302,14 @@
   return channel->queue == NULL ? 0 : evbuffer_get_length (channel->queue);
 }
 
+bool
+cs_channel_has_unacknowledged (const cs_channel_t *channel)
+{
+  int bytes = 0;
+  return cs_channel_queued (channel) > 0
+         || (ioctl (channel->fd, SIOCOUTQ, &bytes) == 0 && bytes > 0);
+}
+
 bool
 cs_channel_has_sent (const cs_channel_t *channel)
 {
--- a/net/internal.h
+++ b/net/internal.h
@@ -19,6 +19,7 @@
   cs_timer_t timer; /* connect timeout, later the linger timeout */
   bool connecting;
   bool has_sent;
+  bool send_failed; /* the error of the socket was taken by a failed send */
   bool lingering;
   bool paused;
   bool in_callback;
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -341,9 +341,9 @@
 }
 
 void
-cs_caller_abort (cs_caller_t *caller)
+cs_caller_abort (cs_caller_t *caller, bool ends_at_close)
 {
-  destroy (caller, cs_channel_close);
+  destroy (caller, ends_at_close ? cs_channel_reset : cs_channel_close);
 }
 
 void
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -156,7 +156,7 @@
   if (rc == 0)
     cs_caller_complete (caller, close);
   else
-    cs_caller_abort (caller);
+    cs_caller_abort (caller, false);
   cs_buf_free (&fields);
   cs_buf_free (&body);
   cs_buf_free (&response);
@@ -178,10 +178,11 @@
       send_error (forward, error, now);
       return;
     }
+  bool ends_at_close = forward->head.minor == 0;
   forward->router->counters.streams_cut++;
   log_request (forward, cs_error_name (error), forward->status, now);
   destroy (forward);
-  cs_caller_abort (caller);
+  cs_caller_abort (caller, ends_at_close);
 }
 
 bool
--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -239,7 +239,10 @@
       report_cut_head (connection);
       cs_http_reader_end (connection->reader);
       error = CS_ERR_CUT;
-      if (cs_http_reader_state (connection->reader) == CS_HTTP_COMPLETE
+      /* A target that closes before it has the whole request has broken off,
+         and its response, which ends here, may be a part.  */
+      if (!cs_channel_has_unacknowledged (connection->channel)
+          && cs_http_reader_state (connection->reader) == CS_HTTP_COMPLETE
           && !connection->discarding)
         error = CS_OK;
     }
