Take targets for cold when their data centre is taken back

Targets of an evacuated data centre may turn cold before it is taken back. Their entries say so up to a renewal later, and until then they look idle and would get most requests. They are now assumed to be cold for cold_start_s from the end of the evacuation; their own word replaces that.

--- a/include/router/cold.h
+++ b/include/router/cold.h
@@ -25,6 +25,11 @@
                     const cs_cold_statement_t *statement, uint32_t hops,
                     cs_time_us_t now);
 
+/* The data centre of TARGET is no longer evacuated.  Its entry may be too old
+   to tell whether it is cold.  */
+void cs_cold_record_taken_back (cs_router_t *router, cs_target_t *target,
+                                cs_time_us_t now);
+
 /* TARGET can't be reached.  */
 void cs_cold_record_failure (cs_router_t *router, cs_target_t *target,
                              cs_time_us_t now);
--- a/router/cold.c
+++ b/router/cold.c
@@ -144,6 +144,15 @@
     assume_from_start (router, target, now);
 }
 
+void
+cs_cold_record_taken_back (cs_router_t *router, cs_target_t *target,
+                           cs_time_us_t now)
+{
+  cs_time_us_t cold_us = start_us (find_service (router, target));
+  cs_cold_assume (&target->cold, now + cold_us, now);
+  on_changed (router, target, "evacuation", now);
+}
+
 void
 cs_cold_record_failure (cs_router_t *router, cs_target_t *target,
                         cs_time_us_t now)
--- a/router/evacuations.c
+++ b/router/evacuations.c
@@ -2,9 +2,10 @@
 
 #include "common/error.h"
 #include "common/log.h"
+#include "router/cold.h"
 
-/* Returns the number of targets in DATA_CENTRE.  If they are EVACUATED, closes
-   their idle connections.  */
+/* Returns the number of targets in DATA_CENTRE.  Closes their idle connections
+   if they are EVACUATED, and takes them for cold if they no longer are.  */
 static size_t
 update_targets (cs_router_t *router, const cs_name_t *data_centre,
                 bool is_evacuated)
@@ -19,6 +20,9 @@
       found++;
       if (is_evacuated)
         cs_connections_close_idle (targets[i], true, 0);
+      else
+        cs_cold_record_taken_back (router, targets[i],
+                                   cs_loop_now (router->loop));
     }
   return found;
 }
--- a/tests/router/cold_test.cc
+++ b/tests/router/cold_test.cc
@@ -203,4 +203,24 @@
   EXPECT_EQ (router->log ().find ("CS1420 target=i-8"), std::string::npos);
 }
 
+// The targets of a data centre that is taken back may have turned cold just
+// before, which their entries tell a second later: the idle targets would get
+// most requests until then.
+TEST_F (ColdTargets, TakenBackDataCentreIsColdBeforeItsEntriesSaySo)
+{
+  Router other ("r3", store.address (),
+                "evacuation_ms = 2500\n" + extra_settings ());
+  ASSERT_TRUE (Router::eventually ([&] { return other.is_ready (); }));
+  store.put ("evacuations", "a", "{}");
+  ASSERT_TRUE (Router::eventually ([&] {
+    return other.log ().find ("CS1430 data_centre=a") != std::string::npos;
+  }));
+  EXPECT_EQ (other.log ().find ("CS1420"), std::string::npos);
+  store.remove ("evacuations", "a");
+  ASSERT_TRUE (Router::eventually ([&] {
+    return other.log ().find ("CS1420 target=i-1 source=evacuation")
+           != std::string::npos;
+  }));
+}
+
 }
