--- a/cranberrystile/fleet/evacuations.c
+++ b/cranberrystile/fleet/evacuations.c
@@ -107,24 +107,32 @@
   return set == NULL ? (cs_revision_t){ 0 } : set->revision;
 }
 
+/* Makes room for one more entry.  Returns 0 or CS_ERR_NO_MEMORY.  */
+static int
+ensure_capacity (cs_evacuations_t *set)
+{
+  size_t capacity = set->capacity == 0 ? 4 : set->capacity * 2;
+  if (set->count < set->capacity)
+    return CS_OK;
+  evacuation_t *entries = realloc (set->entries, capacity * sizeof *entries);
+  if (entries == NULL)
+    return CS_ERR_NO_MEMORY;
+  set->entries = entries;
+  set->capacity = capacity;
+  return CS_OK;
+}
+
 /* Returns the entry NAME, which is added if it is new, or NULL if memory is
    exhausted.  */
 static evacuation_t *
 find_or_add (cs_evacuations_t *set, const cs_name_t *name)
 {
-  evacuation_t *entry = find (set, name);
-  if (entry != NULL)
-    return entry;
-  if (set->count == set->capacity)
-    {
-      size_t capacity = set->capacity == 0 ? 4 : set->capacity * 2;
-      entry = realloc (set->entries, capacity * sizeof *entry);
-      if (entry == NULL)
-        return NULL;
-      set->entries = entry;
-      set->capacity = capacity;
-    }
-  entry = &set->entries[set->count++];
+  evacuation_t *known = find (set, name);
+  if (known != NULL)
+    return known;
+  if (ensure_capacity (set) != 0 || set->entries == NULL)
+    return NULL;
+  evacuation_t *entry = &set->entries[set->count++];
   *entry = (evacuation_t){ .name = *name };
   return entry;
 }
--- a/router/target/health.c
+++ b/router/target/health.c
@@ -17,6 +17,11 @@
     {
       if (!cs_name_equal (&targets[i]->service, &target->service))
         continue;
+      /* It doesn't carry the load of ejected targets.  */
+      if (targets[i] != target
+          && cs_evacuations_has (router->evacuations,
+                                 &targets[i]->data_centre))
+        continue;
       cs_outcomes_add (&targets[i]->outcomes, 0, 0, now);
       sum.ended += targets[i]->outcomes.ended;
       sum.failed += targets[i]->outcomes.failed;
