Read evacuation_ms with a fractional part

The platform writes its bounds as whole numbers or with a fractional part, and a router given 5000.0 would not have started. It is read like the other bounds now.

--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -38,12 +38,12 @@
   uint32_t watch_ms; /* maximum wait of a watch; the bounds may shorten it */
   uint32_t coalesce_ms; /* pause between watches, to batch changes */
   uint32_t call_timeout_ms;
-  uint32_t renewal_ms;    /* interval at which targets renew their entries */
-  uint32_t evacuation_ms; /* maximum time until targets in a data centre that
-                             is evacuated get no requests; 0: evacuations are
-                             not followed */
-  uint32_t lapse_ms;      /* targets that expired during an outage are listed
-                             again within this time after it */
+  uint32_t renewal_ms;  /* interval at which targets renew their entries */
+  double evacuation_ms; /* maximum time until targets in a data centre that is
+                           evacuated get no requests; 0: evacuations are not
+                           followed */
+  uint32_t lapse_ms;    /* targets that expired during an outage are listed
+                           again within this time after it */
   /* [retry] */
   double retry_ratio; /* retries per first attempt, over all routers */
   double retry_slack; /* additional retries per window, over all routers */
--- a/router/evacuations.c
+++ b/router/evacuations.c
@@ -38,7 +38,7 @@
 int
 cs_router_evacuations_create (cs_router_t *router)
 {
-  if (router->settings.evacuation_ms == 0)
+  if (router->settings.evacuation_ms <= 0)
     return CS_OK;
   router->evacuations = cs_evacuations_create (on_changed, router);
   router->connection_env.evacuations = router->evacuations;
@@ -82,13 +82,14 @@
 void
 cs_router_evacuations_tick (cs_router_t *router, cs_time_us_t now)
 {
-  cs_time_us_t limit_us = router->settings.evacuation_ms * CS_US_PER_MS;
+  cs_time_us_t limit_us
+      = (cs_time_us_t)(router->settings.evacuation_ms * CS_US_PER_MS);
   if (router->evacuations == NULL)
     return;
   router->evacuations_source = "lapse";
   cs_evacuations_expire (router->evacuations, now);
   if (cs_evacuations_wait (router->evacuations, router->fleet_synced, limit_us,
                            now))
-    cs_log (CS_EV_EVACUATIONS_UNKNOWN, "waited_ms=%u",
+    cs_log (CS_EV_EVACUATIONS_UNKNOWN, "waited_ms=%.0f",
             router->settings.evacuation_ms);
 }
--- a/router/settings.c
+++ b/router/settings.c
@@ -59,8 +59,8 @@
     600000, "3000" },
   { "platform", "drain_ms", CS_SETTING_FRACTION, OFFSET (drain_ms), 100,
     600000, "2000" },
-  { "platform", "evacuation_ms", CS_SETTING_NUMBER, OFFSET (evacuation_ms), 0,
-    600000, "0" },
+  { "platform", "evacuation_ms", CS_SETTING_FRACTION, OFFSET (evacuation_ms),
+    0, 600000, "0" },
   { "platform", "lapse_ms", CS_SETTING_NUMBER, OFFSET (lapse_ms), 0, 60000,
     "2200" },
   { "platform", "renewal_ms", CS_SETTING_NUMBER, OFFSET (renewal_ms), 1,
@@ -110,10 +110,9 @@
 cs_time_us_t
 cs_router_settings_evacuation_age_us (const cs_router_settings_t *settings)
 {
-  uint32_t call_ms = settings->call_timeout_ms + EVACUATION_LOST_CALL_MS;
-  return settings->evacuation_ms > call_ms
-             ? (settings->evacuation_ms - call_ms) * CS_US_PER_MS
-             : 0;
+  double age_ms = settings->evacuation_ms - settings->call_timeout_ms
+                  - EVACUATION_LOST_CALL_MS;
+  return age_ms > 0 ? (cs_time_us_t)(age_ms * CS_US_PER_MS) : 0;
 }
 
 uint32_t
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -876,7 +876,8 @@
   EXPECT_EQ (read_settings (std::string (SETTINGS)
                                 + "window_s = 7.5\n[stop]\ngrace_s = 6.5\n"
                                   "[platform]\napply_ms = 1500.5\n"
-                                  "drain_ms = 900.0\ncontact_ms = 2500.0\n",
+                                  "drain_ms = 900.0\ncontact_ms = 2500.0\n"
+                                  "evacuation_ms = 5000.0\n",
                             &why),
              0)
       << why;
