Bound what is held for callers that read slowly

A caller that pipelined requests without reading had every response held: 1,001 responses of 60,000 bytes were fetched for one connection, and the router grew to 58 MB. While reading from a target was paused for its caller, the target was taken for silent: it was ejected, and the stream sent to a second target.

The next request of a connection now waits until its caller has read most of the responses. The wait for a target's next bytes starts again when its caller has read.

--- a/include/router/caller.h
+++ b/include/router/caller.h
@@ -12,8 +12,9 @@
 /* Sends or queues a part of the current response.  */
 void cs_caller_send (cs_caller_t *caller, cs_str_t data);
 
-/* Bytes of output queued for the caller and not written yet.  */
-size_t cs_caller_queued (const cs_caller_t *caller);
+/* Whether so much output is queued for the caller that no more should be
+   produced until cs_forward_drained.  */
+bool cs_caller_is_behind (const cs_caller_t *caller);
 
 /* Call when the current response is complete and its forward has been freed.
    The connection is kept open unless CLOSE.  */
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -60,6 +60,8 @@
   cs_caller_t *callers;    /* open caller connections */
   uint32_t in_flight;      /* requests being served */
   size_t body_bytes;       /* memory held by the request bodies */
+  size_t output_bytes;     /* memory held by output that callers have yet to
+                              read */
   bool stopping;
   cs_time_us_t accepts_until; /* while stopping: later requests are accepted
                                  only if they are over before ABORTS_AT */
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -44,6 +44,7 @@
 disconnect (cs_caller_t *caller, void (*close_channel) (cs_channel_t *))
 {
   unlink_caller (caller);
+  cs_caller_output_drained (caller);
   cs_timer_clear (&caller->timer);
   close_channel (caller->channel);
   caller->destroyed = true;
@@ -90,7 +91,7 @@
 on_timer (void *context, cs_time_us_t now)
 {
   cs_caller_t *caller = context;
-  if (cs_channel_has_unread (caller->channel)
+  if (caller->pipelined.len == 0 && cs_channel_has_unread (caller->channel)
       && cs_overdue_may_read (&caller->overdue, now))
     {
       cs_timer_set (&caller->timer, 0);
@@ -204,13 +205,22 @@
     }
 }
 
+/* Whether the next request may be read: not before the ones that were
+   buffered, nor while the caller has not read the responses.  */
+static bool
+may_read_request (const cs_caller_t *caller)
+{
+  return caller->forward == NULL && !caller->destroyed
+         && caller->pipelined.len == 0 && !cs_caller_is_behind (caller);
+}
+
 /* Serves the requests in DATA until one is waiting for its response, and
    buffers the rest.  */
 static void
 read_requests (cs_caller_t *caller, cs_str_t data)
 {
   caller->reading = true;
-  while (data.len > 0 && caller->forward == NULL && !caller->destroyed)
+  while (data.len > 0 && may_read_request (caller))
     read_request (caller, &data);
   caller->reading = false;
   if (caller->destroyed)
@@ -239,12 +249,27 @@
   destroy (caller, cs_channel_close);
 }
 
+/* Resumes reading after a response, starting with the buffered
+   data.  */
+static void
+read_pipelined (cs_caller_t *caller)
+{
+  cs_buf_t pipelined = caller->pipelined;
+  caller->pipelined = (cs_buf_t){ 0 };
+  cs_channel_pause (caller->channel, false);
+  read_requests (caller, cs_buf_str (&pipelined));
+  cs_buf_free (&pipelined);
+}
+
 static void
 on_drained (void *context)
 {
   cs_caller_t *caller = context;
+  cs_caller_output_drained (caller);
   if (caller->forward != NULL)
     cs_forward_drained (caller->forward);
+  else if (!caller->reading && caller->pipelined.len > 0)
+    read_pipelined (caller);
 }
 
 static const cs_channel_handlers_t channel_handlers
@@ -284,18 +309,6 @@
   free (caller);
 }
 
-void
-cs_caller_send (cs_caller_t *caller, cs_str_t data)
-{
-  cs_channel_send (caller->channel, data);
-}
-
-size_t
-cs_caller_queued (const cs_caller_t *caller)
-{
-  return cs_channel_queued (caller->channel);
-}
-
 bool
 cs_caller_should_close (const cs_caller_t *caller)
 {
@@ -315,17 +328,6 @@
   return cs_buf_printf (out, "Keep-Alive: timeout=%u\r\n", stated_s);
 }
 
-/* Resumes reading after a response, starting with the buffered data.  */
-static void
-read_pipelined (cs_caller_t *caller)
-{
-  cs_buf_t pipelined = caller->pipelined;
-  caller->pipelined = (cs_buf_t){ 0 };
-  cs_channel_pause (caller->channel, false);
-  read_requests (caller, cs_buf_str (&pipelined));
-  cs_buf_free (&pipelined);
-}
-
 void
 cs_caller_complete (cs_caller_t *caller, bool close)
 {
@@ -336,7 +338,8 @@
       return;
     }
   set_idle_timer (caller);
-  if (!caller->reading && caller->pipelined.len > 0)
+  if (!caller->reading && caller->pipelined.len > 0
+      && !cs_caller_is_behind (caller))
     read_pipelined (caller);
 }
 
--- a/router/caller/internal.h
+++ b/router/caller/internal.h
@@ -20,6 +20,7 @@
   cs_forward_t *forward; /* the request being served, or NULL */
   cs_buf_t body;         /* of the request being read */
   cs_buf_t pipelined;    /* data received while a request is being served */
+  size_t output_bytes;   /* queued output that counts for the router */
   cs_overdue_t overdue;  /* of TIMER */
   cs_timer_t timer; /* idle timeout, or timeout of the request being read */
   bool too_large;   /* the body exceeds the configured limit */
@@ -41,6 +42,9 @@
    BODY_MEMORY_FULL.  CONTEXT is the caller.  */
 void cs_caller_receive_body (void *context, cs_str_t part);
 
+/* Call when all output has been written, or the connection is given up.  */
+void cs_caller_output_drained (cs_caller_t *caller);
+
 /* Rejects the request whose body does not fit into the memory for bodies.  The
    rest of it is not read, so the connection is closed.  */
 void cs_caller_reject_body (cs_caller_t *caller);
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -354,6 +354,7 @@
   if (!forward->paused)
     return;
   forward->paused = false;
+  forward->unpaused_at = cs_loop_now (forward->router->loop);
   if (forward->connection != NULL)
     cs_connection_pause (forward->connection, false);
 }
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -93,7 +93,8 @@
   bool is_framed;       /* it does not end with its connection */
   uint64_t length;
   cs_event_stream_t events;
-  bool paused; /* reading from the target waits for the caller */
+  bool paused;              /* reading from the target waits for the caller */
+  cs_time_us_t unpaused_at; /* when it last went on */
 };
 
 /* Call when TIMER has run, before deciding that the target has not responded.
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -12,9 +12,6 @@
    caller, so that the request can still be retried if the response breaks
    off.  */
 #define MAX_BUFFERED_BYTES (64U * 1024)
-/* Reading from the target pauses while more than this is queued for the
-   caller.  */
-#define MAX_CALLER_QUEUE_BYTES (64U * 1024)
 
 #define STATUS_SERVER_ERROR 500
 
@@ -183,8 +180,8 @@
   cs_buf_clear (&forward->response_body);
   cs_caller_send (forward->caller, cs_buf_str (out));
   cs_buf_clear (out);
-  if (cs_caller_queued (forward->caller) > MAX_CALLER_QUEUE_BYTES
-      && !forward->paused && forward->connection != NULL)
+  if (cs_caller_is_behind (forward->caller) && !forward->paused
+      && forward->connection != NULL)
     {
       forward->paused = true;
       cs_connection_pause (forward->connection, true);
--- a/router/forward/retry.c
+++ b/router/forward/retry.c
@@ -16,12 +16,21 @@
 /* How often another target is looked for while the current one is silent.  */
 #define SILENCE_RECHECK_US (250 * CS_US_PER_MS)
 
+static cs_time_us_t
+latest (cs_time_us_t a, cs_time_us_t b)
+{
+  return a > b ? a : b;
+}
+
 cs_time_us_t
 cs_forward_silence_deadline (const cs_forward_t *forward)
 {
   cs_silence_t silence
-      = { .sent_at = forward->sent_at,
-          .event_at = forward->last_event_at,
+      = { .sent_at = latest (forward->sent_at, forward->unpaused_at),
+          .event_at
+          = forward->last_event_at == 0
+                ? 0
+                : latest (forward->last_event_at, forward->unpaused_at),
           .last_received_at = forward->target->last_received_at };
   return cs_silence_deadline (forward->route, &silence);
 }
@@ -106,6 +115,12 @@
   cs_choice_t choice;
   if (forward->connection == NULL)
     return;
+  /* While the caller doesn't read, nothing is read from the target.  */
+  if (forward->paused && !forward->is_held)
+    {
+      cs_timer_set (&forward->watchdog, SILENCE_RECHECK_US);
+      return;
+    }
   if (now < deadline)
     {
       forward->watchdog_overdue.since = 0;
--- a/router/forward/version.c
+++ b/router/forward/version.c
@@ -130,6 +130,8 @@
   if (forward->paused == paused || forward->connection == NULL)
     return;
   forward->paused = paused;
+  if (!paused)
+    forward->unpaused_at = cs_loop_now (forward->router->loop);
   cs_connection_pause (forward->connection, paused);
 }
 
