Refuse calls of busy plain services before they are sent

Cause: requests of a plain service were sent regardless of the queues. Answers that could only come after the deadline delayed others, and the surge of one organisation made the calls of all others late.

Change: where the chosen target states how slow it is, a call is refused before it is sent if at least half of the slots are taken and its expected time passes its deadline, or answers come after the objective and its organisation has sent more than its share (1.5 times its usual traffic or the mean organisation's, and 3 calls). Each refusal is counted and logged with what decided (CS1540). Expected times go by slots only at services that are no engines; slots that an entry doesn't state are taken from the load report.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -98,20 +98,81 @@
   return index;
 }
 
-/* Returns how long a request to TARGET is expected to take, relative to the
-   usual work.  Work at plain services doesn't take longer with the number of
-   calls as long as a slot is free.  Of targets that are as fast, the one with
-   fewer calls is preferred.  For requests with a context, and where the slots
-   are unknown, the time is in proportion to the calls.  */
+/* Returns the slots of TARGET by its entry, or else by its last report; 0 if
+   they are unknown.  */
+static uint32_t
+slots_of (const cs_target_t *target)
+{
+  return target->slots == 0 && target->load.valid ? target->load.slots
+                                                  : target->slots;
+}
+
+/* Returns how long a request is expected to take at TARGET of a plain service
+   with CALLS, itself included, relative to the usual work, which doesn't take
+   longer as long as one of the SLOTS is free.  */
+static double
+time_with (const cs_target_t *target, double calls, uint32_t slots,
+           cs_time_us_t now)
+{
+  return fmax (1, calls / slots) * cs_slowness_now (&target->slowness, now);
+}
+
+/* Returns how long a request to TARGET is expected to take, for comparison.
+   Of targets that are as fast, the one with fewer calls is preferred.  At
+   engines, and where the SLOTS are unknown, the time is in proportion to the
+   calls.  */
 static double
 expected_time (const cs_chooser_t *chooser, const cs_choice_request_t *request,
-               const cs_target_t *target, cs_time_us_t now)
+               const cs_target_t *target, uint32_t slots, cs_time_us_t now)
 {
   double calls = effective_load (chooser, request, target, now) + 1;
-  double slowness = cs_slowness_now (&target->slowness, now);
-  if (request->context != NULL || target->slots == 0)
-    return calls * slowness;
-  return fmax (1, calls / target->slots) * slowness + calls * FREE_SLOT_COST;
+  if (!request->is_plain || slots == 0)
+    return calls * cs_slowness_now (&target->slowness, now);
+  return time_with (target, calls, slots, now) + calls * FREE_SLOT_COST;
+}
+
+/* Returns the one of A and B that is expected to take less time, A if equal.
+   If the slots of one are unknown, as it hasn't answered yet, it is assumed to
+   have as many as the other.  */
+static cs_target_t *
+sooner_of (const cs_chooser_t *chooser, const cs_choice_request_t *request,
+           cs_target_t *a, cs_target_t *b, cs_time_us_t now)
+{
+  uint32_t slots_a = slots_of (a);
+  uint32_t slots_b = slots_of (b);
+  slots_a = slots_a == 0 ? slots_b : slots_a;
+  slots_b = slots_b == 0 ? slots_a : slots_b;
+  return expected_time (chooser, request, b, slots_b, now)
+                 < expected_time (chooser, request, a, slots_a, now)
+             ? b
+             : a;
+}
+
+/* Sets the expected times of CHOICE, at a plain service.  */
+static void
+estimate_times (const candidates_t *candidates, cs_time_us_t now,
+                cs_choice_t *choice)
+{
+  const cs_target_t *chosen = choice->target;
+  uint32_t slots = slots_of (chosen);
+  double sum = 0;
+  double count = 0;
+  if (slots == 0 || !cs_slowness_is_stated (&chosen->slowness))
+    return;
+  for (size_t i = 0; i < candidates->count; i++)
+    {
+      const cs_target_t *target = candidates->targets[i];
+      uint32_t its_slots = slots_of (target);
+      if (its_slots == 0)
+        continue;
+      sum += time_with (target, relative_load (target) + 1, its_slots, now);
+      choice->mean_slots += its_slots;
+      count++;
+    }
+  choice->expected
+      = time_with (chosen, relative_load (chosen) + 1, slots, now);
+  choice->mean_expected = sum / count;
+  choice->mean_slots /= count;
 }
 
 /* Returns the better of two of the COUNT targets, drawn at random, or NULL if
@@ -131,10 +192,7 @@
   cs_target_t *b = targets[second];
   if (cs_slowness_is_stated (&a->slowness)
       || cs_slowness_is_stated (&b->slowness))
-    return expected_time (chooser, request, b, now)
-                   < expected_time (chooser, request, a, now)
-               ? b
-               : a;
+    return sooner_of (chooser, request, a, b, now);
   return effective_load (chooser, request, b, now)
                  < effective_load (chooser, request, a, now)
              ? b
@@ -308,6 +366,8 @@
     out->target
         = better_of_two (chooser, request, candidates->targets, count, now);
   out->load = cs_target_estimated_calls (out->target);
+  if (request->is_plain)
+    estimate_times (candidates, now, out);
   if (key != 0 && request->can_fetch)
     out->source = find_source (chooser, fleet, request, key, out->target, now);
   if (key != 0)
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -50,6 +50,7 @@
   X (CALLER_CLOSED, 1505, 5)                                                  \
   X (PART_BLOCKED, 1506, 4)                                                   \
   X (PART_UNBLOCKED, 1507, 5)                                                 \
+  X (CALL_REFUSED, 1540, 5)                                                   \
   X (CLAIM_UNKNOWN, 1601, 4)                                                  \
   X (CLAIM_SWEPT, 1602, 6)                                                    \
   X (LEASE_ACQUIRED, 1701, 5)                                                 \
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -32,6 +32,8 @@
                         set after a failed connection, when data centres may
                         be cut off from each other */
   uint64_t version;  /* of the targets' software, see cs_target_t; 0: any */
+  bool is_plain;     /* SERVICE is no engine: work there takes as long with few
+                        calls as with as many as there are slots */
   bool at_most_once; /* a failed call is not retried at another target */
   uint64_t organisation; /* hash of its name; 0: none */
   uint64_t route;        /* hash of its name; 0: none */
@@ -52,6 +54,12 @@
   uint32_t load;             /* estimated load of TARGET before this request */
   double mean;               /* estimated mean load of the eligible targets */
   uint32_t live;             /* number of eligible targets */
+  double expected;           /* time of the request at TARGET, relative to the
+                                usual work; 0: the service isn't plain, or TARGET
+                                doesn't state its slots and how slow it is */
+  double mean_expected;      /* likewise, mean of the eligible targets */
+  double mean_slots;         /* with EXPECTED: of the eligible targets whose
+                                slots are known */
   uint32_t own;              /* calls of this router at these targets */
   cs_time_us_t available_at; /* with CS_ERR_OVERLOADED: when the first target
                                 takes a request */
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -27,6 +27,8 @@
   X (wrong_answers, "answers of targets that could not be used")              \
   X (stale_answers, "answers of earlier requests that were dropped")          \
   X (load_parts_ignored, "loads of targets of which a part was left out")     \
+  X (refused_too_late, "calls refused as their answers would be too late")    \
+  X (refused_beyond_share, "calls refused as beyond a share of busy targets") \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
   X (directory_lists, "lists of routers read")                                \
--- a/include/router/services.h
+++ b/include/router/services.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 
 #include "common/str.h"
+#include "cranberrystile/contention.h"
 #include "cranberrystile/load_shedder.h"
 #include "cranberrystile/retry_window.h"
 
@@ -14,6 +15,7 @@
 {
   cs_name_t name;
   cs_retry_window_t retry_window;
+  cs_contention_t contention;     /* of a plain service */
   cs_load_shedder_t load_shedder; /* counts only requests on routes with
                                      session affinity */
 } cs_service_state_t;
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -1,5 +1,6 @@
 /* Choice of the target of an attempt.  */
 
+#include "common/log.h"
 #include "router/forward/internal.h"
 #include "router/mesh.h"
 
@@ -26,18 +27,95 @@
   return (uint32_t)((forward->deadline - now) / CS_US_PER_MS);
 }
 
-/* Whether the chosen engine has capacity for the request.  A response that has
-   been started is always continued.  */
+static uint64_t
+organisation_hash (const cs_forward_t *forward)
+{
+  return forward->organisation == NULL
+             ? 0
+             : cs_hash (forward->organisation->name, 0);
+}
+
+static void
+record_refusal (const cs_forward_t *forward, const cs_choice_t *choice,
+                const cs_contention_request_t *request,
+                const cs_contention_decision_t *decision)
+{
+  cs_router_counters_t *counters = &forward->router->counters;
+  if (decision->verdict == CS_CONTENTION_TOO_LATE)
+    counters->refused_too_late++;
+  else
+    counters->refused_beyond_share++;
+  cs_log (
+      CS_EV_CALL_REFUSED,
+      "id=%.*s service=%s organisation=%.*s why=%s rank=%u expected_ms=%llu "
+      "remaining_ms=%llu objective_ms=%llu recent=%.1f share=%.1f "
+      "work_ms=%.1f target=%s times=%.2f mean_times=%.2f load=%u "
+      "mean=%.1f slots=%.1f live=%u",
+      CS_STR_ARG (forward->request.id), forward->service->name.text,
+      forward->organisation == NULL ? 0 : (int)forward->organisation->name.len,
+      forward->organisation == NULL ? "" : forward->organisation->name.data,
+      cs_contention_verdict_name (decision->verdict), forward->rank,
+      (unsigned long long)(decision->expected_us / CS_US_PER_MS),
+      (unsigned long long)(request->remaining_us / CS_US_PER_MS),
+      (unsigned long long)(request->objective_us / CS_US_PER_MS),
+      decision->recent, decision->share,
+      forward->service->contention.work_us / CS_US_PER_MS,
+      choice->target->id.text, choice->expected, choice->mean_expected,
+      choice->load, choice->mean, choice->mean_slots, choice->live);
+}
+
+/* Whether a request of a plain service is sent.  Targets that don't state how
+   slow they are get all requests.  One whose target is silent was admitted. */
+static bool
+is_call_admitted (cs_forward_t *forward, const cs_choice_t *choice,
+                  cs_time_us_t now)
+{
+  if (choice->expected == 0 || forward->connection != NULL)
+    return true;
+  uint32_t last_rank = cs_routing_rank_count (forward->routing) - 1;
+  cs_contention_request_t request = {
+    .organisation = organisation_hash (forward),
+    .urgency = last_rank == 0 ? 0 : 1 - (double)forward->rank / last_rank,
+    .remaining_us = forward->deadline > now ? forward->deadline - now : 0,
+    .objective_us = forward->route->latency_objective_ms * CS_US_PER_MS,
+    .is_retry = forward->attempt_count > 0,
+  };
+  cs_contention_load_t load = {
+    .expected = choice->expected,
+    .mean_expected = choice->mean_expected,
+    .mean_calls = choice->mean,
+    .slots = choice->mean_slots,
+  };
+  cs_contention_decision_t decision = cs_contention_decide (
+      &forward->service->contention, &request, &load, now);
+  if (decision.verdict == CS_CONTENTION_SENT)
+    return true;
+  record_refusal (forward, choice, &request, &decision);
+  return false;
+}
+
+/* Whether the service has capacity for the request.  A response that has been
+   started is always continued.  */
 static bool
 is_admitted (cs_forward_t *forward, const cs_choice_t *choice,
              cs_time_us_t now)
 {
   cs_load_shedder_t *load_shedder = &forward->service->load_shedder;
-  if (!forward->route->session_affinity || forward->response_started)
+  if (forward->response_started)
     return true;
+  if (!forward->route->session_affinity)
+    return is_call_admitted (forward, choice, now);
   return cs_load_shedder_admits (load_shedder, forward->rank, choice, now);
 }
 
+void
+cs_forward_record_time (const cs_forward_t *forward, cs_time_us_t now)
+{
+  if (forward->choice.expected > 0)
+    cs_contention_record (&forward->service->contention,
+                          forward->choice.expected, now - forward->sent_at);
+}
+
 /* Chooses a target of VERSION that has capacity for the request; 0: of any. */
 static int
 choose_version (cs_forward_t *forward, uint64_t version, cs_choice_t *choice,
@@ -51,11 +129,10 @@
     = forward->route->session_affinity ? &forward->request.context : NULL,
     .version = version,
     .prefer_local = forward->failed_connects > 0,
+    .is_plain = forward->is_plain && !forward->route->session_affinity,
     .at_most_once = !cs_forward_is_repeatable (forward),
     .can_fetch = forward->may_fetch_context,
-    .organisation = forward->organisation == NULL
-                        ? 0
-                        : cs_hash (forward->organisation->name, 0),
+    .organisation = organisation_hash (forward),
     .route = cs_hash (forward->route->name, 1),
     .peers = cs_mesh_count_members (router->mesh),
     .routers = cs_mesh_count_routers (router->mesh),
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -240,6 +240,7 @@
       forward->routing, forward->route, cs_random_unit (&router->random));
   if (service == NULL)
     return CS_ERR_NO_TARGET;
+  forward->is_plain = service->slots == 0;
   forward->may_fetch_context
       = service->kv_transfer_us_per_token > 0
         && service->kv_transfer_us_per_token <= MAX_FETCH_US_PER_TOKEN;
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -35,6 +35,7 @@
   const cs_route_t *route;
   const cs_organisation_t *organisation; /* may be NULL */
   cs_service_state_t *service;
+  bool is_plain;      /* SERVICE is no engine */
   cs_causes_t causes; /* of a crash of its target: itself, and its parts */
   uint64_t stream;    /* hash of the id of the request that began the stream */
   uint64_t version;   /* of the targets that may go on with a stream that has
@@ -121,6 +122,10 @@
 int cs_forward_choose (cs_forward_t *forward, cs_choice_t *choice,
                        cs_time_us_t now);
 
+/* The target answered the current attempt.  Records how long that took, for
+   the expected times of other calls.  */
+void cs_forward_record_time (const cs_forward_t *forward, cs_time_us_t now);
+
 /* Whether the request is retried after an attempt that ended with ERROR.  If
    so, takes the retry from the budget; attempts that sent nothing don't count
    against it.  */
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -354,6 +354,7 @@
     case CS_FORWARD_BUFFERED:
       if (forward->is_framed)
         record_served (forward, now);
+      cs_forward_record_time (forward, now);
       cs_health_record_result (forward->router, forward->target, CS_OK, now);
       cs_forward_send_buffered (forward, now);
       return;
--- a/tests/unit/uneven_test.cc
+++ b/tests/unit/uneven_test.cc
@@ -14,6 +14,7 @@
 #include "common/error.h"
 #include "common/hash.h"
 #include "cranberrystile/chooser.h"
+#include "cranberrystile/contention.h"
 }
 
 namespace
@@ -48,7 +49,6 @@
         entry.id = cs_str (id.c_str ());
         entry.service = cs_str ("orders");
         entry.data_centre = cs_str ("a");
-        entry.slots = SLOTS;
         cs_fleet_put (fleet, &entry, 0, &added);
       }
   }
@@ -68,156 +68,375 @@
 
   cs_fleet_t *fleet;
   cs_chooser_t *chooser;
+  cs_contention_t contention = {};
 };
 
+// One request, at first when it is sent and then when it ends.
 struct Call
 {
-  cs_time_us_t ends;
+  cs_time_us_t at;
+  cs_time_us_t arrived;
   cs_time_us_t sent;
   int router;
   int target;
+  int organisation;
+  int returns; // left to its caller
+  double expected;
 
   bool
   operator> (const Call &other) const
   {
-    return ends > other.ends;
+    return at > other.at;
   }
 };
 
+typedef std::priority_queue<Call, std::vector<Call>, std::greater<Call>> Calls;
+
 struct Machine
 {
   bool slow = false;
   cs_time_us_t changes = 0;
   int running = 0;
   std::deque<Call> waiting;
+
+  int
+  calls () const
+  {
+    return running + static_cast<int> (waiting.size ());
+  }
 };
 
+// From second BURST on, the calls are FACTOR times as many, LOST targets are
+// gone, target 0 is slow if ONE_SLOW is set, and organisation HOT sends
+// HOT_FACTOR times its usual.
+struct Load
+{
+  cs_time_us_t lag = 300 * MS; // of the other routers' calls in flight
+  double per_s = 210;
+  bool states_slowness = true;
+  bool admits = false; // refusals before sending
+  double factor = 1;
+  int lost = 0;
+  bool one_slow = false;
+  double hot_factor = 1;
+  bool aggressive = false; // three immediate retries instead of one
+  cs_time_us_t burst = 30 * SECOND;
+  cs_time_us_t end = 60 * SECOND;
+};
+
+// From second BURST on.
 struct Outcome
 {
   int calls = 0;
-  int late = 0; // or refused
+  int late = 0; // or not answered
   int over = 0; // sent to a target above 2 * mean + 3
+  int refused = 0;
+  double worth = 0;
+  int others = 0; // of all organisations but HOT
+  double others_worth = 0;
+  int hot_answered = 0;
+
+  double
+  mean_worth () const
+  {
+    return worth / calls;
+  }
+
+  double
+  mean_others_worth () const
+  {
+    return others_worth / others;
+  }
 };
 
-// CALLS_PER_S for 300 seconds.  Each router learns a target's load and figure
-// only from the responses to its own calls, and the other routers' calls in
-// flight LAG late.
-Outcome
-run (bool states_slowness, cs_time_us_t lag, double calls_per_s, uint64_t seed)
+const int ORGANISATIONS = 24;
+const int HOT = 4;
+const cs_time_us_t DEADLINE = 1500 * MS;
+// Late answers are worth 0.1 to 0.45 of one that is in time.
+const double LATE_WORTH = 0.33;
+
+class Model
 {
-  std::vector<std::unique_ptr<View>> views;
-  for (int i = 0; i < ROUTERS; i++)
-    views.push_back (std::make_unique<View> (seed * 1000 + i));
-  Machine machines[TARGETS];
-  std::deque<std::pair<cs_time_us_t, std::vector<int>>> history;
-  std::priority_queue<Call, std::vector<Call>, std::greater<Call>> running;
-  cs_random_t random = { seed, 0 };
-  cs_time_us_t now = SECOND;
-  cs_time_us_t next_view = 0;
-  Outcome out;
-  auto start = [&] (Call call, cs_time_us_t at) {
-    Machine &machine = machines[call.target];
+public:
+  Model (const Load &load, uint64_t seed) : load (load), random{ seed, 0 }
+  {
+    for (int i = 0; i < ROUTERS; i++)
+      views.push_back (std::make_unique<View> (seed * 1000 + i));
+  }
+
+  Outcome
+  run ()
+  {
+    arrive (SECOND);
+    while (!arrivals.empty () && arrivals.top ().at < load.end)
+      {
+        Call call = arrivals.top ();
+        arrivals.pop ();
+        now = call.at;
+        change_machines ();
+        while (!running.empty () && running.top ().at <= now)
+          finish ();
+        if (now >= next_view)
+          exchange_views ();
+        if (call.arrived == now)
+          {
+            arrive (now);
+            count (call);
+          }
+        send (call);
+      }
+    return out;
+  }
+
+private:
+  bool
+  in_burst (cs_time_us_t at) const
+  {
+    return at >= load.burst;
+  }
+
+  // Draws the next new request.
+  void
+  arrive (cs_time_us_t after)
+  {
+    bool burst = in_burst (after);
+    double usual = load.per_s * (burst ? load.factor : 1);
+    // Organisation I sends in proportion to 1 / (I + 1): some are large.
+    double sum = 0;
+    std::vector<double> parts;
+    for (int i = 0; i < ORGANISATIONS; i++)
+      {
+        parts.push_back (1. / (i + 1));
+        sum += parts[i];
+      }
+    double total = sum;
+    if (burst)
+      {
+        total += parts[HOT] * (load.hot_factor - 1);
+        parts[HOT] *= load.hot_factor;
+      }
+    Call call = {};
+    call.at = after
+              + static_cast<cs_time_us_t> (cs_random_exponential (
+                  &random, SECOND / (usual * total / sum)))
+              + 1;
+    call.arrived = call.at;
+    call.router = cs_random_u64 (&random) % ROUTERS;
+    call.returns = load.aggressive ? 3 : 1;
+    double at = cs_random_unit (&random) * total;
+    while (call.organisation < ORGANISATIONS - 1
+           && (at -= parts[call.organisation]) >= 0)
+      call.organisation++;
+    arrivals.push (call);
+  }
+
+  void
+  count (const Call &call)
+  {
+    if (!in_burst (call.arrived))
+      return;
+    out.calls++;
+    out.late++; // until it is answered in time
+    out.others += call.organisation != HOT;
+  }
+
+  void
+  change_machines ()
+  {
+    for (auto &machine : machines)
+      while (machine.changes <= now)
+        {
+          machine.slow = !machine.slow && machine.changes > 0;
+          machine.changes
+              += machine.slow
+                     ? SLOW_US
+                     : static_cast<cs_time_us_t> (cs_random_exponential (
+                         &random, SLOW_US * (1 / SLOW_SHARE - 1)));
+        }
+  }
+
+  bool
+  is_slow (int target) const
+  {
+    return machines[target].slow
+           || (load.one_slow && target == 0 && in_burst (now));
+  }
+
+  void
+  start (Call call, cs_time_us_t at)
+  {
     // Log-normal with spread 0.5 and mean 1.
     double normal = std::sqrt (-2 * std::log (1 - cs_random_unit (&random)))
                     * std::cos (2 * M_PI * cs_random_unit (&random));
     double work = WORK * std::exp (0.5 * normal - 0.125);
-    call.ends
-        = at + static_cast<cs_time_us_t> (work * (machine.slow ? SLOW : 1));
-    machine.running++;
+    call.at = at
+              + static_cast<cs_time_us_t> (
+                  work * (is_slow (call.target) ? SLOW : 1));
+    machines[call.target].running++;
     running.push (call);
-  };
-  while (now < 300 * SECOND)
-    {
-      now += static_cast<cs_time_us_t> (
-          cs_random_exponential (&random, SECOND / calls_per_s));
-      for (auto &machine : machines)
-        while (machine.changes <= now)
-          {
-            machine.slow = !machine.slow && machine.changes > 0;
-            machine.changes
-                += machine.slow
-                       ? SLOW_US
-                       : static_cast<cs_time_us_t> (cs_random_exponential (
-                           &random, SLOW_US * (1 / SLOW_SHARE - 1)));
-          }
-      while (!running.empty () && running.top ().ends <= now)
-        {
-          Call call = running.top ();
-          running.pop ();
-          Machine &machine = machines[call.target];
-          machine.running--;
-          if (!machine.waiting.empty ())
-            {
-              Call next = machine.waiting.front ();
-              machine.waiting.pop_front ();
-              start (next, call.ends);
-            }
-          out.late += call.ends - call.sent > LATE;
-          cs_target_t *target = views[call.router]->target (call.target);
-          target->in_flight--;
-          target->load = { (uint32_t)machine.running,
-                           (uint32_t)machine.waiting.size (),
-                           SLOTS,
-                           target->in_flight,
-                           call.ends,
-                           true };
-          if (states_slowness)
-            cs_slowness_record (&target->slowness, machine.slow ? SLOW : 1,
-                                call.ends);
-        }
-      if (now >= next_view)
-        {
-          next_view = now + VIEW_INTERVAL;
-          std::vector<int> loads (ROUTERS * TARGETS);
-          for (int i = 0; i < ROUTERS; i++)
-            for (int j = 0; j < TARGETS; j++)
-              loads[i * TARGETS + j] = views[i]->target (j)->in_flight;
-          history.push_back ({ now, loads });
-          while (history.size () > 1 && history[1].first + lag <= now)
-            history.pop_front ();
-          for (int i = 0; i < ROUTERS; i++)
-            for (int j = 0; j < TARGETS; j++)
-              {
-                int others = 0;
-                for (int k = 0; k < ROUTERS; k++)
-                  others += k == i ? 0 : history[0].second[k * TARGETS + j];
-                views[i]->target (j)->peer_calls = others;
-                views[i]->target (j)->peer_calls_at = now;
-              }
-        }
-      cs_choice_request_t request = {};
-      request.service = cs_str ("orders");
-      request.data_centre = cs_str ("a");
-      request.at_most_once = true;
-      request.peers = ROUTERS - 1;
-      Call call = {};
-      call.router = cs_random_u64 (&random) % ROUTERS;
-      call.sent = now;
-      cs_choice_t choice;
-      EXPECT_EQ (cs_chooser_choose (views[call.router]->chooser,
-                                    views[call.router]->fleet, &request, now,
-                                    &choice),
-                 CS_OK);
-      call.target = std::atoi (choice.target->id.text + 1);
-      Machine &machine = machines[call.target];
-      out.calls++;
-      int in_flight = 0;
-      for (const auto &one : machines)
-        in_flight += one.running + static_cast<int> (one.waiting.size ());
-      int load = machine.running + static_cast<int> (machine.waiting.size ());
-      out.over += load > 2. * in_flight / TARGETS + 3;
-      if (machine.waiting.size () >= QUEUE)
+  }
+
+  void
+  finish ()
+  {
+    Call call = running.top ();
+    running.pop ();
+    Machine &machine = machines[call.target];
+    machine.running--;
+    if (!machine.waiting.empty ())
+      {
+        Call next = machine.waiting.front ();
+        machine.waiting.pop_front ();
+        start (next, call.at);
+      }
+    View &view = *views[call.router];
+    cs_target_t *target = view.target (call.target);
+    target->in_flight--;
+    target->load = { static_cast<uint32_t> (machine.running),
+                     static_cast<uint32_t> (machine.waiting.size ()),
+                     SLOTS,
+                     target->in_flight,
+                     call.at,
+                     true };
+    if (load.states_slowness)
+      cs_slowness_record (&target->slowness, is_slow (call.target) ? SLOW : 1,
+                          call.at);
+    if (call.expected > 0 && call.at - call.arrived < DEADLINE)
+      cs_contention_record (&view.contention, call.expected,
+                            call.at - call.sent);
+    answer (call);
+  }
+
+  void
+  answer (const Call &call)
+  {
+    cs_time_us_t took = call.at - call.arrived;
+    if (!in_burst (call.arrived) || took > DEADLINE)
+      return;
+    double worth = took <= LATE ? 1 : LATE_WORTH;
+    out.late -= took <= LATE;
+    out.worth += worth;
+    if (call.organisation == HOT)
+      out.hot_answered++;
+    else
+      out.others_worth += worth;
+  }
+
+  void
+  exchange_views ()
+  {
+    next_view = now + VIEW_INTERVAL;
+    std::vector<int> loads (ROUTERS * TARGETS);
+    std::vector<int> sums (TARGETS);
+    for (int i = 0; i < ROUTERS; i++)
+      for (int j = 0; j < TARGETS; j++)
+        loads[i * TARGETS + j] = views[i]->target (j)->in_flight;
+    history.push_back ({ now, loads });
+    while (history.size () > 1 && history[1].first + load.lag <= now)
+      history.pop_front ();
+    const std::vector<int> &seen = history[0].second;
+    for (size_t i = 0; i < seen.size (); i++)
+      sums[i % TARGETS] += seen[i];
+    for (int i = 0; i < ROUTERS; i++)
+      for (int j = 0; j < TARGETS; j++)
         {
-          out.late++;
-          continue;
+          cs_target_t *target = views[i]->target (j);
+          target->leaving = in_burst (now) && j >= TARGETS - load.lost;
+          target->peer_calls = sums[j] - seen[i * TARGETS + j];
+          target->peer_calls_at = now;
         }
-      choice.target->in_flight++;
-      if (machine.running < SLOTS)
-        start (call, now);
-      else
-        machine.waiting.push_back (call);
-    }
-  return out;
+  }
+
+  // The caller comes back, if that is in time.
+  void
+  refuse (Call call)
+  {
+    out.refused += in_burst (call.arrived);
+    cs_time_us_t left = call.arrived + DEADLINE - now;
+    if (call.returns-- == 0 || now >= call.arrived + DEADLINE)
+      return;
+    call.at = now + 1;
+    if (!load.aggressive)
+      call.at += std::min<cs_time_us_t> (
+          left / 3, 400 * MS * (1 + cs_random_unit (&random)));
+    call.router = cs_random_u64 (&random) % ROUTERS;
+    arrivals.push (call);
+  }
+
+  bool
+  is_admitted (const Call &call, const cs_choice_t &choice, bool is_retry)
+  {
+    if (!load.admits || choice.expected == 0)
+      return true;
+    cs_contention_request_t request
+        = { 1 + static_cast<uint64_t> (call.organisation), 0,
+            call.arrived + DEADLINE - now, LATE, is_retry };
+    cs_contention_load_t at = { choice.expected, choice.mean_expected,
+                                choice.mean, choice.mean_slots };
+    return cs_contention_decide (&views[call.router]->contention, &request,
+                                 &at, now)
+               .verdict
+           == CS_CONTENTION_SENT;
+  }
+
+  // Sends CALL, to another target if the first one is full.
+  void
+  send (Call call)
+  {
+    View &view = *views[call.router];
+    cs_choice_request_t request = {};
+    request.service = cs_str ("orders");
+    request.data_centre = cs_str ("a");
+    request.is_plain = true;
+    request.at_most_once = true;
+    request.peers = ROUTERS - 1;
+    for (int i = 0; i < 2; i++)
+      {
+        cs_choice_t choice;
+        EXPECT_EQ (cs_chooser_choose (view.chooser, view.fleet, &request, now,
+                                      &choice),
+                   CS_OK);
+        if (!is_admitted (call, choice, i > 0))
+          break;
+        call.target = std::atoi (choice.target->id.text + 1);
+        call.expected = choice.expected;
+        call.sent = now;
+        Machine &machine = machines[call.target];
+        int in_flight = 0;
+        for (const auto &one : machines)
+          in_flight += one.calls ();
+        out.over += in_burst (now)
+                    && machine.calls () > 2. * in_flight / TARGETS + 3;
+        if (machine.waiting.size () < QUEUE)
+          {
+            choice.target->in_flight++;
+            if (machine.running < SLOTS)
+              start (call, now);
+            else
+              machine.waiting.push_back (call);
+            return;
+          }
+        request.avoid[request.avoid_count++] = choice.target;
+      }
+    refuse (call);
+  }
+
+  const Load &load;
+  cs_random_t random;
+  cs_time_us_t now = 0;
+  cs_time_us_t next_view = 0;
+  std::vector<std::unique_ptr<View>> views;
+  Machine machines[TARGETS];
+  std::deque<std::pair<cs_time_us_t, std::vector<int>>> history;
+  Calls arrivals;
+  Calls running;
+  Outcome out;
+};
+
+Outcome
+run (const Load &load, uint64_t seed)
+{
+  return Model (load, seed).run ();
 }
 
 // The figures are a second old on average, as each router hears of a target
@@ -228,9 +447,14 @@
 
 TEST_P (UnevenTargets, StatedFiguresKeepCallsInTime)
 {
-  auto [calls_per_s, lag] = GetParam ();
-  Outcome without = run (false, lag * MS, calls_per_s, 1);
-  Outcome with = run (true, lag * MS, calls_per_s, 1);
+  Load load;
+  load.per_s = GetParam ().first;
+  load.lag = GetParam ().second * MS;
+  load.burst = SECOND;
+  load.end = 300 * SECOND;
+  Outcome with = run (load, 1);
+  load.states_slowness = false;
+  Outcome without = run (load, 1);
   EXPECT_LE (with.late * 1. / with.calls, 0.8 * without.late / without.calls)
       << with.late << " of " << with.calls;
   EXPECT_LE (with.over, 0.03 * with.calls) << "above 2 * mean + 3";
@@ -250,6 +474,152 @@
                                    + std::to_string (info.param.second);
                           });
 
+// Adds up the outcomes of four seeds.
+Outcome
+run_all (Load load, bool admits)
+{
+  Outcome sum;
+  load.admits = admits;
+  for (int seed = 1; seed <= 4; seed++)
+    {
+      Outcome one = run (load, seed);
+      sum.calls += one.calls;
+      sum.worth += one.worth;
+      sum.others += one.others;
+      sum.others_worth += one.others_worth;
+      sum.hot_answered += one.hot_answered;
+      sum.refused += one.refused;
+    }
+  return sum;
+}
+
+struct BusyCase
+{
+  const char *name;
+  double least_worth; // the stated target where the targets can serve it
+  Load load;
+};
+
+class BusyTargets : public testing::TestWithParam<BusyCase>
+{
+};
+
+// Refusals cost more than late answers where callers can't come back in time,
+// so what is refused must not cost worth: early refusals of all requests that
+// would be late halved it.
+TEST_P (BusyTargets, RefusalsCostNoWorth)
+{
+  Outcome with = run_all (GetParam ().load, true);
+  Outcome without = run_all (GetParam ().load, false);
+  EXPECT_GE (with.mean_worth (), GetParam ().least_worth);
+  EXPECT_GE (with.mean_worth (), without.mean_worth () - 0.02) << "noise";
+  RecordProperty ("worth", std::to_string (with.mean_worth ()));
+  RecordProperty ("without", std::to_string (without.mean_worth ()));
+}
+
+const BusyCase busy_cases[] = {
+  { "Calm", 0.8, { .admits = true } },
+  // 150 calls/s of 210 become 390.
+  { "BurstOfOneClass", 0.7, { .factor = 2.14 } },
+  { "MoreCallsAndASlowTarget", 0.8, { .factor = 1.4, .one_slow = true } },
+  { "AggressiveCallers", 0.7, { .factor = 2.14, .aggressive = true } },
+  // Three targets serve about 270 calls/s, 294 arrive.
+  { "DataCentreLostInABurst", 0, { .factor = 1.4, .lost = 2 } },
+  { "AllRoutersRestarted", 0.8, { .factor = 1.4, .burst = SECOND } },
+};
+
+INSTANTIATE_TEST_SUITE_P (Loads, BusyTargets, testing::ValuesIn (busy_cases),
+                          [] (const auto &info) { return info.param.name; });
+
+// An organisation with a twentieth of the calls sends twelve times as many
+// while all calls are 1.4 times as many: answers to all others came late.
+TEST (Contention, SurgeOfAnOrganisationLeavesTheOthersTheirShare)
+{
+  Load load = { .lag = 700 * MS, .factor = 1.4, .hot_factor = 12 };
+  Outcome with = run_all (load, true);
+  EXPECT_GE (with.mean_others_worth (), 0.8);
+  EXPECT_GE (with.hot_answered, (with.calls - with.others) / load.hot_factor)
+      << "what is usual for it is answered";
+  RecordProperty ("others", std::to_string (with.mean_others_worth ()));
+  RecordProperty ("without",
+                  std::to_string (run_all (load, false).mean_others_worth ()));
+}
+
+// 300 requests of organisation 1, one each 100 ms.
+std::unique_ptr<cs_contention_t>
+contention_with_usual_traffic ()
+{
+  auto contention = std::make_unique<cs_contention_t> ();
+  cs_contention_request_t request = { 1, 0, DEADLINE, LATE, false };
+  cs_contention_load_t idle = { 1, 1, 0, SLOTS };
+  cs_contention_record (contention.get (), 1, WORK);
+  for (int i = 1; i <= 300; i++)
+    cs_contention_decide (contention.get (), &request, &idle, i * 100 * MS);
+  return contention;
+}
+
+TEST (Contention, NothingIsRefusedWhileHalfOfTheSlotsAreFree)
+{
+  auto contention = contention_with_usual_traffic ();
+  cs_contention_request_t request = { 1, 0, 1, LATE, false };
+  cs_contention_load_t load = { 90, 90, 2.9, SLOTS };
+  for (int i = 0; i < 1000; i++)
+    EXPECT_EQ (
+        cs_contention_decide (contention.get (), &request, &load, 30 * SECOND)
+            .verdict,
+        CS_CONTENTION_SENT);
+}
+
+// 24 calls wait at each target, which are slow: a retry that has 500 ms left
+// would only delay others.
+TEST (Contention, RefusesWhatCannotBeAnsweredInTime)
+{
+  auto contention = contention_with_usual_traffic ();
+  cs_contention_load_t load = { 12, 12, 30, SLOTS };
+  cs_contention_request_t request = { 2, 0, 500 * MS, LATE, true };
+  auto decision
+      = cs_contention_decide (contention.get (), &request, &load, 30 * SECOND);
+  EXPECT_EQ (decision.verdict, CS_CONTENTION_TOO_LATE);
+  EXPECT_EQ (decision.expected_us, 720 * MS);
+  request.remaining_us = 800 * MS;
+  EXPECT_EQ (
+      cs_contention_decide (contention.get (), &request, &load, 30 * SECOND)
+          .verdict,
+      CS_CONTENTION_SENT);
+}
+
+// Answers take 420 ms: the usual traffic of a large organisation is sent, of
+// its surge only a part, and the most urgent requests later than others.
+TEST (Contention, OnlyWhatIsBeyondTheShareGivesWay)
+{
+  auto contention = contention_with_usual_traffic ();
+  cs_contention_load_t load = { 7, 7, 30, SLOTS };
+  int sent = 0;
+  for (int i = 1; i <= 100; i++)
+    {
+      cs_contention_request_t request = { 1, 0, DEADLINE, LATE, false };
+      EXPECT_EQ (cs_contention_decide (contention.get (), &request, &load,
+                                       30 * SECOND + i * 100 * MS)
+                     .verdict,
+                 CS_CONTENTION_SENT);
+      for (int j = 0; j < 5; j++)
+        {
+          request.organisation = 2;
+          sent += cs_contention_decide (contention.get (), &request, &load,
+                                        30 * SECOND + i * 100 * MS)
+                      .verdict
+                  == CS_CONTENTION_SENT;
+        }
+    }
+  EXPECT_GT (sent, 50) << "an equal share of the service";
+  EXPECT_LT (sent, 400);
+  cs_contention_request_t urgent = { 2, 1, DEADLINE, LATE, false };
+  EXPECT_EQ (
+      cs_contention_decide (contention.get (), &urgent, &load, 40 * SECOND)
+          .verdict,
+      CS_CONTENTION_SENT);
+}
+
 // A state of 600 ms that was heard of once must not brand the target for
 // seconds, nor be forgotten at once.
 TEST (Slowness, AgesTowardsTheRunningAverage)
