--- a/cranberrystile/routing/compare.c
+++ b/cranberrystile/routing/compare.c
@@ -14,7 +14,8 @@
   FORMAT_KIND,
   FORMAT_SERVICES,
   FORMAT_PRIORITY,
-  FORMAT_COPY_TIME
+  FORMAT_COPY_TIME,
+  FORMAT_SECONDS
 } format_t;
 
 /* A value that operators set: its name, and its place in the record.  */
@@ -48,6 +49,10 @@
   { "slots", FORMAT_NUMBER, offsetof (cs_service_t, slots) },
   { "time to copy context", FORMAT_COPY_TIME,
     offsetof (cs_service_t, kv_transfer_us_per_token) },
+  { "cold time after a start", FORMAT_SECONDS,
+    offsetof (cs_service_t, cold_start_s) },
+  { "requests a second to a cold target", FORMAT_NUMBER,
+    offsetof (cs_service_t, cold_per_s) },
 };
 
 static const property_t organisation_properties[] = {
@@ -146,6 +151,8 @@
       return write_priority (record, out);
     case FORMAT_COPY_TIME:
       return cs_buf_printf (out, "%g us per token", *(const double *)field);
+    case FORMAT_SECONDS:
+      return cs_buf_printf (out, "%g s", *(const double *)field);
     }
   return 0;
 }
