Restrict requests to the regions that a route or organisation allows

Routes and organisations may state allowed_regions. The settings give the region of each data centre in [regions], a section with any keys, which the settings reader now supports. Targets elsewhere, or in a data centre without a region, are no candidates and no sources of contexts. Without lists nothing changes.

--- a/common/settings_table.c
+++ b/common/settings_table.c
@@ -126,11 +126,37 @@
   return set_text (setting, value, field);
 }
 
+/* Adds a setting of the section with any keys.  Returns NULL or what is wrong
+   with it.  */
+static const char *
+add_pair (cs_setting_pairs_t *pairs, const char *key, const char *value)
+{
+  for (size_t i = 0; i < pairs->count; i++)
+    if (strcmp (pairs->pairs[i].key.text, key) == 0)
+      return "is set twice";
+  if (!cs_name_is_valid (key) || !cs_name_is_valid (value))
+    return "is empty or too long";
+  if (pairs->count == CS_SETTING_MAX_PAIRS)
+    return "is one setting too many";
+  cs_name_set (&pairs->pairs[pairs->count].key, cs_str (key));
+  cs_name_set (&pairs->pairs[pairs->count].value, cs_str (value));
+  pairs->count++;
+  return NULL;
+}
+
 static int
 handle_setting (void *context, const char *section, const char *key,
                 const char *value)
 {
   parse_state_t *state = context;
+  const cs_settings_table_t *table = state->table;
+  if (table->pairs_section != NULL
+      && strcmp (section, table->pairs_section) == 0)
+    {
+      void *pairs = (char *)state->out + table->pairs_offset;
+      const char *error = add_pair (pairs, key, value);
+      return error == NULL ? 1 : report_error (state, section, key, error);
+    }
   for (size_t i = 0; i < state->table->count; i++)
     {
       const cs_setting_t *entry = &state->table->settings[i];
--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -49,6 +49,16 @@
                        request->data_centre);
 }
 
+bool
+candidates_is_allowed (const cs_choice_request_t *request,
+                       const cs_target_t *target)
+{
+  return cs_region_list_allows (request->route_regions, request->regions,
+                                &target->data_centre)
+         && cs_region_list_allows (request->organisation_regions,
+                                   request->regions, &target->data_centre);
+}
+
 static bool
 is_evacuated (const cs_choice_request_t *request, const cs_target_t *target)
 {
@@ -63,6 +73,7 @@
 {
   return !target->leaving && now >= target->held_until
          && !is_avoided (request, target) && !is_evacuated (request, target)
+         && candidates_is_allowed (request, target)
          && (request->version == 0 || target->version == request->version)
          && cs_str_equal (cs_name_str (&target->service), request->service);
 }
@@ -126,6 +137,7 @@
   cs_target_t *const *targets = cs_fleet_targets (fleet, &total);
   for (size_t i = 0; i < total; i++)
     if ((targets[i]->leaving || is_evacuated (request, targets[i]))
+        && candidates_is_allowed (request, targets[i])
         && cs_str_equal (cs_name_str (&targets[i]->service), request->service))
       add (candidates, targets[i]);
 }
--- a/cranberrystile/placement/candidates.h
+++ b/cranberrystile/placement/candidates.h
@@ -54,6 +54,10 @@
 /* Requires at least one candidate.  */
 cs_choice_service_t candidates_sum_up (const candidates_t *candidates);
 
+/* Whether TARGET is in a region to which REQUEST is restricted.  */
+bool candidates_is_allowed (const cs_choice_request_t *request,
+                            const cs_target_t *target);
+
 /* Whether TARGET is in the data centre of the router.  */
 bool candidates_is_local (const cs_choice_request_t *request,
                           const cs_target_t *target);
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -221,6 +221,7 @@
     {
       cs_target_t *last = find_by_hash (fleet, recent->target);
       if (last != NULL && last != chosen
+          && candidates_is_allowed (request, last)
           && !cs_eject_is_ejected (&last->eject, now))
         return last;
       if (last == chosen)
--- a/cranberrystile/routing/routing.c
+++ b/cranberrystile/routing/routing.c
@@ -26,6 +26,14 @@
   free ((char *)s.data);
 }
 
+static void
+free_regions (cs_region_list_t *list)
+{
+  for (size_t i = 0; i < list->count; i++)
+    free_str (list->names[i]);
+  free (list->names);
+}
+
 void
 cs_routing_release (cs_routing_t *routing)
 {
@@ -37,6 +45,7 @@
       free_str (routing->routes[i].host);
       free_str (routing->routes[i].prefix);
       free (routing->routes[i].weighted_services);
+      free_regions (&routing->routes[i].allowed_regions);
     }
   for (size_t i = 0; i < routing->service_count; i++)
     {
@@ -44,7 +53,10 @@
       free_str (routing->services[i].health_path);
     }
   for (size_t i = 0; i < routing->organisation_count; i++)
-    free_str (routing->organisations[i].name);
+    {
+      free_str (routing->organisations[i].name);
+      free_regions (&routing->organisations[i].allowed_regions);
+    }
   for (size_t i = 0; i < routing->key_count; i++)
     free_str (routing->keys[i].text);
   free (routing->routes);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -68,7 +68,7 @@
 };
 
 static const cs_settings_table_t table
-    = { settings, sizeof settings / sizeof settings[0] };
+    = { .settings = settings, .count = sizeof settings / sizeof settings[0] };
 
 int
 cs_settings_parse (const char *file, const char *text, cs_settings_t *out,
--- a/include/common/settings_table.h
+++ b/include/common/settings_table.h
@@ -36,10 +36,27 @@
   const char *default_value; /* NULL: the key is required */
 } cs_setting_t;
 
+/* Maximum number of settings in a section whose keys are not in a table; it
+   holds the data centres of a large deployment.  */
+#define CS_SETTING_MAX_PAIRS 64
+
+/* The settings of such a section; their keys differ.  */
+typedef struct
+{
+  struct
+  {
+    cs_name_t key;
+    cs_name_t value;
+  } pairs[CS_SETTING_MAX_PAIRS];
+  size_t count;
+} cs_setting_pairs_t;
+
 typedef struct
 {
   const cs_setting_t *settings;
   size_t count;
+  const char *pairs_section; /* a section with any keys; NULL: none */
+  size_t pairs_offset;       /* of the cs_setting_pairs_t for it */
 } cs_settings_table_t;
 
 /* Parses TEXT, called FILE in messages, into the structure at OUT, whose SIZE
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -40,8 +40,12 @@
   size_t peers;          /* other routers, assumed to have as many callers */
   double routers;        /* all of them, by whom the limits that targets name
                             are shared */
-  const cs_evacuations_t *evacuations; /* data centres that get nothing;
-                                          NULL: none */
+  const cs_evacuations_t *evacuations;   /* data centres that get nothing;
+                                            NULL: none */
+  const cs_setting_pairs_t *regions;     /* of data centres */
+  const cs_region_list_t *route_regions; /* to which the request is restricted
+                                            by its route; NULL: none */
+  const cs_region_list_t *organisation_regions; /* likewise */
   const cs_target_t *avoid[CS_CHOICE_MAX_AVOIDED];
   uint32_t avoid_count;
 } cs_choice_request_t;
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "common/str.h"
+#include "cranberrystile/regions.h"
 
 /* Whether requests of a route may be retried.  */
 typedef enum
@@ -43,6 +44,7 @@
   bool is_public;          /* needs no API key */
   bool resumable;          /* a stream may continue at another target */
   bool session_affinity;   /* requests are placed by their prompt prefix */
+  cs_region_list_t allowed_regions;
 } cs_route_t;
 
 typedef struct
@@ -61,6 +63,7 @@
   bool has_priority;
   uint32_t priority;
   uint32_t priority_level; /* as for routes */
+  cs_region_list_t allowed_regions;
 } cs_organisation_t;
 
 typedef struct
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -20,6 +20,8 @@
   X (repeats_denied, "repeats that the budget did not allow")                 \
   X (refused_evacuated,                                                       \
      "requests refused as only evacuated targets were left")                  \
+  X (refused_regions,                                                         \
+     "restricted requests without a target in their regions")                 \
   X (streams_resumed, "cut streams taken up at another target")               \
   X (streams_not_recorded, "streams whose version could not be kept")         \
   X (streams_refused, "taken up streams of an unknown version")               \
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -59,6 +59,8 @@
   double grace_s;        /* the process exits within this time */
   /* [log] */
   uint32_t lines_per_s;
+  /* [regions]: the region of each data centre */
+  cs_setting_pairs_t regions;
 } cs_router_settings_t;
 
 /* Time within which every change at the platform has to be applied.  */
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -159,6 +159,11 @@
       return;
     }
   forward->choice = choice;
+  if (rc == CS_ERR_NO_TARGET
+      && (forward->route->allowed_regions.is_stated
+          || (forward->organisation != NULL
+              && forward->organisation->allowed_regions.is_stated)))
+    forward->router->counters.refused_regions++;
   forward->router->counters.refused_evacuated += choice.is_evacuated;
   cs_forward_fail (forward, rc, now);
 }
--- a/router/settings.c
+++ b/router/settings.c
@@ -86,7 +86,10 @@
 };
 
 static const cs_settings_table_t table
-    = { settings, sizeof settings / sizeof settings[0] };
+    = { .settings = settings,
+        .count = sizeof settings / sizeof settings[0],
+        .pairs_section = "regions",
+        .pairs_offset = OFFSET (regions) };
 
 cs_time_us_t
 cs_router_settings_update_limit_us (const cs_router_settings_t *settings)
