Test that a request waiting for its connection isn't sent to an evacuated data centre

The target was chosen before the evacuation, and its full queue holds the handshake back for a second.

--- a/tests/router/evacuation_test.cc
+++ b/tests/router/evacuation_test.cc
@@ -101,6 +101,74 @@
   EXPECT_EQ (engine.count (), 1U);
 }
 
+// A target whose queue of connections is full: the handshake of the next one
+// waits for a second, until the kernel repeats it.
+class FullListener
+{
+public:
+  FullListener ()
+  {
+    sockaddr_in address = {};
+    socklen_t len = sizeof address;
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    bind (fd_, reinterpret_cast<sockaddr *> (&address), sizeof address);
+    listen (fd_, 0);
+    getsockname (fd_, reinterpret_cast<sockaddr *> (&address), &len);
+    port_ = ntohs (address.sin_port);
+    first_ = std::make_unique<wire::Socket> (wire::Socket::connect_to (port_));
+  }
+
+  ~FullListener () { close (fd_); }
+
+  std::string
+  entry () const
+  {
+    return "{\"service\":\"engines\",\"address\":\"127.0.0.1:"
+           + std::to_string (port_)
+           + "\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\","
+             "\"version\":\"v1\",\"born\":2000}";
+  }
+
+  // Makes room, and returns what arrives on the connection that waited.
+  std::string
+  read_next ()
+  {
+    char bytes[4096];
+    close (accept (fd_, nullptr, nullptr));
+    int next = accept (fd_, nullptr, nullptr);
+    ssize_t got = recv (next, bytes, sizeof bytes, 0);
+    close (next);
+    return got > 0 ? std::string (bytes, got) : "";
+  }
+
+private:
+  int fd_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int port_ = 0;
+  std::unique_ptr<wire::Socket> first_;
+};
+
+// The target was chosen before, and the request would be sent when its
+// connection is established at last.
+TEST_F (Evacuation, RequestThatWaitsForItsConnectionIsNotSentThere)
+{
+  FullListener full;
+  router->write_settings (store.address (),
+                          settings () + "[target]\nconnect_timeout_ms=5000\n");
+  ASSERT_TRUE (wait_for_log (*router, "CS1008"));
+  store.put ("servers", "i-1", full.entry ());
+  ASSERT_TRUE (wait_for_log (*router, "started=2000"));
+  wire::Socket caller (wire::Socket::connect_to (router->callers ()));
+  caller.send (request ("POST", "/once/x", "", "b"));
+  std::this_thread::sleep_for (std::chrono::milliseconds (100));
+  store.put ("evacuations", "a", "{}");
+  ASSERT_TRUE (wait_for_log (*router, "CS1421", 500));
+  EXPECT_EQ (full.read_next (), "");
+  EXPECT_EQ (caller.read ().status (), 200);
+  EXPECT_EQ (second_engine.count (), 1U);
+  EXPECT_EQ (router->log ().find ("why=connect"), std::string::npos);
+}
+
 // Its heartbeats with the hub go on; without the hub it would be late.
 TEST_F (Evacuation, MemberThatIsCutOffFromTheStoreLearnsItFromAPeer)
 {
