Share the fixture of the tests of evacuations and regions

Both choose from a fleet by data centre. The tests of regions check the same as before; that contexts are copied from leaving targets where no restriction is stated is checked as well, so that the check of the restricted case bites.

--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -1,9 +1,12 @@
-// Evacuated data centres: the set, and the choice of targets.
+// Data centres that are evacuated, or in regions that a request may not
+// reach.
 
+#include <set>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <jansson.h>
 
 extern "C"
 {
@@ -11,6 +14,7 @@
 #include "cranberrystile/chooser.h"
 #include "cranberrystile/evacuations.h"
 #include "cranberrystile/fleet.h"
+#include "platform/store.h"
 #include "router/settings.h"
 }
 
@@ -19,19 +23,18 @@
 
 const cs_time_us_t SECOND = CS_US_PER_S;
 
-class Evacuations : public testing::Test
+// A fleet from which targets are chosen.
+class DataCentres : public testing::Test
 {
 protected:
   void
   SetUp () override
   {
-    set = cs_evacuations_create (record, this);
     fleet = cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr);
     cs_choice_policy_t policy = cs_choice_policy_default ();
     chooser = cs_chooser_create (&policy, 7);
     request.service = cs_str ("engines");
     request.data_centre = cs_str ("a");
-    request.evacuations = set;
     request.peers = 1;
   }
 
@@ -40,7 +43,59 @@
   {
     cs_chooser_destroy (chooser);
     cs_fleet_destroy (fleet);
+  }
+
+  void
+  put (const char *id, const char *data_centre, uint64_t revision = 1,
+       uint64_t started_ms = 1)
+  {
+    cs_target_entry_t entry = {};
+    bool added;
+    entry.id = cs_str (id);
+    entry.service = cs_str ("engines");
+    entry.data_centre = cs_str (data_centre);
+    entry.started_ms = started_ms;
+    entry.slots = 8;
+    entry.revision = { 1, revision };
+    cs_fleet_put (fleet, &entry, 0, &added);
+  }
+
+  cs_target_t *
+  target (size_t at)
+  {
+    size_t count;
+    return cs_fleet_targets (fleet, &count)[at];
+  }
+
+  int
+  choose ()
+  {
+    return cs_chooser_choose (chooser, fleet, &request, SECOND, &choice);
+  }
+
+  cs_fleet_t *fleet = nullptr;
+  cs_chooser_t *chooser = nullptr;
+  cs_prompt_context_t context = { { 42 }, { 0 }, 1, 0 };
+  cs_choice_request_t request = {};
+  cs_choice_t choice = {};
+};
+
+class Evacuations : public DataCentres
+{
+protected:
+  void
+  SetUp () override
+  {
+    DataCentres::SetUp ();
+    set = cs_evacuations_create (record, this);
+    request.evacuations = set;
+  }
+
+  void
+  TearDown () override
+  {
     cs_evacuations_destroy (set);
+    DataCentres::TearDown ();
   }
 
   static void
@@ -78,34 +133,8 @@
     return cs_evacuations_has (set, &text);
   }
 
-  void
-  put (const char *id, const char *data_centre, uint64_t revision = 1,
-       uint64_t started_ms = 1)
-  {
-    cs_target_entry_t entry = {};
-    bool added;
-    entry.id = cs_str (id);
-    entry.service = cs_str ("engines");
-    entry.data_centre = cs_str (data_centre);
-    entry.address.sin_port = 80;
-    entry.started_ms = started_ms;
-    entry.slots = 8;
-    entry.revision = { 1, revision };
-    cs_fleet_put (fleet, &entry, 0, &added);
-  }
-
-  int
-  choose ()
-  {
-    return cs_chooser_choose (chooser, fleet, &request, SECOND, &choice);
-  }
-
   std::string changes;
   cs_evacuations_t *set = nullptr;
-  cs_fleet_t *fleet = nullptr;
-  cs_chooser_t *chooser = nullptr;
-  cs_choice_request_t request = {};
-  cs_choice_t choice = {};
 };
 
 // A peer that is late would end an evacuation, or begin one again.
@@ -182,8 +211,7 @@
   put ("t4", "c");
   replace ({ "b" }, { 1, 10 });
   cs_eject_policy_t policy = cs_eject_policy_default ();
-  size_t count;
-  cs_eject_now (&cs_fleet_targets (fleet, &count)[3]->eject, &policy, SECOND);
+  cs_eject_now (&target (3)->eject, &policy, SECOND);
   for (int i = 0; i < 100; i++)
     {
       ASSERT_EQ (choose (), CS_OK);
@@ -197,8 +225,7 @@
 {
   put ("t1", "b");
   put ("t2", "b");
-  size_t count;
-  cs_fleet_targets (fleet, &count)[0]->paused_until = 2 * SECOND;
+  target (0)->paused_until = 2 * SECOND;
   replace ({ "b" }, { 1, 10 });
   EXPECT_EQ (choose (), CS_ERR_NO_TARGET);
   EXPECT_TRUE (choice.is_evacuated);
@@ -226,7 +253,6 @@
 // All contexts of an evacuated data centre would be computed again.
 TEST_F (Evacuations, ContextsAreStillCopiedFromThere)
 {
-  cs_prompt_context_t context = { { 42 }, { 0 }, 1, 0 };
   put ("t1", "b");
   request.context = &context;
   request.can_fetch = true;
@@ -258,4 +284,129 @@
              100U);
 }
 
+// Data centres "a" and "b" are in one region and "c" in another.
+const char *const SETTINGS
+    = "[host]\nname = r\ndata_centre = a\n[listen]\ncallers = 127.0.0.1:1\n"
+      "readiness = 127.0.0.1:2\n[platform]\naddress = 127.0.0.1:3\n"
+      "[regions]\na = north\nb = north\nc = south\n";
+
+int
+read_settings (const std::string &text, cs_router_settings_t *out)
+{
+  cs_buf_t reason = {};
+  int rc = cs_router_settings_parse ("f", text.c_str (), out, &reason);
+  cs_buf_free (&reason);
+  return rc;
+}
+
+class Regions : public DataCentres
+{
+protected:
+  void
+  SetUp () override
+  {
+    DataCentres::SetUp ();
+    ASSERT_EQ (read_settings (SETTINGS, &settings), CS_OK);
+    for (const char *data_centre : { "a", "b", "c", "unknown" })
+      put (data_centre, data_centre);
+    request.regions = &settings.regions;
+  }
+
+  void
+  TearDown () override
+  {
+    cs_routing_release (routing);
+    DataCentres::TearDown ();
+  }
+
+  // Restricts the request by these members of a route and an organisation.
+  int
+  restrict_to (const std::string &route, const std::string &organisation = "")
+  {
+    std::string text
+        = "{\"version\":1,\"services\":[{\"name\":\"s\"}],\"routes\":["
+          "{\"service\":\"s\""
+          + route + "}],\"tenants\":[{\"name\":\"o\"" + organisation + "}]}";
+    json_t *spec = json_loads (text.c_str (), 0, nullptr);
+    cs_buf_t reason = {};
+    cs_routing_release (routing);
+    routing = nullptr;
+    int rc = cs_store_read_routing (spec, &routing, &reason);
+    cs_buf_free (&reason);
+    json_decref (spec);
+    if (rc != CS_OK)
+      return rc;
+    request.route_regions = &routing->routes[0].allowed_regions;
+    request.organisation_regions = &routing->organisations[0].allowed_regions;
+    return CS_OK;
+  }
+
+  // Returns the data centres of all attempts, until no target is left.
+  std::string
+  chosen (const std::string &route, const std::string &organisation = "")
+  {
+    std::set<std::string> ids;
+    EXPECT_EQ (restrict_to (route, organisation), CS_OK);
+    request.avoid_count = 0;
+    while (request.avoid_count < 4 && choose () == CS_OK)
+      {
+        request.avoid[request.avoid_count++] = choice.target;
+        ids.insert (choice.target->id.text);
+      }
+    std::string text;
+    for (auto &id : ids)
+      text += id + " ";
+    return text;
+  }
+
+  cs_router_settings_t settings = {};
+  cs_routing_t *routing = nullptr;
+};
+
+TEST_F (Regions, AllAttemptsGoToTargetsInAllowedRegions)
+{
+  const std::string north = ",\"allowed_regions\":[\"north\"]";
+  const std::string both = ",\"allowed_regions\":[\"south\",\"north\"]";
+  EXPECT_EQ (chosen (""), "a b c unknown ") << "not restricted";
+  EXPECT_EQ (chosen (north), "a b ");
+  EXPECT_EQ (chosen ("", north), "a b ");
+  EXPECT_EQ (chosen (both), "a b c ") << "not where the region is unknown";
+  EXPECT_EQ (chosen (both, north), "a b ");
+  EXPECT_EQ (chosen (north, ",\"allowed_regions\":[\"south\"]"), "");
+  EXPECT_EQ (chosen (",\"allowed_regions\":[]"), "");
+}
+
+// A restriction that is left out because it can't be read lets requests leave
+// their region, as does a data centre with a second region.
+TEST_F (Regions, RestrictionsThatAreNotClearAreRefused)
+{
+  EXPECT_EQ (restrict_to (",\"allowed_regions\":\"north\""),
+             CS_ERR_BAD_RELEASE);
+  EXPECT_EQ (restrict_to ("", ",\"allowed_regions\":[\"north\",7]"),
+             CS_ERR_BAD_RELEASE);
+  EXPECT_NE (read_settings (std::string (SETTINGS) + "a = south\n", &settings),
+             CS_OK);
+}
+
+// A copy of a cached context is made by a request to the other target.
+TEST_F (Regions, ContextsAreNotCopiedFromOtherRegions)
+{
+  request.context = &context;
+  request.can_fetch = true;
+  target (0)->leaving = target (1)->leaving = true;
+  ASSERT_EQ (choose (), CS_OK) << "at a target outside";
+  target (0)->leaving = false;
+  target (2)->leaving = target (3)->leaving = true;
+  ASSERT_EQ (choose (), CS_OK);
+  EXPECT_TRUE (choice.source == target (2) || choice.source == target (3));
+  target (1)->leaving = false;
+  ASSERT_EQ (restrict_to (",\"allowed_regions\":[\"north\"]"), CS_OK);
+  for (int i = 0; i < 20; i++)
+    {
+      ASSERT_EQ (choose (), CS_OK);
+      EXPECT_NE (choice.source, target (2));
+      EXPECT_NE (choice.source, target (3));
+    }
+}
+
 }
