Send invalid responses and a fourth load figure in the soak

Targets of the soak test may send statuses outside 200 to 599, four digits, letters or two lengths, with the connection kept open, and half of them state a fourth figure in their load. A caller that sees such a status is a violation.

--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -54,7 +54,11 @@
 inline std::string
 check_response (const Request &request, const wire::Message &response)
 {
-  if (response.start_line.empty () || response.status () >= 300)
+  if (response.start_line.empty ())
+    return "";
+  if (response.status () < 200 || response.status () > 599)
+    return "the status is invalid";
+  if (response.status () >= 300)
     return "";
   if (response.field ("x-request-id") != request.id)
     return "the response has the id of another request";
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -397,6 +397,7 @@
                   { "resets", &Target::reset_percent },
                   { "no responses", &Target::silent_percent },
                   { "refusals with Retry-After", &Target::pause_percent },
+                  { "invalid responses", &Target::invalid_percent },
                   { "endless heads", &Target::endless_percent },
                   { "streams without events", &Target::drip_percent } };
     const size_t mode_count = sizeof modes / sizeof modes[0];
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -98,6 +98,8 @@
   std::atomic<int> endless_percent{ 0 };
   // The stream goes on with bytes that complete no event, and never ends.
   std::atomic<int> drip_percent{ 0 };
+  // The request is executed; what is sent is no response.
+  std::atomic<int> invalid_percent{ 0 };
   // All responses have Server-Leaving.
   std::atomic<bool> says_leaving{ false };
 
@@ -120,10 +122,32 @@
         const std::string &extra_fields)
   {
     return "HTTP/1.1 " + status + "\r\nX-Request-Id: " + id
-           + "\r\nX-Server-Load: " + std::to_string (running_) + ",0,16\r\n"
+           + "\r\nX-Server-Load: " + std::to_string (running_) + ",0,16"
+           + slowness () + "\r\n"
            + (says_leaving ? "Server-Leaving: 1\r\n" : "") + extra_fields;
   }
 
+  // The fourth figure of the load, which half of the targets state.
+  std::string
+  slowness ()
+  {
+    bool states_it = hash_id (id_) % 2 == 0;
+    return states_it ? (happens (15) ? ",250" : ",100") : "";
+  }
+
+  // Sends what is no response to request ID, and keeps the connection open.
+  bool
+  send_invalid (wire::Socket &socket, const std::string &id)
+  {
+    static const char *const statuses[]
+        = { "000 Odd", "099 Odd", "101 Odd", "600 Odd",
+            "700 Odd", "2000 OK", "2x0 OK",  "200 OK\r\nContent-Length: 1" };
+    std::string text = head (id, statuses[hash_id (id) % 8],
+                             "X-Response-Signature: s\r\n"
+                             "Content-Length: 7\r\n\r\ninvalid");
+    return socket.send (text);
+  }
+
   bool
   reject (wire::Socket &socket, const std::string &id,
           const std::string &status, const std::string &extra_fields = "")
@@ -170,13 +194,14 @@
     bool is_cut = happens (cut_percent);
     bool is_error = happens (error_percent);
     bool is_endless = happens (endless_percent);
+    bool is_invalid = happens (invalid_percent);
     bool is_drip
         = happens (drip_percent) && (path == "chat" || path == "talk");
-    history_.add (Execution{ id, path, service_, id_,
-                             request.field ("x-tenant"), wire::now_ms (),
-                             is_reset || is_silent || has_wrong_id || is_cut
-                                 || is_error || is_endless || is_drip,
-                             says_leaving });
+    history_.add (Execution{
+        id, path, service_, id_, request.field ("x-tenant"), wire::now_ms (),
+        is_reset || is_silent || has_wrong_id || is_cut || is_error
+            || is_endless || is_invalid || is_drip,
+        says_leaving });
     running_++;
     bool keep_alive = false;
     if (is_reset)
@@ -185,6 +210,8 @@
       socket.closes_within (8000);
     else if (is_error)
       keep_alive = send_body (socket, id, "500 Internal Server Error", false);
+    else if (is_invalid)
+      keep_alive = send_invalid (socket, id);
     else if (is_endless)
       send_without_end (socket, head (id, "200 OK", "X-Long: "),
                         std::string (1000, 'a'), 0);
