Take the limit on the kernel's buffers for callers out again

With TCP_NOTSENT_LOWAT on callers' connections, a response that the kernel took whole before waits in the process, where it delays a stop: UnreadAnswer.InTheKernelDoesNotDelayAStop failed 4 of 4. Without it, the five UnreadAnswer tests pass. What the kernel holds for slow readers is open again, with the measurement in docs/design/invalid-responses.md.

--- a/include/net/channel.h
+++ b/include/net/channel.h
@@ -92,11 +92,6 @@
    acknowledged it with or before its close.  */
 bool cs_channel_has_unacknowledged (const cs_channel_t *channel);
 
-/* Limits the output that the kernel takes beyond what it can send to about
-   BYTES.  What the peer has not acknowledged comes on top, and is bounded by
-   its window.  */
-void cs_channel_limit_unsent (cs_channel_t *channel, int bytes);
-
 /* Whether any byte was written to the socket since the owner was last set.  */
 bool cs_channel_has_sent (const cs_channel_t *channel);
 
--- a/net/channel.c
+++ b/net/channel.c
@@ -378,13 +378,6 @@
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-void
-cs_channel_limit_unsent (cs_channel_t *channel, int bytes)
-{
-  setsockopt (channel->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes,
-              sizeof bytes);
-}
-
 void
 cs_channel_enable_keepalive (cs_channel_t *channel, int idle_s, int count)
 {
--- a/router/caller/caller.c
+++ b/router/caller/caller.c
@@ -11,11 +11,6 @@
    caller pauses until the current request has been served.  */
 #define MAX_PIPELINED_BYTES (64U * 1024)
 
-/* Output that the kernel may take for a caller beyond what it can send: enough
-   for 50 Mbit/s if the router gets to write only every 10 ms.  Without a
-   limit, it takes up to 3 MB for a caller that doesn't read.  */
-#define MAX_UNSENT_BYTES (64 * 1024)
-
 /* Fraction of the idle timeout that callers are told.  The rest is for the
    delays of a busy link, on which a request and a close could cross.  */
 #define STATED_IDLE_SHARE 0.8
@@ -297,7 +292,6 @@
       = cs_channel_adopt (router->loop, fd, &channel_handlers, caller);
   if (caller->channel == NULL)
     goto fail_adopted;
-  cs_channel_limit_unsent (caller->channel, MAX_UNSENT_BYTES);
   cs_timer_init (&caller->timer, router->loop, on_timer, caller);
   caller->next = router->callers;
   if (caller->next != NULL)
