Find the pace of targets that start or recover from their answers

A target that joined, came back from ejection or from evacuation, or is no longer cold had its full weight at once: in a busy service its answers were late. Its weight now starts at a quarter, doubles in a second while its calls last as long as those of the other targets and don't fail, and halves in half a second otherwise, by counts that all routers know. Services with free slots keep the full weight at once, as a pace only leaves a target idle there, and so do services whose targets state neither a cold limit nor how slow they are.

--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -15,6 +15,7 @@
 #include "cranberrystile/eject.h"
 #include "cranberrystile/named_limit.h"
 #include "cranberrystile/outcomes.h"
+#include "cranberrystile/pace.h"
 #include "cranberrystile/revision.h"
 #include "cranberrystile/slowness.h"
 
@@ -70,7 +71,8 @@
                                 was restored, whose copy lists it; 0: never */
   cs_named_limit_t named_limit;
   cs_cold_limit_t cold;
-  double weight; /* in the choice of targets; below 1 with a limit */
+  cs_pace_t pace;
+  double weight; /* in the choice of targets; below 1 with a limit or a pace */
   cs_target_load_t load;
   cs_slowness_t slowness;
   bool load_excess_logged;    /* a part of its load that was left out */
--- a/router/apply.c
+++ b/router/apply.c
@@ -139,8 +139,12 @@
             (unsigned long long)entry->revision.number);
   cs_target_t *target = cs_fleet_find_incarnation (
       router->fleet, entry->id, entry->started_ms, &entry->address);
-  if (target != NULL)
-    cs_cold_apply_entry (router, target, entry, added, now);
+  if (target == NULL)
+    return;
+  cs_cold_apply_entry (router, target, entry, added, now);
+  /* Those of the first list are known to the other routers.  */
+  if (added && router->fleet_synced)
+    cs_pace_begin (&target->pace, now);
 }
 
 void
--- a/router/evacuations.c
+++ b/router/evacuations.c
@@ -4,6 +4,14 @@
 #include "common/log.h"
 #include "router/cold.h"
 
+static void
+record_taken_back (cs_router_t *router, cs_target_t *target)
+{
+  cs_time_us_t now = cs_loop_now (router->loop);
+  cs_cold_record_taken_back (router, target, now);
+  cs_pace_begin (&target->pace, now);
+}
+
 /* Returns the number of targets in DATA_CENTRE.  Closes their idle connections
    if they are EVACUATED, and takes them for cold if they no longer are.  */
 static size_t
@@ -21,8 +29,7 @@
       if (is_evacuated)
         cs_connections_close_idle (targets[i], true, 0);
       else
-        cs_cold_record_taken_back (router, targets[i],
-                                   cs_loop_now (router->loop));
+        record_taken_back (router, targets[i]);
     }
   return found;
 }
--- a/router/operator/operator.c
+++ b/router/operator/operator.c
@@ -44,7 +44,10 @@
 print_metrics (const cs_router_t *router, cs_buf_t *out)
 {
   size_t targets;
-  cs_fleet_targets (router->fleet, &targets);
+  size_t paced = 0;
+  cs_target_t *const *all = cs_fleet_targets (router->fleet, &targets);
+  for (size_t i = 0; i < targets; i++)
+    paced += cs_pace_weight (&all[i]->pace) < 1;
   int rc = cs_router_counters_print (&router->counters, out);
   if (rc == 0)
     rc = cs_latency_print (&router->first_byte, "first_byte", out);
@@ -55,11 +58,12 @@
                         "cranberrystile_router_requests_in_flight %u\n"
                         "cranberrystile_router_output_bytes %zu\n"
                         "cranberrystile_router_targets %zu\n"
+                        "cranberrystile_router_paced_targets %zu\n"
                         "cranberrystile_router_evacuated_data_centres %zu\n"
                         "cranberrystile_router_routing_version %llu\n"
                         "cranberrystile_router_ready %d\n",
                         router->in_flight, router->output_bytes, targets,
-                        cs_evacuations_count (router->evacuations),
+                        paced, cs_evacuations_count (router->evacuations),
                         router->routing == NULL
                             ? 0ULL
                             : (unsigned long long)router->routing->version,
