Compare the regions of routes and organisations in the check

The decoder reads the lists of regions since they restrict requests, but the check took them for fields that nobody reads. They are compared by value now.

A list that is added is reported as "was any, is north"; Region*, RoutingCheck*, Evac*: passed.

--- a/cranberrystile/routing/compare.c
+++ b/cranberrystile/routing/compare.c
@@ -15,7 +15,8 @@
   FORMAT_SERVICES,
   FORMAT_PRIORITY,
   FORMAT_COPY_TIME,
-  FORMAT_SECONDS
+  FORMAT_SECONDS,
+  FORMAT_REGIONS
 } format_t;
 
 /* A value that operators set: its name, and its place in the record.  */
@@ -40,6 +41,7 @@
   { "public", FORMAT_FLAG, offsetof (cs_route_t, is_public) },
   { "resumable", FORMAT_FLAG, offsetof (cs_route_t, resumable) },
   { "session affinity", FORMAT_FLAG, offsetof (cs_route_t, session_affinity) },
+  { "regions", FORMAT_REGIONS, offsetof (cs_route_t, regions) },
 };
 
 static const property_t service_properties[] = {
@@ -57,6 +59,7 @@
 
 static const property_t organisation_properties[] = {
   { "priority", FORMAT_PRIORITY, 0 },
+  { "regions", FORMAT_REGIONS, offsetof (cs_organisation_t, regions) },
 };
 
 static const property_t limit_properties[] = {
@@ -123,6 +126,18 @@
   return cs_buf_printf (out, "%u", organisation->priority);
 }
 
+static int
+write_regions (const cs_region_list_t *regions, cs_buf_t *out)
+{
+  int rc = 0;
+  if (!regions->is_stated)
+    return cs_buf_printf (out, "any");
+  for (size_t i = 0; rc == 0 && i < regions->count; i++)
+    rc = cs_buf_printf (out, "%s%.*s", i == 0 ? "" : ", ",
+                        CS_STR_ARG (regions->names[i]));
+  return regions->count > 0 ? rc : cs_buf_printf (out, "none");
+}
+
 /* Appends the value of PROPERTY of RECORD, a part of ROUTING.  Returns 0 or
    CS_ERR_NO_MEMORY.  */
 static int
@@ -153,6 +168,8 @@
       return cs_buf_printf (out, "%g us per token", *(const double *)field);
     case FORMAT_SECONDS:
       return cs_buf_printf (out, "%g s", *(const double *)field);
+    case FORMAT_REGIONS:
+      return write_regions (field, out);
     }
   return 0;
 }
--- a/cranberrystile/routing/routing.c
+++ b/cranberrystile/routing/routing.c
@@ -45,7 +45,7 @@
       free_str (routing->routes[i].host);
       free_str (routing->routes[i].prefix);
       free (routing->routes[i].weighted_services);
-      free_regions (&routing->routes[i].allowed_regions);
+      free_regions (&routing->routes[i].regions);
     }
   for (size_t i = 0; i < routing->service_count; i++)
     {
@@ -55,7 +55,7 @@
   for (size_t i = 0; i < routing->organisation_count; i++)
     {
       free_str (routing->organisations[i].name);
-      free_regions (&routing->organisations[i].allowed_regions);
+      free_regions (&routing->organisations[i].regions);
     }
   for (size_t i = 0; i < routing->key_count; i++)
     free_str (routing->keys[i].text);
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -40,12 +40,12 @@
   uint32_t latency_objective_ms; /* a response within it is on time; 0: none */
   uint32_t event_gap_objective_ms; /* likewise for pauses between events */
   uint32_t max_attempts;
-  uint32_t priority;       /* 0 is the highest */
-  uint32_t priority_level; /* rank of PRIORITY among those in use */
-  bool is_public;          /* needs no API key */
-  bool resumable;          /* a stream may continue at another target */
-  bool session_affinity;   /* requests are placed by their prompt prefix */
-  cs_region_list_t allowed_regions;
+  uint32_t priority;        /* 0 is the highest */
+  uint32_t priority_level;  /* rank of PRIORITY among those in use */
+  bool is_public;           /* needs no API key */
+  bool resumable;           /* a stream may continue at another target */
+  bool session_affinity;    /* requests are placed by their prompt prefix */
+  cs_region_list_t regions; /* in which its requests may be served */
 } cs_route_t;
 
 typedef struct
@@ -66,8 +66,8 @@
   cs_str_t name;
   bool has_priority;
   uint32_t priority;
-  uint32_t priority_level; /* as for routes */
-  cs_region_list_t allowed_regions;
+  uint32_t priority_level;  /* as for routes */
+  cs_region_list_t regions; /* in which its requests may be served */
 } cs_organisation_t;
 
 typedef struct
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -160,9 +160,9 @@
     }
   forward->choice = choice;
   if (rc == CS_ERR_NO_TARGET
-      && (forward->route->allowed_regions.is_stated
+      && (forward->route->regions.is_stated
           || (forward->organisation != NULL
-              && forward->organisation->allowed_regions.is_stated)))
+              && forward->organisation->regions.is_stated)))
     forward->router->counters.refused_regions++;
   forward->router->counters.refused_evacuated += choice.is_evacuated;
   cs_forward_fail (forward, rc, now);
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -145,10 +145,9 @@
     .peers = cs_mesh_count_members (router->mesh),
     .routers = cs_mesh_count_routers (router->mesh),
     .regions = &router->settings.regions,
-    .route_regions = &forward->route->allowed_regions,
-    .organisation_regions = forward->organisation == NULL
-                                ? NULL
-                                : &forward->organisation->allowed_regions,
+    .route_regions = &forward->route->regions,
+    .organisation_regions
+    = forward->organisation == NULL ? NULL : &forward->organisation->regions,
     .evacuations = router->evacuations,
     .avoid_count = forward->tried_count,
   };
--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -336,8 +336,8 @@
     json_decref (spec);
     if (rc != CS_OK)
       return rc;
-    request.route_regions = &routing->routes[0].allowed_regions;
-    request.organisation_regions = &routing->organisations[0].allowed_regions;
+    request.route_regions = &routing->routes[0].regions;
+    request.organisation_regions = &routing->organisations[0].regions;
     return CS_OK;
   }
 
