Split the pool of connections and the directory's functions off

Idle connections are in router/target/pool.c now, and what the directory offers in router/peer/directory.h. Nothing else changes.

--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -12,11 +12,11 @@
 #include "platform/store.h"
 #include "router.pb-c.h"
 #include "router/mesh.h"
+#include "router/peer/directory.h"
 
 typedef Cs__Router__Frame cs_router_frame_t;
 
 typedef struct cs_link cs_link_t;
-typedef struct cs_directory cs_directory_t;
 typedef struct cs_version_question cs_version_question_t;
 
 /* Another known router, connected or not.  */
@@ -384,27 +384,4 @@
                                       const Cs__Router__Beat *beat,
                                       cs_time_us_t now);
 
-/* directory.c: router entries in the platform's store.  */
-cs_directory_t *cs_directory_create (cs_mesh_t *mesh);
-void cs_directory_destroy (cs_directory_t *directory);
-
-/* Whether the first call for the list has ended, with or without a list.  */
-bool cs_directory_has_answered (const cs_directory_t *directory);
-
-/* Whether any list has been read.  */
-bool cs_directory_has_list (const cs_directory_t *directory);
-
-/* Whether the store had an entry of an earlier start of this router.  */
-bool cs_directory_had_entry (const cs_directory_t *directory);
-
-/* Whether a list has been read that is likely to show the other routers.  */
-bool cs_directory_is_read (const cs_directory_t *directory);
-
-/* Whether the list has been read often enough that the other routers of a
-   starting fleet have had time to register.  */
-bool cs_directory_is_complete (const cs_directory_t *directory);
-
-/* Starts removing this router's entry from the store.  */
-void cs_directory_withdraw (cs_directory_t *directory);
-
 #endif
--- a/router/target/connection.c
+++ b/router/target/connection.c
@@ -1,15 +1,10 @@
-#include "router/connection.h"
-
 #include <stdlib.h>
 
 #include "common/log.h"
-#include "http/reader.h"
-#include "net/channel.h"
+#include "router/target/internal.h"
 
 /* Targets' response heads are a few hundred bytes.  */
 #define MAX_RESPONSE_HEAD_BYTES (16U * 1024)
-/* Pooled connections are closed this long before the target would do so.  */
-#define IDLE_MARGIN_US CS_US_PER_S
 /* A connection is closed as broken after more than this many responses to
    earlier requests.  */
 #define MAX_STALE_RESPONSES 2
@@ -18,30 +13,8 @@
 #define MAX_INTERIM_RESPONSES 8
 #define MAX_STALE_BYTES (64U * 1024)
 
-struct cs_connection
-{
-  cs_connection_env_t env;
-  cs_target_t *target;
-  cs_channel_t *channel;
-  cs_http_reader_t *reader;
-  cs_connection_t *next; /* in the pool, most recently used first */
-  cs_time_us_t idle_since;
-  cs_time_us_t max_idle_us;
-  cs_connection_handlers_t handlers;
-  void *context;
-  cs_str_t request_id;
-  bool reused; /* carried a request before this one */
-  uint32_t stale_count;
-  uint32_t interim_count;
-  size_t stale_bytes;
-  bool discarding; /* the current response is for another request */
-  bool must_close; /* cannot be reused for another request */
-  bool aborted;    /* cancelled by the owner from within a handler */
-  bool in_handler;
-};
-
-static void
-destroy (cs_connection_t *connection)
+void
+cs_connection_destroy (cs_connection_t *connection)
 {
   cs_channel_close (connection->channel);
   cs_http_reader_destroy (connection->reader);
@@ -49,48 +22,6 @@
   free (connection);
 }
 
-static void
-remove_from_pool (cs_connection_t *connection)
-{
-  cs_connection_t **link = (cs_connection_t **)&connection->target->user_data;
-  while (*link != NULL && *link != connection)
-    link = &(*link)->next;
-  if (*link != NULL)
-    *link = connection->next;
-}
-
-/* An idle connection is discarded when it is closed or receives data that
-   belongs to no request.  */
-static void
-on_idle_data (void *context, cs_str_t data)
-{
-  cs_connection_t *connection = context;
-  connection->env.counters->stale_answers++;
-  remove_from_pool (connection);
-  destroy (connection);
-}
-
-static void
-on_idle_end (void *context, int error)
-{
-  remove_from_pool (context);
-  destroy (context);
-}
-
-static const cs_channel_handlers_t idle_handlers
-    = { .on_data = on_idle_data, .on_end = on_idle_end };
-
-static void
-return_to_pool (cs_connection_t *connection)
-{
-  connection->idle_since = cs_loop_now (connection->env.loop);
-  connection->next = connection->target->user_data;
-  connection->target->user_data = connection;
-  cs_http_reader_next (connection->reader);
-  cs_channel_pause (connection->channel, false);
-  cs_channel_set_owner (connection->channel, &idle_handlers, connection);
-}
-
 static bool
 is_evacuated (const cs_connection_t *connection)
 {
@@ -109,9 +40,9 @@
   if (error == CS_OK && !connection->must_close && !connection->target->leaving
       && !is_evacuated (connection)
       && cs_channel_queued (connection->channel) == 0)
-    return_to_pool (connection);
+    cs_pool_return (connection);
   else
-    destroy (connection);
+    cs_connection_destroy (connection);
   handlers.on_end (context, error, was_sent);
 }
 
@@ -215,7 +146,7 @@
     }
   connection->in_handler = false;
   if (connection->aborted)
-    destroy (connection);
+    cs_connection_destroy (connection);
   else if (state == CS_HTTP_BROKEN || has_excess (connection))
     {
       report_invalid (connection,
@@ -293,62 +224,20 @@
                             &busy_handlers, connection);
   if (connection->reader == NULL || connection->channel == NULL)
     {
-      destroy (connection);
+      cs_connection_destroy (connection);
       return NULL;
     }
   env->counters->connects++;
   return connection;
 }
 
-static cs_time_us_t
-idle_limit (const cs_connection_t *connection)
-{
-  cs_time_us_t limit = connection->max_idle_us;
-  return limit > IDLE_MARGIN_US * 2 ? limit - IDLE_MARGIN_US : limit / 2;
-}
-
-/* Discards pooled connections until the first is one without input: the event
-   loop may not have reported yet that the target has closed them or sent data.
-   They are not read, as a callback may be using the loop's read buffer.  */
-static void
-discard_with_input (cs_target_t *target)
-{
-  cs_connection_t *connection;
-  while ((connection = target->user_data) != NULL
-         && cs_channel_has_input (connection->channel))
-    {
-      if (cs_channel_has_unread (connection->channel))
-        connection->env.counters->stale_answers++;
-      remove_from_pool (connection);
-      destroy (connection);
-    }
-}
-
-static cs_connection_t *
-take_pooled (const cs_connection_env_t *env, cs_target_t *target,
-             bool require_fresh)
-{
-  discard_with_input (target);
-  cs_connection_t *connection = target->user_data;
-  if (connection == NULL)
-    return NULL;
-  cs_time_us_t idle = cs_loop_now (env->loop) - connection->idle_since;
-  if (idle > idle_limit (connection)
-      || (require_fresh && idle > env->settings->fresh_ms * CS_US_PER_MS))
-    return NULL;
-  target->user_data = connection->next;
-  connection->next = NULL;
-  connection->reused = true;
-  return connection;
-}
-
 cs_connection_t *
 cs_connection_send (const cs_connection_env_t *env, cs_target_t *target,
                     const cs_connection_request_t *request,
                     const cs_connection_handlers_t *handlers, void *context)
 {
   cs_connection_t *connection
-      = take_pooled (env, target, request->require_fresh);
+      = cs_pool_take (env, target, request->require_fresh);
   if (connection == NULL)
     connection = open_connection (env, target);
   if (connection == NULL)
@@ -366,7 +255,7 @@
   if (cs_channel_send (connection->channel, request->head) != 0
       || cs_channel_send (connection->channel, request->body) != 0)
     {
-      destroy (connection);
+      cs_connection_destroy (connection);
       return NULL;
     }
   return connection;
@@ -380,7 +269,7 @@
   if (connection->in_handler)
     connection->aborted = true;
   else
-    destroy (connection);
+    cs_connection_destroy (connection);
 }
 
 void
@@ -398,24 +287,6 @@
   return true;
 }
 
-void
-cs_connections_close_idle (cs_target_t *target, bool all, cs_time_us_t now)
-{
-  cs_connection_t **link = (cs_connection_t **)&target->user_data;
-  while (*link != NULL)
-    {
-      cs_connection_t *connection = *link;
-      if (!all && !target->leaving
-          && now - connection->idle_since <= idle_limit (connection))
-        {
-          link = &connection->next;
-          continue;
-        }
-      *link = connection->next;
-      destroy (connection);
-    }
-}
-
 bool
 cs_connection_is_reused (const cs_connection_t *connection)
 {
