--- a/tests/router/evacuation_test.cc
+++ b/tests/router/evacuation_test.cc
@@ -162,7 +162,7 @@
   caller.send (request ("POST", "/once/x", "", "b"));
   std::this_thread::sleep_for (std::chrono::milliseconds (100));
   store.put ("evacuations", "a", "{}");
-  ASSERT_TRUE (wait_for_log (*router, "CS1421", 500));
+  ASSERT_TRUE (wait_for_log (*router, "CS1430", 500));
   EXPECT_EQ (full.read_next (), "");
   EXPECT_EQ (caller.read ().status (), 200);
   EXPECT_EQ (second_engine.count (), 1U);
