Apply the configuration before targets that are taken back turn cold

Cause: the limit of each target is updated from the configuration before a choice and four times a second; a data centre that was taken back between the configuration and that update was taken for cold without a limit, and logged 0.2 s later as if its entry had said so. No request was sent beyond the limit, since each choice updates it first. Now the limits are updated when the data centre is taken back.

--- a/router/cold.c
+++ b/router/cold.c
@@ -149,6 +149,8 @@
                            cs_time_us_t now)
 {
   cs_time_us_t cold_us = start_us (find_service (router, target));
+  /* The configuration may be newer than the limits of the targets.  */
+  cs_cold_update (router, now);
   cs_cold_assume (&target->cold, now + cold_us, now);
   on_changed (router, target, "evacuation", now);
 }
--- a/tests/router/cold_test.cc
+++ b/tests/router/cold_test.cc
@@ -220,7 +220,7 @@
   ASSERT_TRUE (Router::eventually ([&] {
     return other.log ().find ("CS1420 target=i-1 source=evacuation")
            != std::string::npos;
-  }));
+  })) << other.log ();
 }
 
 }
