Check allowed regions against the targets that are there

cranberrystilectl check could not say that no target is in a region that a route or organisation allows: targets and regions are not part of the configuration.

--- a/common/settings_table.c
+++ b/common/settings_table.c
@@ -169,6 +169,8 @@
       const char *error = set_value (state->out, entry, value);
       return error == NULL ? 1 : report_error (state, section, key, error);
     }
+  if (table->skips_unknown)
+    return 1;
   return report_error (state, section, key, "is not a known setting");
 }
 
--- a/ctl/commands/check_routing.c
+++ b/ctl/commands/check_routing.c
@@ -1,5 +1,6 @@
-/* check --routing FILE [--against FILE]: checks a configuration of the routers
-   before it is sent, and compares it with another version.  */
+/* check --routing FILE [--against FILE] [--targets FILE --regions FILE]:
+   checks a configuration of the routers before it is sent, and compares it
+   with another version.  */
 
 #include <errno.h>
 #include <stdio.h>
@@ -10,6 +11,7 @@
 #include "check_report.h"
 #include "common/error.h"
 #include "common/program_options.h"
+#include "common/settings_table.h"
 #include "ctl/commands.h"
 #include "platform/routing_check.h"
 
@@ -22,9 +24,31 @@
 {
   const char *routing;
   const char *against; /* may be NULL */
+  const char *targets; /* may be NULL, together with REGIONS */
+  const char *regions;
   bool as_json;
 } check_options_t;
 
+static const char *
+file_or_null (const struct arg_str *option)
+{
+  return option->count > 0 ? option->sval[0] : NULL;
+}
+
+/* Whether standard input is read at most once, and targets and regions are
+   given together.  */
+static bool
+is_consistent (const check_options_t *options)
+{
+  const char *files[] = { options->routing, options->against, options->targets,
+                          options->regions };
+  size_t from_stdin = 0;
+  for (size_t i = 0; i < sizeof files / sizeof files[0]; i++)
+    from_stdin += files[i] != NULL && strcmp (files[i], "-") == 0;
+  return from_stdin <= 1
+         && (options->targets == NULL) == (options->regions == NULL);
+}
+
 /* Returns -1 if the command should run, or else the exit status.  */
 static int
 parse_options (int argc, char **argv, check_options_t *out)
@@ -34,11 +58,18 @@
       NULL, "routing", "FILE", "configuration to check; - is standard input");
   struct arg_str *against = arg_str0 (
       NULL, "against", "FILE", "version in force, to show what differs");
+  struct arg_str *targets = arg_str0 (
+      NULL, "targets", "FILE", "the store's list of targets; with --regions");
+  struct arg_str *regions = arg_str0 (NULL, "regions", "FILE",
+                                      "settings of a router, for its regions");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_end *end = arg_end (4);
-  void *table[] = { help, routing, against, json, end };
+  void *table[] = { help, routing, against, targets, regions, json, end };
   int errors = arg_parse (argc, argv, table);
   int status = -1;
+  *out = (check_options_t){ file_or_null (routing), file_or_null (against),
+                            file_or_null (targets), file_or_null (regions),
+                            json->count > 0 };
   if (help->count > 0)
     {
       printf ("Usage: cranberrystilectl check");
@@ -46,18 +77,12 @@
       arg_print_glossary (stdout, table, "  %-24s %s\n");
       status = 0;
     }
-  else if (errors > 0
-           || (against->count > 0 && strcmp (against->sval[0], "-") == 0
-               && strcmp (routing->sval[0], "-") == 0))
+  else if (errors > 0 || !is_consistent (out))
     {
       fprintf (stderr, "cranberrystilectl check: invalid usage; see "
                        "cranberrystilectl check --routing - --help\n");
       status = CS_EXIT_USAGE;
     }
-  else
-    *out = (check_options_t){ routing->sval[0],
-                              against->count > 0 ? against->sval[0] : NULL,
-                              json->count > 0 };
   /* The string values point into ARGV and outlive the table.  */
   arg_freetable (table, sizeof table / sizeof table[0]);
   return status;
@@ -138,6 +163,50 @@
   json_decref (spec);
 }
 
+/* Reads the regions in the router's settings FILE.  Returns false, with a
+   finding, if it can't.  */
+static bool
+read_regions (const char *file, cs_setting_pairs_t *regions,
+              cs_findings_t *findings)
+{
+  static const cs_settings_table_t table
+      = { .pairs_section = "regions", .skips_unknown = true };
+  cs_buf_t text = { 0 };
+  cs_buf_t reason = { 0 };
+  bool is_read = false;
+  if (read_file (file, &text) != 0)
+    cs_findings_add_at (findings, CS_SEVERITY_ERROR, "file_unreadable", file,
+                        "%s", strerror (errno));
+  else if (cs_settings_table_parse (&table, file,
+                                    text.len == 0 ? "" : text.data, regions,
+                                    sizeof *regions, &reason)
+           != 0)
+    cs_findings_add_at (findings, CS_SEVERITY_ERROR, "regions_unreadable",
+                        file, "%.*s", CS_STR_ARG (cs_buf_str (&reason)));
+  else
+    is_read = true;
+  cs_buf_free (&text);
+  cs_buf_free (&reason);
+  return is_read;
+}
+
+static void
+check_regions (const check_options_t *options,
+               const cs_store_version_t *version, cs_findings_t *findings)
+{
+  cs_setting_pairs_t regions;
+  cs_buf_t targets = { 0 };
+  if (!read_regions (options->regions, &regions, findings))
+    return;
+  if (read_file (options->targets, &targets) != 0)
+    cs_findings_add_at (findings, CS_SEVERITY_ERROR, "file_unreadable",
+                        options->targets, "%s", strerror (errno));
+  else
+    cs_store_check_regions (version->spec, version->routing,
+                            cs_buf_str (&targets), &regions, findings);
+  cs_buf_free (&targets);
+}
+
 static int
 exit_status (const cs_findings_t *findings)
 {
@@ -162,6 +231,8 @@
   cs_store_version_t version = { spec, routing };
   if (routing != NULL && options.against != NULL)
     compare_with (options.against, &version, &findings);
+  if (routing != NULL && options.targets != NULL)
+    check_regions (&options, &version, &findings);
   status = exit_status (&findings);
   if ((options.as_json ? cs_check_print_json (&findings)
                        : cs_check_print_text (&findings))
--- a/include/common/settings_table.h
+++ b/include/common/settings_table.h
@@ -4,6 +4,7 @@
 #ifndef CS_COMMON_SETTINGS_TABLE_H
 #define CS_COMMON_SETTINGS_TABLE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -57,11 +58,13 @@
   size_t count;
   const char *pairs_section; /* a section with any keys; NULL: none */
   size_t pairs_offset;       /* of the cs_setting_pairs_t for it */
+  bool skips_unknown;        /* keys that aren't in the table are no errors */
 } cs_settings_table_t;
 
 /* Parses TEXT, called FILE in messages, into the structure at OUT, whose SIZE
    bytes are zeroed first.  Returns 0, or CS_ERR_BAD_SETTING with a REASON that
-   names file, line and key; unknown and duplicate keys are errors.  */
+   names file, line and key; duplicate keys are errors, and unknown ones unless
+   the table skips them.  */
 int cs_settings_table_parse (const cs_settings_table_t *table,
                              const char *file, const char *text, void *out,
                              size_t size, cs_buf_t *reason);
--- a/include/cranberrystile/routing_check.h
+++ b/include/cranberrystile/routing_check.h
@@ -29,6 +29,26 @@
 void cs_routing_check_limits (const cs_routing_t *routing,
                               cs_findings_t *findings);
 
+/* Which service a target belongs to, and where it is.  */
+typedef struct
+{
+  cs_name_t service;
+  cs_name_t data_centre;
+} cs_target_place_t;
+
+/* The targets that are there, and the regions of their data centres.  */
+typedef struct
+{
+  cs_target_place_t *list;
+  size_t count;
+  const cs_setting_pairs_t *regions; /* as for cs_region_list_allows */
+} cs_target_places_t;
+
+/* Adds the allowed regions without a target among PLACES to FINDINGS.  */
+void cs_routing_check_regions (const cs_routing_t *routing,
+                               const cs_target_places_t *places,
+                               cs_findings_t *findings);
+
 /* Adds what differs between the versions OLDER and NEWER to FINDINGS, and
    warns of changes that may take something away from callers.  */
 void cs_routing_compare (const cs_routing_t *older, const cs_routing_t *newer,
--- a/include/platform/routing_check.h
+++ b/include/platform/routing_check.h
@@ -15,6 +15,15 @@
 cs_routing_t *cs_store_check_routing (const json_t *spec,
                                       cs_findings_t *findings);
 
+/* Adds the allowed regions of ROUTING, which was decoded from SPEC, without a
+   target to FINDINGS.  TARGETS is the store's list of targets, as the API
+   returns it; REGIONS has data centres as keys and regions as values.  A list
+   that can't be read, or that is only a part of it, is a finding, too.  */
+void cs_store_check_regions (const json_t *spec, const cs_routing_t *routing,
+                             cs_str_t targets,
+                             const cs_setting_pairs_t *regions,
+                             cs_findings_t *findings);
+
 /* A configuration both as written and as decoded.  */
 typedef struct
 {
--- a/tests/unit/routing_check_test.cc
+++ b/tests/unit/routing_check_test.cc
@@ -103,7 +103,8 @@
   } faults[] = {
     { "\"version\":7", "\"version\":\"7\"",
       "error version wrong_type;error version refused" },
-    { "\"version\":7", "\"version\":-7", "error version out_of_range" },
+    { "\"version\":7", "\"version\":-7",
+      "error version out_of_range;error version refused" },
     { "\"service\":\"t\"", "\"service\":\"u\"", "error routes[1] refused" },
     { "\"host\":\"h\"", "\"host\":\"\"",
       "error routes[0].host route_without_host" },
@@ -374,6 +375,72 @@
   std::vector<std::string> warnings, changes;
 };
 
+// Guards against a restriction to regions in which nothing can serve, of which
+// an operator would learn from callers that are refused.
+TEST (RoutingCheck, FindsRegionsWithoutTargets)
+{
+  cs_setting_pairs_t regions = {};
+  for (const char *const *pair : { (const char *const[]){ "a", "north" },
+                                   (const char *const[]){ "b", "south" } })
+    {
+      cs_name_set (&regions.pairs[regions.count].key, cs_str (pair[0]));
+      cs_name_set (&regions.pairs[regions.count++].value, cs_str (pair[1]));
+    }
+  // Service "s" has targets in a and, leaving, in b; "t" has one in b.
+  auto entry = [] (const std::string &id, const std::string &service,
+                   const std::string &data_centre, const std::string &state) {
+    return R"({"metadata":{"name":")" + id + R"(","revision":3},)"
+           + R"("spec":{"service":")" + service + R"(","zone":")" + data_centre
+           + R"(","state":")" + state
+           + R"(","address":"127.0.0.1:80","slots":1,"born":1}})";
+  };
+  std::string targets = R"({"current_rev":3,"truncated":false,"items":[)"
+                        + entry ("i-1", "s", "a", "ready") + ","
+                        + entry ("i-2", "s", "b", "draining") + ","
+                        + entry ("i-3", "t", "b", "ready") + "]}";
+  auto restrict = [] (const char *list) {
+    return std::string ("\"allowed_regions\":") + list + ",";
+  };
+  const std::string route = "\"name\":\"r\",";
+  const std::string organisation = "\"name\":\"o\",";
+  const struct
+  {
+    std::string from, list, found;
+  } cases[] = {
+    { route, R"(["north"])", "" },
+    { route, R"(["north","south"])",
+      "warning routes[0].allowed_regions region_without_targets" },
+    { route, R"(["south"])",
+      "error routes[0].allowed_regions no_target_allowed" },
+    { route, "[]", "error routes[0].allowed_regions no_target_allowed" },
+    { organisation, R"(["north","south"])", "" },
+    { organisation, R"(["south"])",
+      "warning tenants[0].allowed_regions route_without_target" },
+    { organisation, R"(["west"])",
+      "error tenants[0].allowed_regions no_target_allowed" },
+  };
+  for (const auto &one : cases)
+    {
+      Document document (
+          changed (one.from, one.from + restrict(one.list.c_str ())));
+      ASSERT_NE (document.routing, nullptr);
+      cs_store_check_regions (document.spec, document.routing,
+                              cs_str (targets.c_str ()), &regions,
+                              &document.findings);
+      std::string found;
+      for (const std::string &finding : document.list ())
+        found += (found.empty () ? "" : ";") + finding;
+      EXPECT_EQ (found, one.found) << one.from << one.list;
+    }
+  Document document (SOUND);
+  for (const char *list : { "", "{}",
+                            R"({"items":[],"truncated":true,)"
+                            R"("current_rev":1})" })
+    cs_store_check_regions (document.spec, document.routing, cs_str (list),
+                            &regions, &document.findings);
+  EXPECT_EQ (document.findings.finding_count, 3u);
+}
+
 // Guards against a change that an operator overlooks, also one of a field that
 // the routers don't read.
 TEST (RoutingCheck, NamesEachDifference)
