Decide on contended plain services where the settings say that callers contend

The decisions of contention.c were in effect only where targets state a fourth load figure, so not for the deployment whose callers compete for too little room: its targets state three. [platform] contracts lists the parts of the platform's terms that are in force; with 'pressure' the time of a call is estimated from slots, calls and measured times alone. The choice of the target stays as it was, and so does all else without that word. The test of that surge runs both with and without stated figures now.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -150,14 +150,17 @@
 
 /* Sets the expected times of CHOICE, at a plain service.  */
 static void
-estimate_times (const candidates_t *candidates, cs_time_us_t now,
+estimate_times (const candidates_t *candidates,
+                const cs_choice_request_t *request, cs_time_us_t now,
                 cs_choice_t *choice)
 {
   const cs_target_t *chosen = choice->target;
   uint32_t slots = slots_of (chosen);
   double sum = 0;
   double count = 0;
-  if (slots == 0 || !cs_slowness_is_stated (&chosen->slowness))
+  if (slots == 0
+      || (!request->estimates_time
+          && !cs_slowness_is_stated (&chosen->slowness)))
     return;
   for (size_t i = 0; i < candidates->count; i++)
     {
@@ -371,7 +374,7 @@
         = better_of_two (chooser, request, candidates->targets, count, now);
   out->load = cs_target_estimated_calls (out->target);
   if (request->is_plain)
-    estimate_times (candidates, now, out);
+    estimate_times (candidates, request, now, out);
   if (key != 0 && request->can_fetch)
     out->source = find_source (chooser, fleet, request, key, out->target, now);
   if (key != 0)
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -35,7 +35,9 @@
   uint64_t version;  /* of the targets' software, see cs_target_t; 0: any */
   bool is_plain;     /* SERVICE is no engine: work there takes as long with few
                         calls as with as many as there are slots */
-  bool at_most_once; /* a failed call is not retried at another target */
+  bool estimates_time; /* at a plain service, also if TARGET doesn't state how
+                          slow it is */
+  bool at_most_once;   /* a failed call is not retried at another target */
   uint64_t organisation; /* hash of its name; 0: none */
   uint64_t route;        /* hash of its name; 0: none */
   bool can_fetch;        /* targets can copy cached context from each other */
@@ -62,8 +64,9 @@
   double mean;               /* estimated mean load of the eligible targets */
   uint32_t live;             /* number of eligible targets */
   double expected;           /* time of the request at TARGET, relative to the
-                                usual work; 0: the service isn't plain, or TARGET
-                                doesn't state its slots and how slow it is */
+                                usual work; 0: the service isn't plain, TARGET
+                                doesn't state its slots, or it doesn't state
+                                how slow it is and no estimate was asked for */
   double mean_expected;      /* likewise, mean of the eligible targets */
   double mean_slots;         /* with EXPECTED: of the eligible targets whose
                                 slots are known */
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -4,6 +4,7 @@
 #ifndef CS_ROUTER_SETTINGS_H
 #define CS_ROUTER_SETTINGS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "common/clock.h"
@@ -29,13 +30,17 @@
   uint32_t renew_s;     /* interval of renewals of this router's entry */
   /* [platform] */
   char platform[CS_SETTING_TEXT_MAX];
-  double apply_ms;   /* maximum time until every router applies a new
-                        configuration */
-  double drain_ms;   /* maximum time until a leaving target gets no new
-                        requests */
-  double contact_ms; /* maximum time after an outage of the platform until
-                        all bounds hold again */
-  uint32_t watch_ms; /* maximum wait of a watch; the bounds may shorten it */
+  char contracts[CS_SETTING_TEXT_MAX]; /* parts of the platform's terms that
+                                          are in force */
+  bool has_contention; /* by CONTRACTS: callers contend for the capacity of
+                          plain services */
+  double apply_ms;     /* maximum time until every router applies a new
+                          configuration */
+  double drain_ms;     /* maximum time until a leaving target gets no new
+                          requests */
+  double contact_ms;   /* maximum time after an outage of the platform until
+                          all bounds hold again */
+  uint32_t watch_ms;   /* maximum wait of a watch; the bounds may shorten it */
   uint32_t coalesce_ms; /* pause between watches, to batch changes */
   uint32_t call_timeout_ms;
   uint32_t renewal_ms;  /* interval at which targets renew their entries */
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -65,8 +65,8 @@
       choice->load, choice->mean, choice->mean_slots, choice->live);
 }
 
-/* Whether a request of a plain service is sent.  Targets that don't state how
-   slow they are get all requests.  One whose target is silent was admitted. */
+/* Whether a request of a plain service is sent.  Where no time was estimated,
+   all are.  One whose target is silent was admitted.  */
 static bool
 is_call_admitted (cs_forward_t *forward, const cs_choice_t *choice,
                   cs_time_us_t now)
@@ -138,6 +138,7 @@
     .version = version,
     .prefer_local = forward->failed_connects > 0,
     .is_plain = forward->is_plain && !forward->route->session_affinity,
+    .estimates_time = router->settings.has_contention,
     .at_most_once = !cs_forward_is_repeatable (forward),
     .can_fetch = forward->may_fetch_context,
     .organisation = organisation_hash (forward),
--- a/router/settings.c
+++ b/router/settings.c
@@ -2,6 +2,8 @@
 
 #include <stddef.h>
 
+#include "platform/contracts.h"
+
 #define OFFSET(field) offsetof (cs_router_settings_t, field)
 
 /* Fractions of the time bounds that one watch may take.  The rest is for the
@@ -57,6 +59,7 @@
     60000, "400" },
   { "platform", "contact_ms", CS_SETTING_FRACTION, OFFSET (contact_ms), 100,
     600000, "3000" },
+  { "platform", "contracts", CS_SETTING_TEXT, OFFSET (contracts), 0, 0, "" },
   { "platform", "drain_ms", CS_SETTING_FRACTION, OFFSET (drain_ms), 100,
     600000, "2000" },
   { "platform", "evacuation_ms", CS_SETTING_FRACTION, OFFSET (evacuation_ms),
@@ -158,13 +161,19 @@
 cs_router_settings_parse (const char *file, const char *text,
                           cs_router_settings_t *out, cs_buf_t *reason)
 {
-  return cs_settings_table_parse (&table, file, text, out, sizeof *out,
-                                  reason);
+  int rc
+      = cs_settings_table_parse (&table, file, text, out, sizeof *out, reason);
+  if (rc == 0)
+    out->has_contention = cs_contracts_have_contention (out->contracts);
+  return rc;
 }
 
 int
 cs_router_settings_read (const char *file, cs_router_settings_t *out,
                          cs_buf_t *reason)
 {
-  return cs_settings_table_read (&table, file, out, sizeof *out, reason);
+  int rc = cs_settings_table_read (&table, file, out, sizeof *out, reason);
+  if (rc == 0)
+    out->has_contention = cs_contracts_have_contention (out->contracts);
+  return rc;
 }
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -13,6 +13,7 @@
 #include "common/hash.h"
 #include "cranberrystile/event_stream.h"
 #include "http/reader.h"
+#include "platform/contracts.h"
 #include "platform/headers.h"
 #include "platform/prompt.h"
 #include "platform/store.h"
@@ -948,6 +949,23 @@
   EXPECT_EQ (cs_router_settings_missing_expiry_us (&settings), 900000u);
 }
 
+// Guards against refusals where callers don't contend for capacity: other
+// names must not switch them on.
+TEST (Codec, ReadsWhetherCallersContend)
+{
+  EXPECT_TRUE (cs_contracts_have_contention ("pressure"));
+  EXPECT_TRUE (
+      cs_contracts_have_contention ("base,places, pressure,platform"));
+  for (const char *list : { "", ",", "base", "pressures", "no-pressure", "p" })
+    EXPECT_FALSE (cs_contracts_have_contention (list)) << list;
+  std::string why;
+  std::string text = SETTINGS;
+  text.insert (text.find ("[retry]"), "contracts = base,pressure\n");
+  EXPECT_EQ (read_settings (text, &why), 0) << why;
+  text.replace (text.find ("= base"), 15, "=");
+  EXPECT_EQ (read_settings (text, &why), 0) << why;
+}
+
 TEST (Codec, SurvivesCorruptSettings)
 {
   cs_random_t random = { 27, 0 };
--- a/tests/unit/uneven_test.cc
+++ b/tests/unit/uneven_test.cc
@@ -399,6 +399,7 @@
     request.service = cs_str ("orders");
     request.data_centre = cs_str ("a");
     request.is_plain = true;
+    request.estimates_time = load.admits;
     request.at_most_once = true;
     request.peers = ROUTERS - 1;
     for (int i = 0; i < 2; i++)
@@ -552,6 +553,17 @@
   // Three targets serve about 270 calls/s, 294 arrive.
   { "DataCentreLostInABurst", 0, { .factor = 1.4, .lost = 2 } },
   { "AllRoutersRestarted", 0.8, { .factor = 1.4, .burst = SECOND } },
+  // Targets that don't state how slow they are, where callers contend.
+  { "CalmUnstated", 0.8, { .states_slowness = false, .admits = true } },
+  { "BurstOfOneClassUnstated",
+    0.7,
+    { .states_slowness = false, .factor = 2.14 } },
+  { "DataCentreLostInABurstUnstated",
+    0,
+    { .states_slowness = false, .factor = 1.4, .lost = 2 } },
+  { "AllRoutersRestartedUnstated",
+    0.8,
+    { .states_slowness = false, .factor = 1.4, .burst = SECOND } },
 };
 
 INSTANTIATE_TEST_SUITE_P (Loads, BusyTargets, testing::ValuesIn (busy_cases),
@@ -559,9 +571,16 @@
 
 // An organisation with a twentieth of the calls sends twelve times as many
 // while all calls are 1.4 times as many: answers to all others came late.
-TEST (Contention, SurgeOfAnOrganisationLeavesTheOthersTheirShare)
+// Also where targets don't state how slow they are, on which calls for times
+// to be estimated.
+class ContendedSurge : public testing::TestWithParam<bool>
+{
+};
+
+TEST_P (ContendedSurge, LeavesTheOthersTheirShare)
 {
   Load load = { .lag = 700 * MS, .factor = 1.4, .hot_factor = 12 };
+  load.states_slowness = GetParam ();
   Outcome with = run_all (load, true);
   EXPECT_GE (with.mean_others_worth (), 0.8);
   EXPECT_GE (with.hot_answered, (with.calls - with.others) / load.hot_factor)
@@ -571,6 +590,8 @@
                   std::to_string (run_all (load, false).mean_others_worth ()));
 }
 
+INSTANTIATE_TEST_SUITE_P (States, ContendedSurge, testing::Bool ());
+
 // 300 requests of organisation 1, one each 100 ms.
 std::unique_ptr<cs_contention_t>
 contention_with_usual_traffic ()
