Limit the send buffers of the targets in the test of 500 slow readers

Cause: each run exceeded the kernel's memory for TCP (TCPMemoryPressures rose by one a run, 11 s in all), because the send buffers of the stand-ins' 500 endless streams grow to 4 MB each, and 115 connections overflowed their accept queue of 128 and were established a second later. The buffers are limited to 128 KB, still more than the router may hold for each caller, and the queue is 1024, as the router's.

--- a/tests/router/slow_reader_test.cc
+++ b/tests/router/slow_reader_test.cc
@@ -44,10 +44,14 @@
     return socket;
   }
 
-  // Endless events of 8 KB with ids.
+  // Endless events of 8 KB with ids.  Without a limit, the send buffers of 500
+  // targets grow until the kernel's memory for TCP is short, and all
+  // connections stall.
   static bool
   send_events (wire::Socket &socket, const wire::Message &request)
   {
+    int buffer = 128 * 1024;
+    setsockopt (socket.fd (), SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
     socket.send (Target::signed_head (request, "200 OK",
                                       "Content-Type: text/event-stream\r\n"
                                       "Transfer-Encoding: chunked\r\n\r\n"));
--- a/tests/router/wire.h
+++ b/tests/router/wire.h
@@ -300,7 +300,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
     bind (fd_, reinterpret_cast<sockaddr *> (&address), sizeof address);
-    listen (fd_, 128);
+    listen (fd_, 1024);
     getsockname (fd_, reinterpret_cast<sockaddr *> (&address), &len);
     port_ = ntohs (address.sin_port);
     acceptor_ = std::thread ([this] { accept_all (); });
