Send each cold target once over a link, as a notice

When a target turned cold, it also counted as changed, so that each link carried its whole entry with the next change of the store, and the lists were built anew for each link. Notices were limited to 200 a second; only the whole entries brought the rest, and a new link got the latest 256 notices at most.

The latest notice of each target is now kept at the target, without a limit. A link is sent those after the last one that it was sent, a new link all that are in force, so entries are no longer needed for it. They are collected once for all links that were sent as many. They aren't sent to the peer from which they came, nor for the first list of a router that starts, which its peers have, too. The messages are the same.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -244,12 +244,6 @@
   return true;
 }
 
-void
-cs_fleet_record_change (const cs_fleet_t *fleet, cs_target_t *target)
-{
-  record_change (target, fleet->revision);
-}
-
 cs_target_t *
 cs_fleet_find_incarnation (const cs_fleet_t *fleet, cs_str_t id,
                            uint64_t started_ms,
--- a/include/cranberrystile/cold_limit.h
+++ b/include/cranberrystile/cold_limit.h
@@ -47,6 +47,9 @@
   cs_time_us_t failed_at;
   bool is_logged;          /* that it is cold */
   cs_time_us_t told_until; /* the end that peers know */
+  uint64_t notice;         /* number of the latest notice to peers; 0: none */
+  uint64_t told_by;        /* the peer from which it came; 0: none */
+  uint32_t notice_hops;    /* routers that have passed it on */
   uint64_t latest_part;    /* number of the part of the latest request */
   uint32_t sent[CS_COLD_PARTS + 1]; /* in the latest parts, as a ring */
 } cs_cold_limit_t;
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -115,10 +115,6 @@
    known.  */
 bool cs_fleet_set_leaving (cs_fleet_t *fleet, cs_target_t *target);
 
-/* What peers have to know of TARGET has changed: its entry goes to those whose
-   list is older than the present revision.  */
-void cs_fleet_record_change (const cs_fleet_t *fleet, cs_target_t *target);
-
 /* Returns the target ID if its present incarnation is the one that started at
    STARTED_MS at ADDRESS, or NULL.  */
 cs_target_t *cs_fleet_find_incarnation (const cs_fleet_t *fleet, cs_str_t id,
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -82,7 +82,7 @@
 
 /* Reports to all routers that TARGET is cold.  HOPS routers have passed that
    on.  */
-void cs_mesh_announce_cold (cs_mesh_t *mesh, const cs_target_t *target,
+void cs_mesh_announce_cold (cs_mesh_t *mesh, cs_target_t *target,
                             uint32_t hops);
 
 /* Report to all routers that a target crashed, that a request with a part was
--- a/router/cold.c
+++ b/router/cold.c
@@ -121,11 +121,8 @@
   static const char *const sources[] = { "response", "entry", "peer" };
   bool is_news = cs_cold_record (&target->cold, statement, now);
   on_changed (router, target, sources[statement->source], now);
-  if (!is_news || !cs_cold_is_in_force (&target->cold, now))
-    return;
-  /* For peers whose list is older.  The others are told.  */
-  cs_fleet_record_change (router->fleet, target);
-  cs_mesh_announce_cold (router->mesh, target, hops);
+  if (is_news && cs_cold_is_in_force (&target->cold, now))
+    cs_mesh_announce_cold (router->mesh, target, hops);
 }
 
 void
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -58,6 +58,28 @@
   cs_notice_rate_t rate;
 } cs_notices_t;
 
+/* A cold target, as it is sent to all peers except the one that told of it. */
+typedef struct
+{
+  Cs__Router__Cold message;
+  uint64_t told_by;
+} cs_cold_notice_t;
+
+/* Targets that are cold.  The latest notice of each is kept at the target;
+   the last ones that were collected from there are kept here for further links
+   that have sent as many.  */
+typedef struct
+{
+  uint64_t count; /* of all notices so far */
+  cs_cold_notice_t *notices;
+  Cs__Router__Cold **messages; /* scratch array, as long as NOTICES */
+  size_t collected;
+  size_t capacity;
+  uint64_t since; /* number of the notice after which they were collected */
+  uint64_t until; /* of the last notice then */
+  cs_time_us_t collected_at; /* 0: never */
+} cs_cold_notices_t;
+
 /* Number of crash notices that are kept for links that have not sent them
    yet.  */
 #define CS_CRASH_NOTICES 128
@@ -116,7 +138,7 @@
   cs_packed_list_t packed_list;
   cs_notices_t leaving; /* that they are leaving */
   cs_notices_t limits;  /* a limit, or that there is none any more */
-  cs_notices_t cold;    /* that they are cold */
+  cs_cold_notices_t cold;
   cs_crash_notices_t *crash_notices; /* NULL until there are any */
   cs_timer_t notice_timer;           /* fires when notices are to be sent */
   bool notice_due;                   /* notice_timer is set */
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -12,10 +12,6 @@
    from their own answers, or from a later notice.  */
 #define MAX_LIMITS_PER_S 200
 
-/* More notices of cold targets are dropped.  Lists of targets and the targets'
-   own words bring them, too.  Some 15 bytes each.  */
-#define MAX_COLD_PER_S 200
-
 bool
 cs_notice_is_within_rate (cs_notice_rate_t *rate, uint32_t max_per_s,
                           cs_time_us_t now)
@@ -55,13 +51,15 @@
 }
 
 void
-cs_mesh_announce_cold (cs_mesh_t *mesh, const cs_target_t *target,
-                       uint32_t hops)
+cs_mesh_announce_cold (cs_mesh_t *mesh, cs_target_t *target, uint32_t hops)
 {
-  if (mesh != NULL && hops <= CS_MAX_HOPS
-      && cs_notice_is_within_rate (&mesh->cold.rate, MAX_COLD_PER_S,
-                                   cs_loop_now (mesh->router->loop)))
-    add_notice (mesh, &mesh->cold, target, hops);
+  /* Peers have the first list, too.  */
+  if (mesh == NULL || hops > CS_MAX_HOPS || !mesh->router->fleet_synced)
+    return;
+  target->cold.notice = ++mesh->cold.count;
+  target->cold.notice_hops = hops;
+  target->cold.told_by = 0;
+  cs_mesh_send_notices (mesh);
 }
 
 void
@@ -142,26 +140,82 @@
   link->limits_sent = notices->count;
 }
 
-static void
-fill_cold (cs_link_t *link, Cs__Router__Beat *beat, cs_time_us_t now)
+static int
+reserve_cold (cs_cold_notices_t *cold, size_t count)
 {
-  static Cs__Router__Cold entries[CS_NOTICES];
-  static Cs__Router__Cold *list[CS_NOTICES];
-  const cs_notices_t *notices = &link->mesh->cold;
-  beat->cold = list;
-  for (uint64_t at = first_unsent (notices, link->cold_sent);
-       at < notices->count; at++)
+  if (count <= cold->capacity)
+    return CS_OK;
+  cs_cold_notice_t *notices
+      = reallocarray (cold->notices, count, sizeof *notices);
+  if (notices == NULL)
+    return CS_ERR_NO_MEMORY;
+  cold->notices = notices;
+  Cs__Router__Cold **messages
+      = reallocarray (cold->messages, count, sizeof (Cs__Router__Cold *));
+  if (messages == NULL)
+    return CS_ERR_NO_MEMORY;
+  cold->messages = messages;
+  cold->capacity = count;
+  return CS_OK;
+}
+
+static size_t
+count_cold (const cs_mesh_t *mesh, uint64_t since)
+{
+  size_t count;
+  size_t found = 0;
+  cs_target_t *const *targets = cs_fleet_targets (mesh->router->fleet, &count);
+  for (size_t i = 0; i < count; i++)
+    found += targets[i]->cold.notice > since;
+  return found;
+}
+
+/* Collects the notices after number SINCE of targets that are still cold.  */
+static int
+collect_cold (cs_mesh_t *mesh, uint64_t since, cs_time_us_t now)
+{
+  size_t count;
+  cs_cold_notices_t *cold = &mesh->cold;
+  cs_target_t *const *targets = cs_fleet_targets (mesh->router->fleet, &count);
+  if (cold->collected_at == now && cold->since == since
+      && cold->until == cold->count)
+    return CS_OK;
+  cold->collected = 0;
+  cold->collected_at = 0;
+  if (reserve_cold (cold, count_cold (mesh, since)) != 0)
+    return CS_ERR_NO_MEMORY;
+  for (size_t i = 0; i < count; i++)
     {
-      const cs_target_t *target = notices->targets[at % CS_NOTICES];
-      Cs__Router__Cold *entry = &entries[beat->n_cold];
-      cs__router__cold__init (entry);
-      entry->target = target->incarnation;
-      entry->remaining_ms = cs_cold_stated_ms (&target->cold, now);
-      entry->hops = notices->hops[at % CS_NOTICES];
-      if (entry->remaining_ms > 0)
-        list[beat->n_cold++] = entry;
+      const cs_cold_limit_t *limit = &targets[i]->cold;
+      uint32_t remaining_ms
+          = limit->notice > since ? cs_cold_stated_ms (limit, now) : 0;
+      if (remaining_ms == 0)
+        continue;
+      cs_cold_notice_t *notice = &cold->notices[cold->collected++];
+      cs__router__cold__init (&notice->message);
+      notice->message.target = targets[i]->incarnation;
+      notice->message.remaining_ms = remaining_ms;
+      notice->message.hops = limit->notice_hops;
+      notice->told_by = limit->told_by;
     }
-  link->cold_sent = notices->count;
+  cold->since = since;
+  cold->until = cold->count;
+  cold->collected_at = now;
+  return CS_OK;
+}
+
+static void
+fill_cold (cs_link_t *link, Cs__Router__Beat *beat, cs_time_us_t now)
+{
+  cs_cold_notices_t *cold = &link->mesh->cold;
+  if (link->cold_sent == cold->count
+      || collect_cold (link->mesh, link->cold_sent, now) != 0)
+    return;
+  beat->cold = cold->messages;
+  for (size_t i = 0; i < cold->collected; i++)
+    if (cold->notices[i].told_by != link->id)
+      beat->cold[beat->n_cold++] = &cold->notices[i].message;
+  link->cold_sent = cold->count;
 }
 
 void
@@ -202,17 +256,21 @@
 }
 
 static void
-read_cold (cs_router_t *router, const Cs__Router__Cold *entry,
-           cs_time_us_t now)
+read_cold (cs_link_t *link, const Cs__Router__Cold *entry, cs_time_us_t now)
 {
+  cs_router_t *router = link->mesh->router;
   cs_cold_statement_t statement
       = { .source = CS_COLD_PEER,
           .remaining_us = entry->remaining_ms * CS_US_PER_MS };
   cs_target_t *target = cs_fleet_find_by_hash (router->fleet, entry->target);
-  if (target != NULL)
-    cs_cold_apply (
-        router, target, &statement,
-        entry->hops < CS_MAX_HOPS ? entry->hops + 1 : CS_MAX_HOPS + 1, now);
+  if (target == NULL)
+    return;
+  uint64_t known = target->cold.notice;
+  cs_cold_apply (router, target, &statement,
+                 entry->hops < CS_MAX_HOPS ? entry->hops + 1 : CS_MAX_HOPS + 1,
+                 now);
+  if (target->cold.notice != known)
+    target->cold.told_by = link->id;
 }
 
 void
@@ -225,7 +283,7 @@
   for (size_t i = 0; i < beat->n_limits; i++)
     read_limit (router, beat->limits[i], now);
   for (size_t i = 0; i < beat->n_cold; i++)
-    read_cold (router, beat->cold[i], now);
+    read_cold (link, beat->cold[i], now);
 }
 
 void
@@ -236,7 +294,8 @@
     {
       cs_target_release (mesh->leaving.targets[i]);
       cs_target_release (mesh->limits.targets[i]);
-      cs_target_release (mesh->cold.targets[i]);
     }
+  free (mesh->cold.notices);
+  free (mesh->cold.messages);
   free (mesh->crash_notices);
 }
