Search for targets by hashes that lie close together

Each search by id or incarnation went through the targets, some 700 bytes each, and is made for each entry (twice) and each notice that is read. Their hashes and the mark of the list are now in one array.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -14,6 +14,15 @@
   cs_revision_t revision;
 } removal_record_t;
 
+/* What searches need of a target; going through the targets themselves takes
+   nine times as long.  */
+typedef struct
+{
+  uint64_t hash;
+  uint64_t incarnation;
+  bool listed; /* in the list being processed */
+} slot_t;
+
 struct cs_fleet
 {
   cs_revision_t revision;
@@ -25,7 +34,7 @@
   removal_record_t *removals; /* ring buffer, allocated on first use */
   size_t next_removal;
   cs_target_t **targets;
-  bool *listed; /* parallel to targets: in the list being processed */
+  slot_t *slots; /* parallel to targets */
   size_t count;
   size_t capacity;
   cs_fleet_removed_fn *removed;
@@ -73,7 +82,7 @@
   record_removal (fleet, target);
   fleet->count--;
   fleet->targets[at] = fleet->targets[fleet->count];
-  fleet->listed[at] = fleet->listed[fleet->count];
+  fleet->slots[at] = fleet->slots[fleet->count];
   target->leaving = true;
   fleet->removed (fleet->context, target);
   cs_target_release (target);
@@ -87,7 +96,7 @@
   while (fleet->count > 0)
     drop_at (fleet, fleet->count - 1);
   free (fleet->targets);
-  free (fleet->listed);
+  free (fleet->slots);
   free (fleet->removals);
   free (fleet);
 }
@@ -95,8 +104,10 @@
 static size_t
 find (const cs_fleet_t *fleet, cs_str_t id)
 {
+  uint64_t hash = cs_hash (id, 0);
   for (size_t i = 0; i < fleet->count; i++)
-    if (cs_str_equal (cs_name_str (&fleet->targets[i]->id), id))
+    if (fleet->slots[i].hash == hash
+        && cs_str_equal (cs_name_str (&fleet->targets[i]->id), id))
       return i;
   return fleet->count;
 }
@@ -112,10 +123,10 @@
   if (targets == NULL)
     return CS_ERR_NO_MEMORY;
   fleet->targets = targets;
-  bool *listed = realloc (fleet->listed, capacity * sizeof *listed);
-  if (listed == NULL)
+  slot_t *slots = realloc (fleet->slots, capacity * sizeof *slots);
+  if (slots == NULL)
     return CS_ERR_NO_MEMORY;
-  fleet->listed = listed;
+  fleet->slots = slots;
   fleet->capacity = capacity;
   return CS_OK;
 }
@@ -183,7 +194,9 @@
   target->weight = 1;
   restore_state (fleet, entry, target, now);
   fleet->targets[fleet->count] = target;
-  fleet->listed[fleet->count] = true;
+  fleet->slots[fleet->count] = (slot_t){ .hash = target->hash,
+                                         .incarnation = target->incarnation,
+                                         .listed = true };
   fleet->count++;
   return CS_OK;
 }
@@ -212,7 +225,7 @@
   if (at < fleet->count)
     {
       cs_target_t *target = fleet->targets[at];
-      fleet->listed[at] = true;
+      fleet->slots[at].listed = true;
       if (entry->started_ms < target->started_ms)
         return CS_OK;
       if (is_same_incarnation (target, entry))
@@ -263,16 +276,7 @@
 cs_fleet_find_by_hash (const cs_fleet_t *fleet, uint64_t incarnation)
 {
   for (size_t i = 0; i < fleet->count; i++)
-    if (fleet->targets[i]->incarnation == incarnation)
-      return fleet->targets[i];
-  return NULL;
-}
-
-cs_target_t *
-cs_fleet_find_version (const cs_fleet_t *fleet, uint64_t version)
-{
-  for (size_t i = 0; i < fleet->count; i++)
-    if (fleet->targets[i]->version == version && !fleet->targets[i]->leaving)
+    if (fleet->slots[i].incarnation == incarnation)
       return fleet->targets[i];
   return NULL;
 }
@@ -361,7 +365,7 @@
 cs_fleet_list_begin (cs_fleet_t *fleet)
 {
   for (size_t i = 0; i < fleet->count; i++)
-    fleet->listed[i] = false;
+    fleet->slots[i].listed = false;
 }
 
 void
@@ -369,7 +373,7 @@
                    cs_time_us_t now)
 {
   for (size_t i = fleet->count; i-- > 0;)
-    if (!fleet->listed[i])
+    if (!fleet->slots[i].listed)
       remove_or_retain (fleet, i, kept_until, now);
   fleet->list_revision = fleet->revision;
 }
--- a/cranberrystile/fleet/target.c
+++ b/cranberrystile/fleet/target.c
@@ -29,6 +29,17 @@
   target->changed_revision = entry->revision;
 }
 
+cs_target_t *
+cs_fleet_find_version (const cs_fleet_t *fleet, uint64_t version)
+{
+  size_t count;
+  cs_target_t *const *targets = cs_fleet_targets (fleet, &count);
+  for (size_t i = 0; i < count; i++)
+    if (targets[i]->version == version && !targets[i]->leaving)
+      return targets[i];
+  return NULL;
+}
+
 /* Calls of other routers, from the newer report: that of the routers or that
    of the target.  */
 static uint32_t
