Rank routers once for a cold period, and skip counts of routers without permits

Each statement of a period, as the notices of each peer and renewed entries bring it, ranked this router anew among all others. Permits change with the list of routers and the configuration, for which cs_cold_update ranks them before each choice. A router without permits counted the requests of the last second all the same.

--- a/cranberrystile/admission/cold_limit.c
+++ b/cranberrystile/admission/cold_limit.c
@@ -125,7 +125,7 @@
 cs_cold_allows (const cs_cold_limit_t *limit, cs_time_us_t now)
 {
   return !cs_cold_is_in_force (limit, now)
-         || count_sent (limit, now) < limit->permits;
+         || (limit->permits > 0 && count_sent (limit, now) < limit->permits);
 }
 
 cs_time_us_t
--- a/router/cold.c
+++ b/router/cold.c
@@ -119,8 +119,11 @@
                cs_time_us_t now)
 {
   static const char *const sources[] = { "response", "entry", "peer" };
+  bool was_in_force = cs_cold_is_in_force (&target->cold, now);
   bool is_news = cs_cold_record (&target->cold, statement, now);
-  on_changed (router, target, sources[statement->source], now);
+  /* Statements of a period come by far more often than one begins.  */
+  if (!was_in_force)
+    on_changed (router, target, sources[statement->source], now);
   if (is_news && cs_cold_is_in_force (&target->cold, now))
     cs_mesh_announce_cold (router->mesh, target, hops);
 }
