Sum up a service for an ejection only if the target may be ejected

Each report of failed calls at a target summed up the results of its whole service, also where the target is ejected already or its own results are too few or too good. While a data centre is lost, each router did that for all of its targets with each heartbeat.

Measured without a network, reports of failures at 750 of 2,998 targets: one failure in three calls each, 14.4 to 0.01 ms a heartbeat; all calls fail, 19 to 24 ms before and now in the first one, 16.1 to 1.6 ms in the next ones.

--- a/router/target/health.c
+++ b/router/target/health.c
@@ -55,6 +55,11 @@
   uint32_t live;
   uint32_t ejected;
   cs_eject_policy_t policy = cs_eject_policy_default ();
+  /* Not decided by the others, over which sums take time in a large
+     service.  */
+  if (cs_eject_is_ejected (&target->eject, now)
+      || !cs_outcomes_is_outlier (&target->outcomes, &target->outcomes))
+    return;
   cs_outcomes_t service = sum_service (router, target, &live, &ejected, now);
   if (cs_outcomes_is_outlier (&target->outcomes, &service)
       && ejected + 1 <= (uint32_t)(policy.max_ejected_share * live))
