Label a store's list of targets with the revision of its first page

Cause: on_list_end labelled the fleet with targets_sync.revision, which a peer's list may have raised while the store's list was being read. The end of the older list then dropped targets that had joined since, and the watch began after their changes, so that they stayed unknown until their entries changed again. In addition, each object of a list raised the fleet's revision: a router that had read the first of two pages stated the revision of the newest object on it, was sent only the changes since, and counted as synchronised without the targets of the second page.

Change: only the end of a list, or a watched change, raises the fleet's revision. A list that a peer overtakes ends there, and the router watches from the peer's revision. A peer's list that is older than the list in progress isn't taken; a failed call begins the list anew, so that peers are refused only for as long as a list takes. The evacuations were not affected (their set ignores an older list); they now use the list's revision, too. The configuration's revision was raised by its own list's objects in the same way; now only the end of the list or a peer raises it.

--- a/include/router/follower.h
+++ b/include/router/follower.h
@@ -14,10 +14,12 @@
    alive until then.  */
 typedef struct
 {
-  /* Called before the first and after the last object of a complete list.  */
+  /* Called before the first and after the last object of a complete list,
+     which has the REVISION of its first page.  A list that is given up has no
+     end.  */
   void (*on_list_begin) (cs_router_t *router);
-  void (*on_list_end) (cs_router_t *router, cs_time_us_t kept_until,
-                       cs_time_us_t now);
+  void (*on_list_end) (cs_router_t *router, cs_revision_t revision,
+                       cs_time_us_t kept_until, cs_time_us_t now);
   /* Called for each object of a list and for each change.  */
   void (*on_object) (cs_router_t *router, const cs_store_object_t *object,
                      cs_time_us_t kept_until, cs_time_us_t now);
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -30,7 +30,9 @@
   cs_revision_t revision;        /* of the platform's store */
   cs_time_us_t own_confirmed_at; /* last confirmed to this router by the
                                     platform; 0: never */
-  cs_time_us_t confirmed_at; /* last confirmed to this router or to a peer */
+  cs_time_us_t confirmed_at;   /* last confirmed to this router or to a peer */
+  cs_revision_t list_revision; /* of the first page of the store's list that is
+                                  being read; zeros: none is */
 } cs_sync_state_t;
 
 typedef struct
--- a/router/apply.c
+++ b/router/apply.c
@@ -61,8 +61,6 @@
   log_routing (routing, revision, source, cs_loop_now (router->loop) - began);
   cs_routing_release (router->routing);
   router->routing = routing;
-  if (cs_revision_compare (revision, router->routing_sync.revision) > 0)
-    router->routing_sync.revision = revision;
   cs_buf_free (&router->routing_document);
   return true;
 }
@@ -97,7 +95,11 @@
   spec = json_loadb (text.data, text.len, 0, NULL);
   cs_buf_free (&text);
   if (apply_if_newer (router, spec, revision, "peer"))
-    cs_buf_append (&router->routing_document, document);
+    {
+      cs_buf_append (&router->routing_document, document);
+      if (cs_revision_compare (revision, router->routing_sync.revision) > 0)
+        router->routing_sync.revision = revision;
+    }
 out:
   cs_buf_free (&text);
   json_decref (spec);
--- a/router/peer/sync.c
+++ b/router/peer/sync.c
@@ -290,13 +290,16 @@
 }
 
 /* Changes apply to the list at revision SINCE.  A newer list already contains
-   them, and an older one lacks changes before them.  */
+   them, and an older one lacks changes before them.  What is older than the
+   store's list that is being read would remove targets of its first pages.  */
 static bool
 is_applicable (const cs_router_t *router, const Cs__Router__Targets *targets,
                cs_revision_t revision)
 {
   cs_revision_t own = cs_fleet_revision (router->fleet);
   return cs_revision_compare (revision, own) > 0
+         && cs_revision_compare (revision, router->targets_sync.list_revision)
+                >= 0
          && (targets->since == 0
              || (revision.era == own.era && targets->since <= own.number));
 }
--- a/router/store/evacuations.c
+++ b/router/store/evacuations.c
@@ -11,10 +11,10 @@
 }
 
 static void
-on_list_end (cs_router_t *router, cs_time_us_t kept_until, cs_time_us_t now)
+on_list_end (cs_router_t *router, cs_revision_t revision,
+             cs_time_us_t kept_until, cs_time_us_t now)
 {
-  cs_router_evacuations_end_list (router, router->evacuations_sync.revision,
-                                  now);
+  cs_router_evacuations_end_list (router, revision, now);
 }
 
 static void
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -49,17 +49,25 @@
   cs_store_client_t *client;
   cs_timer_t timer; /* starts the next call */
   bool listing;
-  bool list_started;
-  cs_name_t page_after;        /* last name on the previous page */
-  cs_revision_t list_revision; /* revision of the list's first page */
-  uint32_t failures;           /* consecutive */
-  uint32_t relists;            /* lists begun since a watch last succeeded */
-  uint64_t listed_era;         /* of the store when the last list began */
+  cs_name_t page_after;         /* last name on the previous page */
+  cs_revision_t known_revision; /* when the list in progress was begun */
+  uint32_t failures;            /* consecutive */
+  uint32_t relists;             /* lists begun since a watch last succeeded */
+  uint64_t listed_era;          /* of the store when the last list began */
   cs_time_us_t call_started_at;
   uint32_t watch_ms; /* wait of the last watch */
   cs_outage_t outage;
 };
 
+static void
+restart_list (cs_follower_t *follower)
+{
+  follower->listing = true;
+  follower->page_after.len = 0;
+  follower->known_revision = follower->sync_state->revision;
+  follower->sync_state->list_revision = (cs_revision_t){ 0 };
+}
+
 /* If peers keep this router up to date, or are about to, schedules the next
    check of that and returns true.  */
 static bool
@@ -70,21 +78,13 @@
   bool waits = cs_mesh_waits_for_hub (mesh, sync_state, now);
   if (!waits && !cs_mesh_can_skip_watch (mesh, sync_state, now))
     return false;
-  if (sync_state->confirmed_at != 0)
-    follower->listing = false;
+  restart_list (follower);
+  follower->listing = sync_state->confirmed_at == 0;
   cs_timer_set (&follower->timer,
                 waits ? START_CHECK_INTERVAL_US : PEER_CHECK_INTERVAL_US);
   return true;
 }
 
-static void
-restart_list (cs_follower_t *follower)
-{
-  follower->listing = true;
-  follower->list_started = false;
-  follower->page_after.len = 0;
-}
-
 static uint32_t
 watch_wait_ms (const cs_follower_t *follower, cs_time_us_t now)
 {
@@ -99,7 +99,6 @@
 start_call (void *context, cs_time_us_t now)
 {
   cs_follower_t *follower = context;
-  const cs_router_settings_t *settings = &follower->router->settings;
   if (leave_to_peers (follower, now))
     return;
   /* A revision of an earlier era means nothing to the store.  */
@@ -107,7 +106,7 @@
       && follower->sync_state->revision.era != follower->router->store_era)
     restart_list (follower);
   cs_buf_t path = { 0 };
-  uint32_t timeout_ms = settings->call_timeout_ms;
+  uint32_t timeout_ms = follower->router->settings.call_timeout_ms;
   int rc;
   follower->call_started_at = now;
   if (follower->listing)
@@ -180,6 +179,9 @@
   if (backoff_ms > max_ms)
     backoff_ms = max_ms;
   follower->failures++;
+  /* While a list is in progress, peers' lists that are older are not taken. */
+  if (follower->listing)
+    restart_list (follower);
   if (cs_outage_failed (&follower->outage,
                         status == 0 ? follower->call_started_at : now))
     cs_log (CS_EV_PLATFORM_LOST, "kind=%s status=%d",
@@ -246,21 +248,48 @@
       cs_outage_failed (&follower->outage, now);
       cs_outage_answered (&follower->outage, now);
     }
-  follower->list_started = true;
   /* Watching starts at the first page's revision, so changes made while later
      pages were read are reported again.  */
-  follower->list_revision = revision;
+  follower->sync_state->list_revision = revision;
   follower->handlers.on_list_begin (router);
 }
 
+/* Whether a peer has sent something newer than the list of REVISION since that
+   was asked for.  */
+static bool
+is_overtaken (const cs_follower_t *follower, cs_revision_t revision)
+{
+  cs_revision_t known = follower->sync_state->revision;
+  return cs_revision_compare (known, follower->known_revision) != 0
+         && cs_revision_compare (known, revision) > 0;
+}
+
+/* The state is that of REVISION or a later one; changes are watched.  */
+static void
+end_list (cs_follower_t *follower, cs_revision_t revision, cs_time_us_t now)
+{
+  restart_list (follower);
+  follower->listing = false;
+  record_revision (follower, revision, now);
+}
+
 static void
 read_list_page (cs_follower_t *follower, cs_store_page_t *page,
                 cs_time_us_t now)
 {
   cs_name_t last = follower->page_after;
-  if (!follower->list_started)
-    begin_list (follower, page->revision, now);
-  if (page->revision.era != follower->list_revision.era)
+  bool has_begun = follower->sync_state->list_revision.number != 0;
+  cs_revision_t revision
+      = has_begun ? follower->sync_state->list_revision : page->revision;
+  if (is_overtaken (follower, revision))
+    {
+      end_list (follower, revision, now);
+      start_call (follower, now);
+      return;
+    }
+  if (!has_begun)
+    begin_list (follower, revision, now);
+  if (page->revision.era != revision.era)
     {
       schedule_list (follower);
       return;
@@ -268,19 +297,15 @@
   read_items (follower, page, now);
   if (page->truncated && cs_name_equal (&last, &follower->page_after))
     {
-      restart_list (follower);
       on_call_failed (follower, 0, now);
       return;
     }
-  if (page->truncated)
+  if (!page->truncated)
     {
-      start_call (follower, now);
-      return;
+      end_list (follower, revision, now);
+      follower->handlers.on_list_end (follower->router, revision,
+                                      kept_until (follower, now), now);
     }
-  follower->listing = false;
-  record_revision (follower, follower->list_revision, now);
-  follower->handlers.on_list_end (follower->router, kept_until (follower, now),
-                                  now);
   start_call (follower, now);
 }
 
--- a/router/store/routing.c
+++ b/router/store/routing.c
@@ -10,7 +10,8 @@
 }
 
 static void
-ignore_end (cs_router_t *router, cs_time_us_t kept_until, cs_time_us_t now)
+ignore_end (cs_router_t *router, cs_revision_t revision,
+            cs_time_us_t kept_until, cs_time_us_t now)
 {
 }
 
--- a/router/store/targets.c
+++ b/router/store/targets.c
@@ -12,9 +12,10 @@
 }
 
 static void
-on_list_end (cs_router_t *router, cs_time_us_t kept_until, cs_time_us_t now)
+on_list_end (cs_router_t *router, cs_revision_t revision,
+             cs_time_us_t kept_until, cs_time_us_t now)
 {
-  cs_fleet_set_revision (router->fleet, router->targets_sync.revision);
+  cs_fleet_set_revision (router->fleet, revision);
   cs_fleet_list_end (router->fleet, kept_until, now);
   router->fleet_synced = true;
 }
@@ -24,7 +25,10 @@
            cs_time_us_t kept_until, cs_time_us_t now)
 {
   cs_target_entry_t entry;
-  cs_fleet_set_revision (router->fleet, object->revision);
+  /* Until a list has ended, changes before those of its objects may be
+     missing.  */
+  if (object->is_change)
+    cs_fleet_set_revision (router->fleet, object->revision);
   if (object->deleted)
     {
       bool known
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -127,6 +127,11 @@
   std::atomic<int> calls{ 0 };
   // Lists of configurations or targets that may not be old.
   std::atomic<int> full_lists{ 0 };
+  // Objects in each page of a list; 0: all.
+  std::atomic<size_t> page_size{ 0 };
+  // Responses with the last page of a list of targets are made and held.
+  std::atomic<bool> holds_lists{ false };
+  std::atomic<int> held_lists{ 0 };
 
   uint64_t
   revision ()
@@ -166,15 +171,30 @@
           + body);
   }
 
+  // The page of the objects whose names follow AFTER.
   std::string
-  list (const std::string &kind)
+  list (const std::string &kind, const std::string &after, bool &truncated)
   {
     std::string items;
-    for (const auto &entry : objects_[kind])
-      items
-          += (items.empty () ? "" : ",") + to_json (entry.first, entry.second);
-    return "{\"items\":[" + items + "],\"truncated\":false,\"current_rev\":"
-           + std::to_string (revision_) + "}";
+    const auto &all = objects_[kind];
+    auto entry = all.upper_bound (after);
+    for (size_t count = 0;
+         entry != all.end () && (page_size == 0 || count < page_size);
+         count++, entry++)
+      items += (items.empty () ? "" : ",")
+               + to_json (entry->first, entry->second);
+    truncated = entry != all.end ();
+    return "{\"items\":[" + items
+           + "],\"truncated\":" + (truncated ? "true" : "false")
+           + ",\"current_rev\":" + std::to_string (revision_) + "}";
+  }
+
+  void
+  hold_list ()
+  {
+    held_lists++;
+    while (holds_lists && !stopping_)
+      std::this_thread::sleep_for (std::chrono::milliseconds (5));
   }
 
   std::string
@@ -274,12 +294,15 @@
     else if (method == "GET")
       {
         std::string body;
+        bool truncated;
         if (kind != "routers" && query (target, "allow_stale").empty ())
           full_lists++;
         {
           std::lock_guard<std::mutex> lock (mutex_);
-          body = list (kind);
+          body = list (kind, query (target, "after"), truncated);
         }
+        if (kind == "servers" && holds_lists && !truncated)
+          hold_list ();
         respond (socket, 200, body);
       }
     else
@@ -338,7 +361,7 @@
 
   std::mutex mutex_;
   std::condition_variable changed_;
-  bool stopping_ = false;
+  std::atomic<bool> stopping_{ false };
   uint64_t revision_ = 10;
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::vector<Change> history_;
