Expect no body after an interim response to HEAD

The reader forgot with an interim response that the final one has no body: the router waited for it until the request's deadline. InterimResponse.LeavesTheResponseToHeadWithoutABody failed before.

--- a/http/reader.c
+++ b/http/reader.c
@@ -337,13 +337,16 @@
 void
 cs_http_reader_next (cs_http_reader_t *reader)
 {
+  int status = reader->head.status;
+  /* What follows an interim response answers the same request.  */
+  bool is_interim = status >= 100 && status < 200;
   cs_http_head_clear (&reader->head);
   init_parser (reader);
   reader->state = CS_HTTP_IN_HEAD;
   reader->head_parsed = false;
   reader->trailer_count = 0;
   reader->head_checked = 0;
-  reader->no_body = false;
+  reader->no_body = reader->no_body && is_interim;
 }
 
 void
--- a/tests/unit/response_test.cc
+++ b/tests/unit/response_test.cc
@@ -262,4 +262,15 @@
   EXPECT_GT (broken, 1000);
 }
 
+// The final response to a HEAD request has no body after an interim one
+// either: its caller waited for the body until its deadline.
+TEST (InterimResponse, LeavesTheResponseToHeadWithoutABody)
+{
+  Responses responses;
+  cs_http_reader_expect_no_body (responses.reader, true);
+  EXPECT_TRUE (responses.feed ("HTTP/1.1 103 Early Hints\r\n\r\n"
+                               "HTTP/1.1 200 OK\r\n"
+                               + FIELDS + LENGTH + "\r\n"));
+}
+
 }
