Know the cold period of an engine in the check of a configuration

The check said that routers ignore cold_start_s and cold_per_s of an engine, but they read both there: an operator who took them out would lose the limit.

--- a/tests/unit/routing_check_test.cc
+++ b/tests/unit/routing_check_test.cc
@@ -511,4 +511,16 @@
                                  "key_moved" }));
 }
 
+// The decoder reads both fields from an engine, too.  An operator who was told
+// that routers ignore them would take them out, and lose the limit.
+TEST (RoutingCheck, KnowsTheColdPeriodOfAnEngine)
+{
+  Document document (changed ("\"slots\":8", "\"slots\":8,\"cold_per_s\":18,"
+                                             "\"cold_start_s\":3"));
+  ASSERT_NE (document.routing, nullptr);
+  EXPECT_EQ (document.routing->services[0].cold_per_s, 18U);
+  EXPECT_TRUE (document.list ().empty ())
+      << testing::PrintToString (document.list ());
+}
+
 }
