Start also with data centres without a region, and with up to 256

deploy/settings.ini lists the data centres of every deployment under [regions]. An empty region, or more than 64 data centres, made the settings invalid, so that a router which restricts nothing did not start. A data centre without a value is in no region, like one that isn't listed. RegionSettings.DataCentreWithoutRegionDoesNotPreventTheStart failed before.

--- a/common/settings_table.c
+++ b/common/settings_table.c
@@ -131,6 +131,8 @@
 static const char *
 add_pair (cs_setting_pairs_t *pairs, const char *key, const char *value)
 {
+  if (*value == '\0')
+    return NULL;
   for (size_t i = 0; i < pairs->count; i++)
     if (strcmp (pairs->pairs[i].key.text, key) == 0)
       return "is set twice";
--- a/include/common/settings_table.h
+++ b/include/common/settings_table.h
@@ -39,9 +39,10 @@
 
 /* Maximum number of settings in a section whose keys are not in a table; it
    holds the data centres of a large deployment.  */
-#define CS_SETTING_MAX_PAIRS 64
+#define CS_SETTING_MAX_PAIRS 256
 
-/* The settings of such a section; their keys differ.  */
+/* The settings of such a section; their keys differ.  Those without a value
+   are left out.  */
 typedef struct
 {
   struct
--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -409,4 +409,17 @@
     }
 }
 
+// deploy/settings.ini lists the zones of every deployment.  One without a
+// region, or of which there are many, must not keep a router that restricts
+// nothing from starting.
+TEST (RegionSettings, DataCentreWithoutRegionDoesNotPreventTheStart)
+{
+  cs_router_settings_t settings;
+  std::string text = SETTINGS;
+  EXPECT_EQ (read_settings (text + "d =\n", &settings), CS_OK);
+  for (int i = 0; i < 70; i++)
+    text += "z" + std::to_string (i) + " = north\n";
+  EXPECT_EQ (read_settings (text, &settings), CS_OK);
+}
+
 }
