Tell routers that start after a restore which evacuations are kept

Cause: names that a restored store lacks stay in force for lapse_ms, but weren't passed on, so that a router that started within that time sent requests to the data centre.

Change: the frame Evacuations carries such names with the time that is left (`kept`), to each peer once, whatever its revision, as the store that it read lacks them as well. A router takes a name once an era, keeps it for lapse_ms after it learnt of the era or started at most, and passes on names that came through fewer than three routers, so that routers that pass a name to each other don't keep it in force for good. Routers of earlier releases ignore the field.

--- a/cranberrystile/fleet/evacuations.c
+++ b/cranberrystile/fleet/evacuations.c
@@ -4,6 +4,11 @@
 
 #include "common/error.h"
 
+/* Each router that learns a kept name from another one does so a little later,
+   so a name that passes through restarted routers is in force for longer than
+   the first one kept it.  This bounds by how much.  */
+#define MAX_KEPT_HOPS 3
+
 typedef struct
 {
   cs_name_t name;
@@ -11,6 +16,8 @@
   cs_revision_t revision;  /* of its latest change */
   cs_time_us_t kept_until; /* not in the restored store, but in force until
                               then; 0: in the store */
+  uint64_t kept_era;       /* the latest in which it was kept; 0: none */
+  uint32_t kept_hops;
 } evacuation_t;
 
 typedef struct
@@ -27,6 +34,8 @@
   size_t count;
   size_t capacity;
   name_list_t list; /* being collected */
+  uint32_t kept_total;
+  cs_time_us_t keep_before; /* names that the store of this era lacks */
   bool is_known;
   cs_revision_t list_revision; /* of the last whole set */
   cs_revision_t revision;
@@ -95,6 +104,30 @@
   return NULL;
 }
 
+bool
+cs_evacuations_kept_at (const cs_evacuations_t *set, size_t at,
+                        cs_time_us_t now, cs_evacuation_kept_t *out)
+{
+  for (size_t i = 0; set != NULL && i < set->count; i++)
+    {
+      const evacuation_t *entry = &set->entries[i];
+      if (entry->kept_until <= now || entry->kept_hops >= MAX_KEPT_HOPS
+          || at-- > 0)
+        continue;
+      *out = (cs_evacuation_kept_t){ .name = &entry->name,
+                                     .until = entry->kept_until,
+                                     .hops = entry->kept_hops };
+      return true;
+    }
+  return false;
+}
+
+uint32_t
+cs_evacuations_kept_total (const cs_evacuations_t *set)
+{
+  return set == NULL ? 0 : set->kept_total;
+}
+
 bool
 cs_evacuations_is_known (const cs_evacuations_t *set)
 {
@@ -147,6 +180,36 @@
     set->changed (set->context, &entry->name, is_evacuated);
 }
 
+static void
+keep (cs_evacuations_t *set, evacuation_t *entry, cs_time_us_t until,
+      uint32_t hops)
+{
+  entry->kept_until = until;
+  entry->kept_era = set->revision.era;
+  entry->kept_hops = hops;
+  set->kept_total++;
+}
+
+int
+cs_evacuations_keep (cs_evacuations_t *set, const cs_evacuation_kept_t *kept,
+                     cs_revision_t revision, cs_time_us_t now)
+{
+  cs_time_us_t until
+      = kept->until < set->keep_before ? kept->until : set->keep_before;
+  if (!set->is_known || revision.era != set->revision.era || until <= now
+      || kept->hops > MAX_KEPT_HOPS)
+    return CS_OK;
+  evacuation_t *entry = find_or_add (set, kept->name);
+  if (entry == NULL)
+    return CS_ERR_NO_MEMORY;
+  if (entry->is_evacuated || entry->kept_era == revision.era
+      || cs_revision_compare (entry->revision, revision) > 0)
+    return CS_OK;
+  set_state (set, entry, true);
+  keep (set, entry, until, kept->hops);
+  return CS_OK;
+}
+
 int
 cs_evacuations_change (cs_evacuations_t *set, cs_str_t data_centre,
                        bool is_evacuated, cs_revision_t revision)
@@ -216,10 +279,11 @@
       bool is_missing = entry->is_evacuated && entry->kept_until == 0
                         && !is_among (names, name_count, &entry->name);
       if (is_missing && kept_until != 0)
-        entry->kept_until = kept_until;
+        keep (set, entry, kept_until, 0);
       else if (is_missing)
         set_state (set, entry, false);
-      if (entry->is_evacuated)
+      if (entry->is_evacuated
+          || (entry->kept_era != 0 && entry->kept_era == set->revision.era))
         set->entries[count++] = *entry;
     }
   set->count = count;
@@ -240,6 +304,8 @@
         return CS_ERR_NO_MEMORY;
       entry->revision = revision;
     }
+  if (is_new_era || !set->is_known)
+    set->keep_before = kept_until;
   set->list_revision = revision;
   set->revision = revision;
   set->is_known = true;
--- a/include/cranberrystile/evacuations.h
+++ b/include/cranberrystile/evacuations.h
@@ -7,6 +7,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "common/clock.h"
 #include "common/str.h"
@@ -35,10 +36,39 @@
 
 /* Returns the name at AT of those that the latest revision contains, or NULL
    from their number on.  Names that stay in force for a while after the store
-   was restored are left out: a peer that knew them keeps them by itself.  */
+   was restored are left out.  */
 const cs_name_t *cs_evacuations_listed_at (const cs_evacuations_t *set,
                                            size_t at);
 
+/* A name that stays in force UNTIL then though the restored store lacks it.
+   HOPS routers have learnt it from another one, including this one; 0: it was
+   known here when the store was restored.  */
+typedef struct
+{
+  const cs_name_t *name; /* borrowed until the set changes */
+  cs_time_us_t until;
+  uint32_t hops;
+} cs_evacuation_kept_t;
+
+/* Stores in *OUT the name at AT of those that stay in force after NOW and may
+   be passed on, or returns false from their number on.  */
+bool cs_evacuations_kept_at (const cs_evacuations_t *set, size_t at,
+                             cs_time_us_t now, cs_evacuation_kept_t *out);
+
+/* Returns how many names have stayed in force so far; it changes when peers
+   need to be told of more.  */
+uint32_t cs_evacuations_kept_total (const cs_evacuations_t *set);
+
+/* A peer whose set is that of REVISION says that KEPT stays in force.  It does
+   so here until the KEPT_UNTIL of the first set of this era at most: routers
+   that pass a name to each other must not keep it in force for good.  Ignored
+   if the set isn't known or of another era, if KEPT has passed through too
+   many routers, and if the name is evacuated already, has been changed since,
+   or was kept before in this era.  Returns 0 or CS_ERR_NO_MEMORY.  */
+int cs_evacuations_keep (cs_evacuations_t *set,
+                         const cs_evacuation_kept_t *kept,
+                         cs_revision_t revision, cs_time_us_t now);
+
 /* Whether the whole set has been learnt.  */
 bool cs_evacuations_is_known (const cs_evacuations_t *set);
 
--- a/include/router/evacuations.h
+++ b/include/router/evacuations.h
@@ -20,6 +20,11 @@
                                     const cs_name_t *names, size_t count,
                                     cs_revision_t revision, cs_time_us_t now);
 
+/* Applies what a peer whose set is that of REVISION keeps.  */
+void cs_router_evacuations_keep (cs_router_t *router,
+                                 const cs_evacuation_kept_t *kept,
+                                 cs_revision_t revision, cs_time_us_t now);
+
 /* Applies a change of DATA_CENTRE in the platform's store.  */
 void cs_router_evacuations_change (cs_router_t *router, cs_str_t data_centre,
                                    bool is_evacuated, cs_revision_t revision);
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &cs__router__version_found__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__kept_evacuation__init
+                     (Cs__Router__KeptEvacuation         *message)
+{
+  static const Cs__Router__KeptEvacuation init_value = CS__ROUTER__KEPT_EVACUATION__INIT;
+  *message = init_value;
+}
+size_t cs__router__kept_evacuation__get_packed_size
+                     (const Cs__Router__KeptEvacuation *message)
+{
+  assert(message->base.descriptor == &cs__router__kept_evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__kept_evacuation__pack
+                     (const Cs__Router__KeptEvacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__kept_evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__kept_evacuation__pack_to_buffer
+                     (const Cs__Router__KeptEvacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__kept_evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__KeptEvacuation *
+       cs__router__kept_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__KeptEvacuation *)
+     protobuf_c_message_unpack (&cs__router__kept_evacuation__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__kept_evacuation__free_unpacked
+                     (Cs__Router__KeptEvacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__kept_evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__evacuations__init
                      (Cs__Router__Evacuations         *message)
 {
@@ -2605,7 +2650,71 @@
   (ProtobufCMessageInit) cs__router__version_found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__evacuations__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cs__router__kept_evacuation__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__KeptEvacuation, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__KeptEvacuation, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hops",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__KeptEvacuation, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__kept_evacuation__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  2,   /* field[2] = hops */
+  1,   /* field[1] = remaining_ms */
+};
+static const ProtobufCIntRange cs__router__kept_evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cs__router__kept_evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.KeptEvacuation",
+  "KeptEvacuation",
+  "Cs__Router__KeptEvacuation",
+  "cs.router",
+  sizeof(Cs__Router__KeptEvacuation),
+  3,
+  cs__router__kept_evacuation__field_descriptors,
+  cs__router__kept_evacuation__field_indices_by_name,
+  1,  cs__router__kept_evacuation__number_ranges,
+  (ProtobufCMessageInit) cs__router__kept_evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__evacuations__field_descriptors[4] =
 {
   {
     "revision",
@@ -2643,16 +2752,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Evacuations, n_kept),
+    offsetof(Cs__Router__Evacuations, kept),
+    &cs__router__kept_evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__evacuations__field_indices_by_name[] = {
   2,   /* field[2] = data_centres */
   1,   /* field[1] = era */
+  3,   /* field[3] = kept */
   0,   /* field[0] = revision */
 };
 static const ProtobufCIntRange cs__router__evacuations__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cs__router__evacuations__descriptor =
 {
@@ -2662,7 +2784,7 @@
   "Cs__Router__Evacuations",
   "cs.router",
   sizeof(Cs__Router__Evacuations),
-  3,
+  4,
   cs__router__evacuations__field_descriptors,
   cs__router__evacuations__field_indices_by_name,
   1,  cs__router__evacuations__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Cs__Router__StreamsSaved Cs__Router__StreamsSaved;
 typedef struct Cs__Router__FindVersion Cs__Router__FindVersion;
 typedef struct Cs__Router__VersionFound Cs__Router__VersionFound;
+typedef struct Cs__Router__KeptEvacuation Cs__Router__KeptEvacuation;
 typedef struct Cs__Router__Evacuations Cs__Router__Evacuations;
 typedef struct Cs__Router__Frame Cs__Router__Frame;
 
@@ -514,6 +515,25 @@
     , 0, 0 }
 
 
+/*
+ * An evacuation that a restored store lacks, and which stays in force for a
+ * while.
+ */
+struct  Cs__Router__KeptEvacuation
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  uint32_t remaining_ms;
+  /*
+   * routers that have learnt it from another one so far
+   */
+  uint32_t hops;
+};
+#define CS__ROUTER__KEPT_EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__kept_evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * All evacuated data centres, as of this revision of the platform's store.
  */
@@ -527,10 +547,12 @@
   uint64_t era;
   size_t n_data_centres;
   char **data_centres;
+  size_t n_kept;
+  Cs__Router__KeptEvacuation **kept;
 };
 #define CS__ROUTER__EVACUATIONS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__evacuations__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL }
 
 
 typedef enum {
@@ -917,6 +939,25 @@
 void   cs__router__version_found__free_unpacked
                      (Cs__Router__VersionFound *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__KeptEvacuation methods */
+void   cs__router__kept_evacuation__init
+                     (Cs__Router__KeptEvacuation         *message);
+size_t cs__router__kept_evacuation__get_packed_size
+                     (const Cs__Router__KeptEvacuation   *message);
+size_t cs__router__kept_evacuation__pack
+                     (const Cs__Router__KeptEvacuation   *message,
+                      uint8_t             *out);
+size_t cs__router__kept_evacuation__pack_to_buffer
+                     (const Cs__Router__KeptEvacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__KeptEvacuation *
+       cs__router__kept_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__kept_evacuation__free_unpacked
+                     (Cs__Router__KeptEvacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__Evacuations methods */
 void   cs__router__evacuations__init
                      (Cs__Router__Evacuations         *message);
@@ -1011,6 +1052,9 @@
 typedef void (*Cs__Router__VersionFound_Closure)
                  (const Cs__Router__VersionFound *message,
                   void *closure_data);
+typedef void (*Cs__Router__KeptEvacuation_Closure)
+                 (const Cs__Router__KeptEvacuation *message,
+                  void *closure_data);
 typedef void (*Cs__Router__Evacuations_Closure)
                  (const Cs__Router__Evacuations *message,
                   void *closure_data);
@@ -1041,6 +1085,7 @@
 extern const ProtobufCMessageDescriptor cs__router__streams_saved__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__find_version__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__version_found__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__kept_evacuation__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__frame__descriptor;
 
--- a/router/evacuations.c
+++ b/router/evacuations.c
@@ -81,6 +81,15 @@
                                 kept_until (router, now));
 }
 
+void
+cs_router_evacuations_keep (cs_router_t *router,
+                            const cs_evacuation_kept_t *kept,
+                            cs_revision_t revision, cs_time_us_t now)
+{
+  router->evacuations_source = "peer";
+  (void)cs_evacuations_keep (router->evacuations, kept, revision, now);
+}
+
 void
 cs_router_evacuations_change (cs_router_t *router, cs_str_t data_centre,
                               bool is_evacuated, cs_revision_t revision)
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -88,6 +88,16 @@
   return true;
 }
 
+static bool
+are_valid_evacuations (const Cs__Router__Evacuations *evacuations)
+{
+  for (size_t i = 0; i < evacuations->n_kept; i++)
+    if (!cs_name_is_valid (evacuations->kept[i]->data_centre))
+      return false;
+  return are_valid_names (evacuations->data_centres,
+                          evacuations->n_data_centres);
+}
+
 static bool
 is_valid_frame (const cs_router_frame_t *frame)
 {
@@ -109,8 +119,7 @@
     case CS__ROUTER__FRAME__BODY_VERSION_FOUND:
       return true;
     case CS__ROUTER__FRAME__BODY_EVACUATIONS:
-      return are_valid_names (frame->evacuations->data_centres,
-                              frame->evacuations->n_data_centres);
+      return are_valid_evacuations (frame->evacuations);
     case CS__ROUTER__FRAME__BODY_TARGETS:
       return are_valid_targets (frame->targets);
     default:
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -178,9 +178,10 @@
   uint64_t routing_version;
   cs_revision_t targets_revision;
   cs_revision_t evacuations_revision;
-  bool was_behind;               /* at the previous heartbeat */
-  cs_time_us_t targets_known_at; /* the earliest time at which the peer can
-                                    have written its latest heartbeat */
+  uint32_t evacuations_kept_sent; /* of cs_evacuations_kept_total */
+  bool was_behind;                /* at the previous heartbeat */
+  cs_time_us_t targets_known_at;  /* the earliest time at which the peer can
+                                     have written its latest heartbeat */
 
   /* Positions in the mesh's notices.  */
   uint64_t leaving_sent;
@@ -328,8 +329,8 @@
                                cs_time_us_t now);
 
 /* Whether the peer lacks what this router knows.  */
-bool cs_evacuation_sync_is_behind (const cs_link_t *link);
-void cs_evacuation_sync_send (cs_link_t *link);
+bool cs_evacuation_sync_is_behind (const cs_link_t *link, cs_time_us_t now);
+void cs_evacuation_sync_send (cs_link_t *link, cs_time_us_t now);
 
 /* loads.c */
 
--- a/router/peer/sync.c
+++ b/router/peer/sync.c
@@ -74,10 +74,10 @@
 }
 
 static bool
-is_behind (const cs_link_t *link)
+is_behind (const cs_link_t *link, cs_time_us_t now)
 {
   return link->routing_version < own_routing_version (link->mesh->router)
-         || lacks_targets (link) || cs_evacuation_sync_is_behind (link);
+         || lacks_targets (link) || cs_evacuation_sync_is_behind (link, now);
 }
 
 cs_revision_t
@@ -123,7 +123,7 @@
     cs_sync_record_confirmation (&router->targets_sync, beat->targets_age_ms,
                                  written_at);
   cs_evacuation_sync_read_heartbeat (link, beat, written_at);
-  bool behind = is_behind (link);
+  bool behind = is_behind (link, now);
   /* A first hub sends the missing state immediately.  Other routers leave it
      one heartbeat to do so.  */
   if (behind && (link->mesh->role.is_first || link->was_behind))
@@ -272,8 +272,8 @@
     send_routing (link);
   if (router->fleet_synced && lacks_targets (link))
     send_targets (link, now);
-  if (cs_evacuation_sync_is_behind (link))
-    cs_evacuation_sync_send (link);
+  if (cs_evacuation_sync_is_behind (link, now))
+    cs_evacuation_sync_send (link, now);
 }
 
 void
--- a/tests/router/evacuation_test.cc
+++ b/tests/router/evacuation_test.cc
@@ -212,6 +212,30 @@
   EXPECT_EQ (router->log ().find ("CS1431"), std::string::npos);
 }
 
+// The copy is older than the evacuation, too, and a router that starts before
+// the operator has written it again sent requests there.
+TEST_F (Evacuation, RouterThatStartsAfterARestoreLearnsItFromAPeer)
+{
+  const std::string lapse = "lapse_ms = 6000\n";
+  Router other ("r2", store.address (), lapse + settings ());
+  ASSERT_TRUE (Router::eventually ([&] { return other.is_ready (); }));
+  Store::Copy copy = store.copy ();
+  store.put ("evacuations", "a", "{}");
+  ASSERT_TRUE (wait_for_log (other, "CS1430"));
+  store.restore (copy);
+  ASSERT_TRUE (wait_for_log (other, "CS1203"));
+  std::this_thread::sleep_for (std::chrono::milliseconds (300));
+  router->signal (SIGKILL);
+  Router late ("r3", store.address (), lapse + settings ());
+  ASSERT_TRUE (wait_for_log (late, "CS1430 data_centre=a source=peer", 2500));
+  ASSERT_TRUE (Router::eventually ([&] { return late.is_ready (); }));
+  EXPECT_EQ (count_at_first (late), 0U);
+  ASSERT_TRUE (wait_for_log (late, "CS1431 data_centre=a source=lapse", 7000));
+  std::this_thread::sleep_for (std::chrono::milliseconds (1000));
+  for (const Router *one : { &other, &late })
+    EXPECT_GT (one->log ().rfind ("CS1431"), one->log ().rfind ("CS1430"));
+}
+
 // A store that does not answer this kind must not keep it from serving, where
 // no peer knows the set either.
 TEST_F (Evacuation, RouterThatCannotLearnThemServesWithoutInTheEnd)
--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -180,6 +180,75 @@
   EXPECT_EQ (changes, "+a+b+c-b");
 }
 
+// Passes on what FROM keeps at NOW, which arrives after DELAY.
+void
+pass_kept (const cs_evacuations_t *from, cs_evacuations_t *to,
+           cs_time_us_t now, cs_time_us_t delay)
+{
+  cs_evacuation_kept_t kept;
+  for (size_t i = 0; cs_evacuations_kept_at (from, i, now, &kept); i++)
+    {
+      kept.until += delay;
+      kept.hops++;
+      cs_evacuations_keep (to, &kept, cs_evacuations_revision (from),
+                           now + delay);
+    }
+}
+
+// A router that started after the store was restored sent requests to data
+// centres that the others still kept evacuated; and routers that pass a name
+// on must not keep it for good, also when they restart one after another.
+TEST_F (Evacuations, KeptNamesAreLearntForTheTimeThatIsLeft)
+{
+  const cs_time_us_t tenth = SECOND / 10;
+  const cs_time_us_t lapse = 5 * SECOND;
+  auto start = [&] (cs_time_us_t now) {
+    cs_evacuations_t *one = cs_evacuations_create (
+        [] (void *, const cs_name_t *, bool) {}, nullptr);
+    cs_evacuations_replace (one, nullptr, 0, { 2, 51 }, now + lapse);
+    return one;
+  };
+  cs_name_t name;
+  cs_name_set (&name, cs_str ("a"));
+  replace ({ "a", "b" }, { 1, 90 });
+  replace ({}, { 2, 50 }, lapse);
+  change ("b", true, { 2, 52 });
+  cs_evacuations_t *late = start (4 * SECOND);
+  pass_kept (set, late, 4 * SECOND, tenth);
+  EXPECT_TRUE (cs_evacuations_has (late, &name));
+  EXPECT_EQ (cs_evacuations_count (late), 1U) << "b is in the store";
+  for (cs_time_us_t now = 4 * SECOND; now < 9 * SECOND; now += tenth)
+    {
+      for (auto *one : { set, late })
+        cs_evacuations_expire (one, now);
+      EXPECT_EQ (cs_evacuations_has (late, &name), now < lapse + tenth);
+      EXPECT_EQ (has ("a"), now < lapse);
+      pass_kept (set, late, now, tenth);
+      pass_kept (late, set, now, tenth);
+    }
+  // What comes from a router that was cut off for long.
+  cs_evacuation_kept_t stale = { &name, 20 * SECOND, 1 };
+  cs_evacuations_t *running = start (0);
+  cs_evacuations_keep (running, &stale, { 2, 51 }, 10 * SECOND);
+  EXPECT_EQ (cs_evacuations_count (running), 0U);
+  cs_evacuations_destroy (running);
+  size_t restarts = 0;
+  for (cs_time_us_t now = 10 * SECOND; restarts < 100; now += tenth)
+    {
+      cs_evacuations_t *next = start (now);
+      if (restarts++ == 0)
+        cs_evacuations_keep (next, &stale, { 2, 51 }, now);
+      else
+        pass_kept (late, next, now, tenth);
+      cs_evacuations_destroy (late);
+      late = next;
+      if (!cs_evacuations_has (late, &name))
+        break;
+    }
+  EXPECT_EQ (restarts, 4U);
+  cs_evacuations_destroy (late);
+}
+
 // A set that a peer sends between two pages must not become part of the list.
 TEST_F (Evacuations, SetOfAPeerDoesNotDisturbAListInProgress)
 {
