Hold requests that arrive before a starting router is ready

After all routers of a fleet lost power, each refused the requests that arrived in the 0.1 to 0.9 s before it knew the configuration, the targets and the evacuations (503 not_ready). When they were retried, some were late and some were lost. With 0, the default, they are refused as before.

--- a/include/common/event.h
+++ b/include/common/event.h
@@ -13,6 +13,7 @@
   X (BAD_SETTING, 1005, 3)                                                    \
   X (START_FAILED, 1006, 3)                                                   \
   X (READY, 1007, 5)                                                          \
+  X (START_HOLD_ENDED, 1010, 5)                                               \
   X (RELEASE_APPLIED, 1101, 5)                                                \
   X (RELEASE_REJECTED, 1102, 3)                                               \
   X (ROUTING_APPLIED, 1103, 5)                                                \
@@ -57,6 +58,7 @@
   X (PART_BLOCKED, 1506, 4)                                                   \
   X (PART_UNBLOCKED, 1507, 5)                                                 \
   X (CALL_REFUSED, 1540, 5)                                                   \
+  X (REQUEST_HELD, 1550, 6)                                                   \
   X (CLAIM_UNKNOWN, 1601, 4)                                                  \
   X (CLAIM_SWEPT, 1602, 6)                                                    \
   X (LEASE_ACQUIRED, 1701, 5)                                                 \
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -36,6 +36,11 @@
   X (load_parts_ignored, "loads of targets of which a part was left out")     \
   X (refused_too_late, "calls refused as their answers would be too late")    \
   X (refused_beyond_share, "calls refused as beyond a share of busy targets") \
+  X (start_held, "requests held while the router started")                    \
+  X (start_run, "held requests that were run")                                \
+  X (start_refused, "held requests that were refused")                        \
+  X (start_left, "held requests whose callers left")                          \
+  X (start_beyond, "requests not held as too much was held")                  \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
   X (directory_lists, "lists of routers read")                                \
--- a/include/router/forward.h
+++ b/include/router/forward.h
@@ -8,6 +8,11 @@
 
 typedef struct cs_forward cs_forward_t;
 
+/* Call once, before any request: prepares to hold requests while the router
+   starts, if [host] start_hold_ms isn't 0.  The process began at STARTED_AT.
+ */
+void cs_forward_start_hold_init (cs_router_t *router, cs_time_us_t started_at);
+
 /* Creates the state of one request.  Takes ownership of the contents of HEAD
    and BODY.  Returns NULL on allocation failure.  */
 cs_forward_t *cs_forward_create (cs_router_t *router, cs_caller_t *caller,
--- a/include/router/router.h
+++ b/include/router/router.h
@@ -11,6 +11,7 @@
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/quarantine.h"
 #include "cranberrystile/routing.h"
+#include "cranberrystile/start_hold.h"
 #include "net/loop.h"
 #include "router/connection.h"
 #include "router/counters.h"
@@ -72,6 +73,9 @@
   size_t body_bytes;       /* memory held by the request bodies */
   size_t output_bytes;     /* memory held by output that callers have yet to
                               read */
+  /* Requests that are held while the router starts.  */
+  cs_start_hold_t start_hold;
+  cs_timer_t start_hold_timer;
   bool stopping;
   cs_time_us_t accepts_until; /* while stopping: later requests are accepted
                                  only if they are over before ABORTS_AT */
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -19,6 +19,9 @@
   double memory_mb; /* memory that the process may use */
   double cpu_share; /* of a core, that the process may use */
   double link_mbps; /* of the host's network link */
+  /* Requests that can't be served yet are held for this long after the start
+     of the process; 0: they are refused at once.  */
+  uint32_t start_hold_ms;
   /* [listen] */
   char callers[CS_SETTING_TEXT_MAX];
   char readiness[CS_SETTING_TEXT_MAX];
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -61,6 +61,7 @@
   cs_timer_clear (&forward->deadline_timer);
   cs_timer_clear (&forward->watchdog);
   cs_timer_clear (&forward->hold_timer);
+  cs_forward_leave_hold (forward, cs_loop_now (forward->router->loop));
   cs_stream_versions_cancel (forward->router->stream_versions,
                              &forward->lookup);
   cs_stream_versions_end_wait (forward->router->stream_versions,
@@ -315,6 +316,9 @@
 cs_forward_run (cs_forward_t *forward, cs_time_us_t now)
 {
   int rc = resolve_route (forward);
+  if ((rc == CS_OK || rc == CS_ERR_NOT_READY)
+      && cs_forward_hold (forward, now))
+    return;
   if (rc != 0)
     {
       cs_forward_fail (forward, rc, now);
@@ -328,6 +332,12 @@
       cs_forward_fail (forward, CS_ERR_STOPPING, now);
       return;
     }
+  /* Its time passed while it was held.  */
+  if (forward->received_at < now && forward->deadline <= now)
+    {
+      cs_forward_fail (forward, CS_ERR_DEADLINE, now);
+      return;
+    }
   cs_forward_find_version (forward, now);
 }
 
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -4,6 +4,7 @@
 #define CS_ROUTER_FORWARD_INTERNAL_H
 
 #include "cranberrystile/event_stream.h"
+#include "cranberrystile/start_hold.h"
 #include "net/overdue.h"
 #include "platform/headers.h"
 #include "router/forward.h"
@@ -57,6 +58,8 @@
   cs_overdue_t watchdog_overdue;
   cs_timer_t watchdog; /* fires when the target may have stopped responding */
 
+  cs_held_request_t held; /* while the router starts */
+
   /* Attempts.  */
   uint32_t rank; /* priority of the request; 0 is the most urgent */
   cs_connection_t *connection; /* of the current attempt, or NULL */
@@ -198,6 +201,15 @@
 /* Callback of the timer of that wait.  */
 void cs_forward_end_hold (void *forward, cs_time_us_t now);
 
+/* start_hold.c */
+
+/* Holds the request if the router is starting and can't serve it yet.  Returns
+   false if it isn't held.  */
+bool cs_forward_hold (cs_forward_t *forward, cs_time_us_t now);
+
+/* Call when the request ends: its caller may have left while it was held.  */
+void cs_forward_leave_hold (cs_forward_t *forward, cs_time_us_t now);
+
 /* Callbacks of the connection to the target.  */
 extern const cs_connection_handlers_t cs_forward_connection_handlers;
 
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -18,6 +18,7 @@
 #include "router/crash_check.h"
 #include "router/evacuations.h"
 #include "router/follower.h"
+#include "router/forward.h"
 #include "router/mesh.h"
 #include "router/operator.h"
 #include "router/quarantine.h"
@@ -252,11 +253,13 @@
 {
   cs_router_t *router = &process->router;
   const cs_router_settings_t *settings = &router->settings;
+  cs_time_us_t started_at = cs_clock_now ();
   if (!create_components (process) || !watch_signals (process))
     {
       cs_log (CS_EV_START_FAILED, "reason=\"%s\"", strerror (errno));
       return false;
     }
+  cs_forward_start_hold_init (router, started_at);
   process->caller_listener
       = listen_at (process, settings->callers, cs_caller_accept);
   process->readiness_listener
--- a/router/settings.c
+++ b/router/settings.c
@@ -38,6 +38,8 @@
   { "host", "memory_mb", CS_SETTING_FRACTION, OFFSET (memory_mb), 16, 1000000,
     "256" },
   { "host", "name", CS_SETTING_NAME, OFFSET (name), 0, 0, NULL },
+  { "host", "start_hold_ms", CS_SETTING_NUMBER, OFFSET (start_hold_ms), 0,
+    60000, "0" },
   { "listen", "callers", CS_SETTING_ADDRESS, OFFSET (callers), 0, 0, NULL },
   { "listen", "metrics", CS_SETTING_ADDRESS_OR_NONE, OFFSET (metrics), 0, 0,
     "" },
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -119,6 +119,8 @@
   std::atomic<int> error_status{ 0 };
   // Calls for this kind get status 503.  Set it before they are made.
   std::string refused_kind;
+  // Likewise calls for targets, also while they are made.
+  std::atomic<bool> refuses_targets{ false };
   // Number of calls that are still to be executed without a response; their
   // connections are closed.
   std::atomic<int> responses_to_drop{ 0 };
@@ -282,7 +284,8 @@
         kind = kind.substr (0, slash);
       }
     std::string since = query (target, "watch");
-    if (!refused_kind.empty () && kind == refused_kind)
+    if ((!refused_kind.empty () && kind == refused_kind)
+        || (refuses_targets && kind == "servers"))
       respond (socket, 503, "{}");
     else if (method == "GET" && !since.empty ()
              && (std::stoull (since) < oldest_watch_revision
