--- a/ctl/commands/check_routing.c
+++ b/ctl/commands/check_routing.c
@@ -67,7 +67,7 @@
   void *table[] = { help, routing, against, targets, regions, json, end };
   int errors = arg_parse (argc, argv, table);
   int status = -1;
-  *out = (check_options_t){ file_or_null (routing), file_or_null (against),
+  *out = (check_options_t){ routing->sval[0], file_or_null (against),
                             file_or_null (targets), file_or_null (regions),
                             json->count > 0 };
   if (help->count > 0)
