Evacuate data centres and turn targets cold in the soak test

The soak test covered neither evacuated data centres nor cold targets. Routers and targets are now in two data centres (three routers in one, one in the other). Each run evacuates a data centre twice, beside the disruptions and after them, and takes it back, with cold targets half of the times. Two targets turn cold, and targets that start during the run are cold at first.

Two checks are new. From evacuation_ms after the store's response until the object is removed, no request reaches the data centre from a router that ran and was not cut off from the platform since then. A cold engine gets at most cold_per_s x 1.5 + 5 requests in any second, whatever is disrupted. Both leave out requests that arrive while a link to their target is silent or within 200 ms after it, since the router sent them earlier. Disruptions of targets are marked as such, as they excuse no router in the first check.

The drawing of the other disruptions is as before, except that there are four routers in place of three. The drawing moved from faults.h to schedule.h.

--- a/tests/router/router_process.h
+++ b/tests/router/router_process.h
@@ -70,8 +70,9 @@
 {
 public:
   Router (const std::string &name, const std::string &store,
-          const std::string &extra_settings = "")
-      : name_ (name), caller_port_ (free_port ()),
+          const std::string &extra_settings = "",
+          const std::string &data_centre = "a")
+      : name_ (name), data_centre_ (data_centre), caller_port_ (free_port ()),
         readiness_port_ (free_port ()), metrics_port_ (free_port ()),
         peer_port_ (free_port ())
   {
@@ -97,7 +98,8 @@
                   const std::string &extra_settings = "")
   {
     std::ofstream out (settings_path ());
-    out << "[host]\nname = " << name_ << "\ndata_centre = a\n[listen]\n"
+    out << "[host]\nname = " << name_ << "\ndata_centre = " << data_centre_
+        << "\n[listen]\n"
         << "callers = 127.0.0.1:" << caller_port_ << "\n"
         << "readiness = 127.0.0.1:" << readiness_port_ << "\n"
         << "metrics = 127.0.0.1:" << metrics_port_ << "\n"
@@ -259,6 +261,7 @@
   }
 
   std::string name_;
+  std::string data_centre_;
   std::string folder_;
   int caller_port_;
   int readiness_port_;
--- a/tests/soak/book.h
+++ b/tests/soak/book.h
@@ -15,7 +15,14 @@
 const int kContactMs = 3000;
 const int kApplyMs = 2000;
 const int kDrainMs = 2000;
-const int kAllRouters = -1; // in place of a router: every router
+// Its setting evacuation_ms, and cold_start_s and cold_per_s of the engines.
+const int kEvacuationMs = 2500;
+const int kColdStartMs = 2000;
+const int kColdPerS = 6;
+// In place of a router: every router, and every router where it depends on
+// targets or on the links to them.
+const int kAllRouters = -1;
+const int kTargets = -2;
 
 // The route of a request, under its name in the configuration.
 enum class RequestKind
@@ -70,13 +77,37 @@
   bool says_leaving; // the response has Server-Leaving
 };
 
+// A request as it arrived at a target, whether it was executed or refused,
+// except with 421.
+struct Arrival
+{
+  std::string id;
+  std::string target;
+  std::string zone;
+  int64_t sent_ms; // by the router
+};
+
+struct ColdPeriod
+{
+  std::string target;
+  int64_t from_ms;
+  int64_t to_ms;
+};
+
+struct Evacuation
+{
+  std::string zone;
+  int64_t from_ms; // response of the store
+  int64_t to_ms;
+};
+
 // A period in which faults or planned work affect a router, which relaxes some
 // of the checks.
 struct Disruption
 {
   int64_t from_ms;
   int64_t to_ms;
-  int router; // or kAllRouters
+  int router; // or kAllRouters or kTargets
   bool is_planned;
   std::string description;
 };
@@ -101,6 +132,28 @@
       executions.push_back (execution);
   }
 
+  void
+  add (const Arrival &arrival)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    if (!closed_)
+      arrivals.push_back (arrival);
+  }
+
+  void
+  add (const ColdPeriod &period)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    cold_periods.push_back (period);
+  }
+
+  void
+  add (const Evacuation &evacuation)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    evacuations.push_back (evacuation);
+  }
+
   void
   add (const Disruption &disruption)
   {
@@ -144,15 +197,32 @@
                 bool include_planned) const
   {
     for (const auto &disruption : disruptions)
-      if ((disruption.router == kAllRouters || disruption.router == router)
+      if ((disruption.router < 0 || disruption.router == router)
           && (include_planned || !disruption.is_planned)
           && disruption.from_ms <= to_ms && disruption.to_ms >= from_ms)
         return true;
     return false;
   }
 
+  // Returns whether ROUTER, or any router if it is kAllRouters, did not run or
+  // was cut off from the platform at any time from FROM_MS to TO_MS.
+  bool
+  is_cut_off (int router, int64_t from_ms, int64_t to_ms) const
+  {
+    for (const auto &disruption : disruptions)
+      if (disruption.router != kTargets
+          && (disruption.router == kAllRouters || router == kAllRouters
+              || disruption.router == router)
+          && disruption.from_ms <= to_ms && disruption.to_ms >= from_ms)
+        return true;
+    return false;
+  }
+
   std::vector<Request> requests;
   std::vector<Execution> executions;
+  std::vector<Arrival> arrivals;
+  std::vector<ColdPeriod> cold_periods;
+  std::vector<Evacuation> evacuations;
   std::vector<Disruption> disruptions;
   // Times at which the store acknowledged a version of the configuration, and
   // that a target is leaving.
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -3,15 +3,16 @@
 #ifndef TESTS_SOAK_FAULTS_H
 #define TESTS_SOAK_FAULTS_H
 
-#include "world.h"
+#include "capacity.h"
 
 namespace soak
 {
 
-class FaultInjector
+class FaultInjector : private Schedule
 {
 public:
-  FaultInjector (Fleet &fleet, uint64_t seed) : fleet_ (fleet), random_ (seed)
+  FaultInjector (Fleet &fleet, uint64_t seed)
+      : Schedule (fleet, seed), fleet_ (fleet)
   {
   }
 
@@ -22,16 +23,14 @@
   {
     for (int i = 0; i < count; i++)
       {
-        time_ms_ = random_between (0, run_ms);
+        set_time (random_between (0, run_ms));
         if (planned_only || random_between (0, 2) == 0)
           schedule_planned ();
         else
           schedule_unplanned ();
       }
-    std::stable_sort (actions_.begin (), actions_.end (),
-                      [] (const Action &a, const Action &b) {
-                        return a.time_ms < b.time_ms;
-                      });
+    schedule_capacity (*this, run_ms);
+    close ();
   }
 
   // Injects the scheduled disruptions.  Returns the time at which all of them
@@ -40,13 +39,8 @@
   run ()
   {
     int64_t start_ms = wire::now_ms ();
-    size_t next = 0;
-    while (next < actions_.size () || !all_running ())
+    while (start_due (wire::now_ms () - start_ms) || !all_running ())
       {
-        int64_t elapsed = wire::now_ms () - start_ms;
-        for (; next < actions_.size () && actions_[next].time_ms <= elapsed;
-             next++)
-          actions_[next].start ();
         supervise_routers ();
         std::this_thread::sleep_for (std::chrono::milliseconds (10));
       }
@@ -62,19 +56,9 @@
       supervise (static_cast<int> (i));
   }
 
-  const std::vector<std::string> &
-  descriptions () const
-  {
-    return descriptions_;
-  }
+  using Schedule::descriptions;
 
 private:
-  struct Action
-  {
-    int time_ms; // from the start of the run
-    std::function<void ()> start;
-  };
-
   // The load balancer takes a router out of rotation after two failed probes.
   static constexpr int kBalancerDetectionMs = 2000;
   static constexpr int kGraceMs = 8000; // from SIGTERM to SIGKILL
@@ -82,38 +66,6 @@
      than 1 s.  */
   static constexpr int kStopMs = 7000;
 
-  int
-  random_between (int min, int max)
-  {
-    return min + static_cast<int> (random_ () % (max - min + 1));
-  }
-
-  void
-  add_description (const std::string &description)
-  {
-    descriptions_.push_back (std::to_string (time_ms_) + " ms " + description);
-  }
-
-  void
-  schedule (int delay_ms, std::function<void ()> action)
-  {
-    actions_.push_back ({ time_ms_ + delay_ms, std::move (action) });
-  }
-
-  // Schedules the record of a disruption that lasts for DURATION_MS from
-  // time_ms_ on; the caller schedules the disruption itself.
-  void
-  schedule_disruption (int router, int duration_ms, bool planned,
-                       const std::string &description)
-  {
-    add_description (description);
-    schedule (0, [=] {
-      int64_t now = wire::now_ms ();
-      fleet_.history.add (
-          Disruption{ now, now + duration_ms, router, planned, description });
-    });
-  }
-
   Host &
   host (int router)
   {
@@ -199,8 +151,8 @@
           return;
         }
       case 3:
-        add_description ("a target is added");
-        schedule (0, [=] { fleet_.add_target ("engines"); });
+        add_description ("a target is added and is cold at first");
+        schedule (0, [=] { fleet_.add_target ("engines", kColdStartMs); });
         return;
       default:
         schedule_removal ();
@@ -212,7 +164,7 @@
   void
   schedule_removal ()
   {
-    size_t index = random_ () % fleet_.target_slots.size ();
+    size_t index = random_slot ();
     add_description ("target " + std::to_string (index)
                      + " drains and is removed");
     schedule (0, [=] {
@@ -251,10 +203,10 @@
         schedule_platform_fault ();
         return;
       case 2:
-        schedule_link_fault (random_ () % fleet_.target_slots.size ());
+        schedule_link_fault (random_slot ());
         return;
       default:
-        schedule_target_fault (random_ () % fleet_.target_slots.size ());
+        schedule_target_fault (random_slot ());
       }
   }
 
@@ -278,15 +230,6 @@
       }
   }
 
-  // Schedules FLAG to have VALUE for DURATION_MS, and then NEXT_VALUE.
-  template <typename Flag, typename Value>
-  void
-  set_temporarily (Flag *flag, Value value, Value next_value, int duration_ms)
-  {
-    schedule (0, [=] { *flag = value; });
-    schedule (duration_ms, [=] { *flag = next_value; });
-  }
-
   void
   schedule_proxy_fault (Proxy *proxy, int duration_ms,
                         std::string *description)
@@ -375,7 +318,7 @@
     std::string description = "link of target " + std::to_string (index);
     schedule_proxy_fault (fleet_.target_slots[index].proxy.get (), duration_ms,
                           &description);
-    schedule_disruption (kAllRouters, duration_ms + 500, false, description);
+    schedule_disruption (kTargets, duration_ms + 500, false, description);
   }
 
   void
@@ -401,7 +344,7 @@
                   { "endless heads", &Target::endless_percent },
                   { "streams without events", &Target::drip_percent } };
     const size_t mode_count = sizeof modes / sizeof modes[0];
-    size_t mode = random_ () % (mode_count + 4);
+    size_t mode = static_cast<size_t> (random_between (0, mode_count + 3));
     if (mode >= mode_count + 2)
       {
         schedule_leaving_header (index);
@@ -412,7 +355,7 @@
         schedule_address_reuse (index);
         return;
       }
-    schedule_disruption (kAllRouters, duration_ms, false,
+    schedule_disruption (kTargets, duration_ms, false,
                          modes[mode].name + text);
     /* Looks the target up again: another one may be in its slot by the end. */
     schedule (0, [=] {
@@ -449,11 +392,11 @@
   schedule_address_reuse (size_t index)
   {
     bool other_service = random_between (0, 1) == 1;
-    schedule_disruption (kAllRouters, 1000, false,
+    schedule_disruption (kTargets, 1000, false,
                          "target " + std::to_string (index)
                              + " crashes and its address is reused by "
                              + (other_service ? "another" : "the same")
-                             + " service");
+                             + " service, cold at first");
     schedule (0, [=] {
       std::string service = fleet_.target_slots[index].target->service ();
       if (other_service && remaining_targets (service) > 2)
@@ -465,10 +408,6 @@
   }
 
   Fleet &fleet_;
-  std::mt19937_64 random_;
-  int time_ms_ = 0;
-  std::vector<Action> actions_;
-  std::vector<std::string> descriptions_;
 };
 
 }
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -34,6 +34,8 @@
       }
     check_leaving_headers ();
     check_configurations ();
+    check_evacuations ();
+    check_cold_targets ();
     check_recovery ();
     return violations_;
   }
@@ -214,6 +216,62 @@
         }
   }
 
+  // Evacuated data centres get no requests from routers that ran and were in
+  // contact with the platform since the evacuation began.
+  void
+  check_evacuations ()
+  {
+    std::map<std::string, int> routers;
+    for (const auto &request : history_.requests)
+      routers[request.id] = request.router;
+    for (const auto &evacuation : history_.evacuations)
+      for (const auto &arrival : history_.arrivals)
+        {
+          auto at = routers.find (arrival.id);
+          int router = at == routers.end () ? kAllRouters : at->second;
+          if (arrival.zone == evacuation.zone
+              && arrival.sent_ms
+                     > evacuation.from_ms + kEvacuationMs + kTimingSlackMs
+              && arrival.sent_ms < evacuation.to_ms
+              && !history_.is_cut_off (router, evacuation.from_ms,
+                                       arrival.sent_ms))
+            violations_.push_back (
+                arrival.id + " from r" + std::to_string (router)
+                + " was sent to " + arrival.target + " "
+                + std::to_string (arrival.sent_ms - evacuation.from_ms)
+                + " ms after the evacuation of " + evacuation.zone);
+        }
+  }
+
+  // All routers together, disrupted or not, send a cold target no more than it
+  // can handle, with the margin of the requirement.
+  void
+  check_cold_targets ()
+  {
+    const size_t limit = kColdPerS * 3 / 2 + 5;
+    for (const auto &period : history_.cold_periods)
+      {
+        std::vector<int64_t> times;
+        for (const auto &arrival : history_.arrivals)
+          if (arrival.target == period.target
+              && arrival.sent_ms >= period.from_ms
+              && arrival.sent_ms < period.to_ms)
+            times.push_back (arrival.sent_ms);
+        std::sort (times.begin (), times.end ());
+        size_t most = 0;
+        for (size_t from = 0, to = 0; to < times.size (); to++)
+          {
+            while (times[from] <= times[to] - 1000)
+              from++;
+            most = std::max (most, to - from + 1);
+          }
+        if (most > limit)
+          violations_.push_back ("cold target " + period.target + " got "
+                                 + std::to_string (most)
+                                 + " requests in a second");
+      }
+  }
+
   // Requests are served again after the last disruption.
   void
   check_recovery ()
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -20,7 +20,7 @@
 struct Options
 {
   uint64_t seed = 1;
-  int routers = 3;
+  int routers = 4;
   int engines = 5;
   int callers = 12;
   int seconds = 8;
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -51,6 +51,8 @@
   // Connections that were opened before this time forward nothing any more,
   // but stay open.
   std::atomic<int64_t> dropped_before_ms{ 0 };
+  // Time at which requests were last held back by silence.
+  std::atomic<int64_t> silent_until_ms{ 0 };
 
 private:
   static constexpr int kPollMs = 5; // interval of checks for faults
@@ -145,6 +147,8 @@
         if (directions[0].ended && directions[1].ended
             && directions[0].chunks.empty () && directions[1].chunks.empty ())
           return;
+        if (silent || silent_forward)
+          silent_until_ms = wire::now_ms ();
         if (is_blocked (true, opened_ms) || is_blocked (false, opened_ms))
           std::this_thread::sleep_for (std::chrono::milliseconds (kPollMs));
       }
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -44,9 +44,13 @@
 class Target
 {
 public:
-  Target (History &history, std::string id, std::string service)
+  // The target is cold for COLD_MS from now on.
+  Target (History &history, std::string id, std::string service,
+          std::string zone, int cold_ms)
       : history_ (history), id_ (std::move (id)),
-        service_ (std::move (service)), born_ (1000 + wire::now_ms ()),
+        service_ (std::move (service)), zone_ (std::move (zone)),
+        cold_until_ms_ (wire::now_ms () + cold_ms),
+        born_ (1000 + wire::now_ms ()),
         server_ ([this] (wire::Socket &socket) { serve (socket); })
   {
   }
@@ -71,12 +75,25 @@
     return service_;
   }
 
+  const std::string &
+  zone () const
+  {
+    return zone_;
+  }
+
+  void
+  turn_cold (int cold_ms)
+  {
+    cold_until_ms_ = wire::now_ms () + cold_ms;
+  }
+
   // The target's entry in the platform's store, with ADDRESS.
   std::string
   entry (const std::string &address, const std::string &state) const
   {
     return "{\"service\":\"" + service_ + "\",\"address\":\"" + address
-           + "\",\"zone\":\"a\",\"slots\":16,\"state\":\"" + state
+           + "\",\"zone\":\"" + zone_ + "\",\"cold_remaining_ms\":"
+           + std::to_string (cold_ms ()) + ",\"slots\":16,\"state\":\"" + state
            + "\",\"born\":" + std::to_string (born_) + ",\"sequence\":1}";
   }
 
@@ -102,8 +119,13 @@
   std::atomic<int> invalid_percent{ 0 };
   // All responses have Server-Leaving.
   std::atomic<bool> says_leaving{ false };
+  // The link from the routers.
+  std::atomic<const Proxy *> link{ nullptr };
 
 private:
+  // Requests that a silent link held back arrive within this time of its end.
+  static constexpr int kHeldMs = 200;
+
   static constexpr const char *kStreamFields
       = "X-Response-Signature: s\r\n"
         "Content-Type: text/event-stream\r\n"
@@ -123,7 +145,7 @@
   {
     return "HTTP/1.1 " + status + "\r\nX-Request-Id: " + id
            + "\r\nX-Server-Load: " + std::to_string (running_) + ",0,16"
-           + slowness () + "\r\n"
+           + slowness () + "\r\n" + remaining_cold ()
            + (says_leaving ? "Server-Leaving: 1\r\n" : "") + extra_fields;
   }
 
@@ -131,8 +153,40 @@
   std::string
   slowness ()
   {
-    bool states_it = hash_id (id_) % 2 == 0;
-    return states_it ? (happens (15) ? ",250" : ",100") : "";
+    return states_all () ? (happens (15) ? ",250" : ",100") : "";
+  }
+
+  // Half of the targets state also what is as usual.
+  bool
+  states_all () const
+  {
+    return hash_id (id_) % 2 == 0;
+  }
+
+  int64_t
+  cold_ms () const
+  {
+    return std::max<int64_t> (0, cold_until_ms_ - wire::now_ms ());
+  }
+
+  std::string
+  remaining_cold () const
+  {
+    int64_t ms = cold_ms ();
+    return ms > 0 || states_all ()
+               ? "X-Cold-Remaining: " + std::to_string (ms) + "\r\n"
+               : "";
+  }
+
+  // Records that request ID arrived, unless it may have been sent much earlier
+  // on a link that was silent.
+  void
+  record_arrival (const std::string &id)
+  {
+    const Proxy *proxy = link;
+    int64_t now = wire::now_ms ();
+    if (proxy != nullptr && now > proxy->silent_until_ms + kHeldMs)
+      history_.add (Arrival{ id, id_, zone_, now - proxy->delay_ms });
   }
 
   // Sends what is no response to request ID, and keeps the connection open.
@@ -167,7 +221,10 @@
           return;
         std::string id = request.field ("x-request-id");
         bool keep_alive;
-        if (request.field ("x-expect-instance") != id_)
+        bool is_misdirected = request.field ("x-expect-instance") != id_;
+        if (!is_misdirected)
+          record_arrival (id);
+        if (is_misdirected)
           keep_alive = reject (socket, id, "421 Misdirected Request");
         else if (happens (refuse_percent))
           keep_alive = reject (socket, id, "503 Service Unavailable");
@@ -299,6 +356,8 @@
   History &history_;
   std::string id_;
   std::string service_;
+  std::string zone_;
+  std::atomic<int64_t> cold_until_ms_;
   int64_t born_;
   std::mutex mutex_;
   uint64_t random_ = hash_id (id_);
