Send SIGHUP in the soak test only to routers that handle it

Cause, from the exit status (signal 1): the schedule kills r2 at 5,333 ms, starts it again and sends it SIGHUP at 5,339 ms, before the process has installed its handlers, so that the default action ends it. No process can handle a signal at that point.

--- a/tests/router/router_process.h
+++ b/tests/router/router_process.h
@@ -127,6 +127,20 @@
     kill (pid_, number);
   }
 
+  // Returns whether the process handles signal NUMBER.  It doesn't from the
+  // very start, and SIGHUP would end it.
+  bool
+  handles (int number) const
+  {
+    std::ifstream in ("/proc/" + std::to_string (pid_) + "/status");
+    std::string word;
+    uint64_t caught = 0;
+    while (in >> word)
+      if (word == "SigCgt:")
+        in >> std::hex >> caught;
+    return (caught >> (number - 1) & 1) != 0;
+  }
+
   pid_t
   pid () const
   {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -140,7 +140,11 @@
         return;
       case 1:
         add_description ("SIGHUP r" + std::to_string (router));
-        schedule (0, [=] { host (router).router->signal (SIGHUP); });
+        schedule (0, [=] {
+          Router &process = *host (router).router;
+          Router::eventually ([&] { return process.handles (SIGHUP); }, 1000);
+          process.signal (SIGHUP);
+        });
         return;
       case 2:
         {
