List evacuations at once after each outage of the first hub

Cause: a second hub or member skips its watches of evacuations, so that its revision stays that of the last evacuation. When the confirmations of the first hub stop, its watch gets 410 and it lists. The fresh list lets it skip its watches again, so that none ever succeeds and the number of lists in series never returned to 0: the pause before each later list was 4, 8, 16 and up to 32 s, whatever time lay between the outages.

Change: the pause is decided in cranberrystile/fleet/relist.c, which starts anew with 50 ms if the last list ended longer ago than the pause. A store that loses its history soon after each list is asked as seldom as before.

--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "cranberrystile/outage.h"
+#include "cranberrystile/relist.h"
 #include "router/mesh.h"
 #include "router/store_client.h"
 #include "router/stream_versions.h"
@@ -15,16 +16,6 @@
 #define MAX_BACKOFF_MS 500
 #define MAX_BACKOFF_DOUBLINGS 6
 #define MEMBER_BACKOFF_SHARE 0.4
-/* Pauses before the lists that follow responses without the requested history.
-   The first list is urgent: changes may have been missed.  If a watch loses
-   its history right after a list, another list is of no use soon.  */
-#define FIRST_LIST_PAUSE_MS 50
-#define MIN_RELIST_PAUSE_MS 4000
-#define MAX_RELIST_DOUBLINGS 3
-/* The longest pause if the store has been restored since the last list.  */
-#define NEW_ERA_PAUSE_MS 500
-/* A watch that lost its history later than this had been in order.  */
-#define SOUND_WATCH_US (1 * CS_US_PER_S)
 /* A watch that ends without a change after less than this fraction of its wait
    was cut off.  */
 #define CUT_WATCH_SHARE 0.5
@@ -52,8 +43,7 @@
   cs_name_t page_after;         /* last name on the previous page */
   cs_revision_t known_revision; /* when the list in progress was begun */
   uint32_t failures;            /* consecutive */
-  uint32_t relists;             /* lists begun since a watch last succeeded */
-  uint64_t listed_era;          /* of the store when the last list began */
+  cs_relist_t relist;
   cs_time_us_t call_started_at;
   uint32_t watch_ms; /* wait of the last watch */
   cs_outage_t outage;
@@ -141,19 +131,10 @@
 /* Schedules a list, since the store can't report the changes after the known
    revision.  */
 static void
-schedule_list (cs_follower_t *follower)
+schedule_list (cs_follower_t *follower, cs_time_us_t now)
 {
-  double pause_ms = FIRST_LIST_PAUSE_MS;
-  if (follower->relists > 0)
-    pause_ms = MIN_RELIST_PAUSE_MS
-               << (follower->relists - 1 < MAX_RELIST_DOUBLINGS
-                       ? follower->relists - 1
-                       : MAX_RELIST_DOUBLINGS);
-  if (follower->router->store_era != follower->listed_era
-      && pause_ms > NEW_ERA_PAUSE_MS)
-    pause_ms = NEW_ERA_PAUSE_MS;
-  follower->listed_era = follower->router->store_era;
-  follower->relists++;
+  uint32_t pause_ms = cs_relist_pause_ms (&follower->relist,
+                                          follower->router->store_era, now);
   restart_list (follower);
   schedule_call (follower, pause_ms);
 }
@@ -270,6 +251,7 @@
 {
   restart_list (follower);
   follower->listing = false;
+  cs_relist_ended (&follower->relist, now);
   record_revision (follower, revision, now);
 }
 
@@ -291,7 +273,7 @@
     begin_list (follower, revision, now);
   if (page->revision.era != revision.era)
     {
-      schedule_list (follower);
+      schedule_list (follower, now);
       return;
     }
   read_items (follower, page, now);
@@ -315,10 +297,10 @@
   const cs_router_settings_t *settings = &follower->router->settings;
   if (page->revision.era != follower->sync_state->revision.era)
     {
-      schedule_list (follower);
+      schedule_list (follower, now);
       return;
     }
-  follower->relists = 0;
+  cs_relist_watched (&follower->relist);
   read_items (follower, page, now);
   record_revision (follower, page->revision, now);
   if (page->count > 0)
@@ -342,9 +324,8 @@
   if (status == STATUS_GONE && !follower->listing)
     {
       on_call_responded (follower, now);
-      if (now - follower->call_started_at > SOUND_WATCH_US)
-        follower->relists = 0;
-      schedule_list (follower);
+      cs_relist_watch_lost (&follower->relist, follower->call_started_at, now);
+      schedule_list (follower, now);
       return;
     }
   int rc = status != 200 ? CS_ERR_PLATFORM_DOWN
--- a/tests/router/evacuation_test.cc
+++ b/tests/router/evacuation_test.cc
@@ -249,4 +249,51 @@
   EXPECT_NE (late.log ().find ("CS1432"), std::string::npos);
 }
 
+class LongEvacuation : public Evacuation
+{
+protected:
+  std::string
+  extra_settings () override
+  {
+    return "evacuation_ms = 4000\n[peer]\ndirectory_s = 1\n";
+  }
+};
+
+// The first hub is cut off from the store for a while, three times.  The
+// second hub, whose revision is as old as the last evacuation, lists the store
+// each time.  The pauses before the later lists took it beyond the bound: at
+// the third outage, at least 4 s.
+TEST_F (LongEvacuation, OutagesOfTheFirstHubDelayNothing)
+{
+  Relay relay (store.port ());
+  Router hub ("r2", relay.address (),
+              extra_settings () + "[host]\nlink_mbps = 100000\n");
+  ASSERT_TRUE (Router::eventually ([&] {
+    return hub.is_ready () && hub.log ().find ("CS1301") != std::string::npos
+           && router->log ().find ("CS1301") != std::string::npos;
+  }));
+  auto pause = [] (int ms) {
+    std::this_thread::sleep_for (std::chrono::milliseconds (ms));
+  };
+  for (int outage = 1; outage <= 3; outage++)
+    {
+      // The history of the store ends after the revision that r1 knows.
+      pause (2300);
+      store.put ("other", "o", "{}");
+      pause (2300);
+      store.oldest_watch_revision = store.revision ();
+      int lists = store.evacuation_lists;
+      relay.cut = true;
+      if (outage == 3)
+        break;
+      ASSERT_TRUE (Router::eventually (
+          [&] { return store.evacuation_lists > lists; }, 10000));
+      relay.cut = false;
+    }
+  int64_t start_ms = wire::now_ms ();
+  store.put ("evacuations", "a", "{}");
+  EXPECT_TRUE (wait_for_log (*router, "CS1430 data_centre=a", 20000));
+  EXPECT_LT (wire::now_ms () - start_ms, 4000);
+}
+
 }
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -129,6 +129,7 @@
   std::atomic<int> calls{ 0 };
   // Lists of configurations or targets that may not be old.
   std::atomic<int> full_lists{ 0 };
+  std::atomic<int> evacuation_lists{ 0 };
   // Objects in each page of a list; 0: all.
   std::atomic<size_t> page_size{ 0 };
   // Responses with the last page of a list of targets are made and held.
@@ -300,6 +301,7 @@
         bool truncated;
         if (kind != "routers" && query (target, "allow_stale").empty ())
           full_lists++;
+        evacuation_lists += kind == "evacuations";
         {
           std::lock_guard<std::mutex> lock (mutex_);
           body = list (kind, query (target, "after"), truncated);
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -13,6 +13,7 @@
 #include "cranberrystile/chooser.h"
 #include "cranberrystile/fleet.h"
 #include "cranberrystile/outage.h"
+#include "cranberrystile/relist.h"
 #include "cranberrystile/retry_window.h"
 #include "cranberrystile/silence.h"
 }
@@ -254,6 +255,25 @@
   EXPECT_EQ (cs_outage_kept_until (&outage, &OUTAGE, 21 * SECOND), 0U);
 }
 
+// Guards against evacuations that are learnt late: a router that leaves the
+// watches to its hub lists after each outage of the hub, with no watch of its
+// own in between, and waited longer each time.
+TEST (Relist, PausesGrowOnlyWhileTheHistoryIsLostSoonAfterTheList)
+{
+  cs_relist_t relist = {};
+  cs_time_us_t now = 100 * SECOND;
+  for (uint32_t pause_ms : { 50, 4000, 8000, 16000, 32000, 32000 })
+    {
+      EXPECT_EQ (cs_relist_pause_ms (&relist, 1, now), pause_ms);
+      now += pause_ms * CS_US_PER_MS;
+      cs_relist_ended (&relist, now);
+      now += SECOND;
+    }
+  EXPECT_EQ (cs_relist_pause_ms (&relist, 2, now), 500U) << "new era";
+  cs_relist_ended (&relist, now);
+  EXPECT_EQ (cs_relist_pause_ms (&relist, 2, now + 33 * SECOND), 50U);
+}
+
 class Chooser : public Fleet
 {
 protected:
