--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -79,10 +79,10 @@
 typedef struct
 {
   cs_str_t name;
-  cs_revision_t revision;
-  const json_t *spec; /* NULL if it can't be read */
-  bool is_change;     /* from a watch; false: from a list */
-  bool deleted;       /* the change is the object's deletion */
+  cs_revision_t revision; /* that of the page if the object's can't be right */
+  const json_t *spec;     /* NULL if it can't be read */
+  bool is_change;         /* from a watch; false: from a list */
+  bool deleted;           /* the change is the object's deletion */
 } cs_store_object_t;
 
 /* Decodes the next object of PAGE; those without a name that can be read are
--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -249,6 +249,32 @@
   cs_evacuations_destroy (late);
 }
 
+// A negative revision counted as 2^64-1: every later change was ignored, here
+// and by the peers that were sent the set, until the store was restored.
+TEST_F (Evacuations, ImpossibleRevisionDoesNotHideLaterChanges)
+{
+  uint64_t number = 10;
+  replace ({}, { 1, number });
+  for (const char *revision : { "-1", "900", "null", "1e3" })
+    {
+      std::string text = "{\"events\":[{\"object\":{\"metadata\":{\"name\":"
+                         "\"a\",\"revision\":"
+                         + std::string (revision) + "}}}],\"current_rev\":"
+                         + std::to_string (++number) + "}";
+      cs_store_page_t page;
+      cs_store_object_t object;
+      ASSERT_EQ (
+          cs_store_read_watch ({ text.data (), text.size () }, 1, &page),
+          CS_OK);
+      ASSERT_TRUE (cs_store_next_object (&page, &object));
+      cs_evacuations_change (set, object.name, true, object.revision);
+      EXPECT_TRUE (has ("a")) << revision;
+      change ("a", false, { 1, ++number });
+      EXPECT_FALSE (has ("a")) << revision;
+      cs_store_page_release (&page);
+    }
+}
+
 // A set that a peer sends between two pages must not become part of the list.
 TEST_F (Evacuations, SetOfAPeerDoesNotDisturbAListInProgress)
 {
