Read evacuations again that could not be applied for want of memory

Cause: CS_ERR_NO_MEMORY was ignored when a change, a list or a peer's set of evacuations was applied, yet the revision moved on, so that they were lost. A set that failed halfway also left its revision with the names before, which then ignored changes that the set didn't contain.

Change: the handlers of a follower return whether they could apply what they got. After a peer's set the revision stays, which the next heartbeat states, so that the peer sends it again. Targets and the configuration are handled as before.

The process itself was not run short of memory, and the peer's part has no test.

--- a/cranberrystile/fleet/evacuations.c
+++ b/cranberrystile/fleet/evacuations.c
@@ -298,19 +298,19 @@
   if (set->is_known && cs_revision_compare (revision, set->revision) <= 0)
     return CS_OK;
   for (size_t i = 0; i < count; i++)
-    {
-      evacuation_t *entry = find_or_add (set, &names[i]);
-      if (entry == NULL)
-        return CS_ERR_NO_MEMORY;
-      entry->revision = revision;
-    }
+    if (find_or_add (set, &names[i]) == NULL)
+      return CS_ERR_NO_MEMORY;
   if (is_new_era || !set->is_known)
     set->keep_before = kept_until;
   set->list_revision = revision;
   set->revision = revision;
   set->is_known = true;
   for (size_t i = 0; i < count; i++)
-    set_state (set, find (set, &names[i]), true);
+    {
+      evacuation_t *entry = find (set, &names[i]);
+      entry->revision = revision;
+      set_state (set, entry, true);
+    }
   end_missing (set, names, count, is_new_era ? kept_until : 0);
   return CS_OK;
 }
--- a/include/router/follower.h
+++ b/include/router/follower.h
@@ -16,13 +16,15 @@
 {
   /* Called before the first and after the last object of a complete list,
      which has the REVISION of its first page.  A list that is given up has no
-     end.  */
+     end.  ON_LIST_END and ON_OBJECT return 0, or CS_ERR_NO_MEMORY if what they
+     got could not be applied: the list or the watch is then repeated after a
+     pause.  */
   void (*on_list_begin) (cs_router_t *router);
-  void (*on_list_end) (cs_router_t *router, cs_revision_t revision,
-                       cs_time_us_t kept_until, cs_time_us_t now);
+  int (*on_list_end) (cs_router_t *router, cs_revision_t revision,
+                      cs_time_us_t kept_until, cs_time_us_t now);
   /* Called for each object of a list and for each change.  */
-  void (*on_object) (cs_router_t *router, const cs_store_object_t *object,
-                     cs_time_us_t kept_until, cs_time_us_t now);
+  int (*on_object) (cs_router_t *router, const cs_store_object_t *object,
+                    cs_time_us_t kept_until, cs_time_us_t now);
 } cs_follower_handlers_t;
 
 /* SYNC_STATE belongs to the router; the follower records there which revision
--- a/include/router/settings.h
+++ b/include/router/settings.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/settings_table.h"
 #include "common/str.h"
+#include "cranberrystile/outage.h"
 
 typedef struct
 {
@@ -95,6 +96,9 @@
 cs_time_us_t
 cs_router_settings_missing_expiry_us (const cs_router_settings_t *settings);
 
+cs_outage_policy_t
+cs_router_settings_outage_policy (const cs_router_settings_t *settings);
+
 /* Time after which the platform no longer lists a target that is gone.  */
 cs_time_us_t
 cs_router_settings_expiry_us (const cs_router_settings_t *settings);
--- a/router/evacuations.c
+++ b/router/evacuations.c
@@ -62,23 +62,23 @@
   return now + router->settings.lapse_ms * CS_US_PER_MS;
 }
 
-void
+int
 cs_router_evacuations_end_list (cs_router_t *router, cs_revision_t revision,
                                 cs_time_us_t now)
 {
   router->evacuations_source = "platform";
-  (void)cs_evacuations_list_end (router->evacuations, revision,
-                                 kept_until (router, now));
+  return cs_evacuations_list_end (router->evacuations, revision,
+                                  kept_until (router, now));
 }
 
-void
+int
 cs_router_evacuations_replace (cs_router_t *router, const cs_name_t *names,
                                size_t count, cs_revision_t revision,
                                cs_time_us_t now)
 {
   router->evacuations_source = "peer";
-  (void)cs_evacuations_replace (router->evacuations, names, count, revision,
-                                kept_until (router, now));
+  return cs_evacuations_replace (router->evacuations, names, count, revision,
+                                 kept_until (router, now));
 }
 
 void
@@ -90,13 +90,13 @@
   (void)cs_evacuations_keep (router->evacuations, kept, revision, now);
 }
 
-void
+int
 cs_router_evacuations_change (cs_router_t *router, cs_str_t data_centre,
                               bool is_evacuated, cs_revision_t revision)
 {
   router->evacuations_source = "platform";
-  (void)cs_evacuations_change (router->evacuations, data_centre, is_evacuated,
-                               revision);
+  return cs_evacuations_change (router->evacuations, data_centre, is_evacuated,
+                                revision);
 }
 
 void
--- a/router/peer/evacuation_sync.c
+++ b/router/peer/evacuation_sync.c
@@ -152,8 +152,12 @@
     return;
   for (size_t i = 0; i < count; i++)
     cs_name_set (&names[i], cs_str (evacuations->data_centres[i]));
-  cs_router_evacuations_replace (router, names, count, revision, now);
+  int rc = cs_router_evacuations_replace (router, names, count, revision, now);
   free (names);
+  /* The next heartbeat states the old revision, and the peer sends the set
+     again.  */
+  if (rc != 0)
+    return;
   for (size_t i = 0; i < evacuations->n_kept; i++)
     read_kept (router, evacuations->kept[i], revision, now);
   if (revision.era > router->store_era)
--- a/router/settings.c
+++ b/router/settings.c
@@ -145,6 +145,15 @@
   return (cs_time_us_t)(ms * CS_US_PER_MS);
 }
 
+cs_outage_policy_t
+cs_router_settings_outage_policy (const cs_router_settings_t *settings)
+{
+  return (cs_outage_policy_t){
+    .lapse_us = settings->lapse_ms * CS_US_PER_MS,
+    .settle_us = cs_router_settings_missing_expiry_us (settings),
+  };
+}
+
 cs_time_us_t
 cs_router_settings_expiry_us (const cs_router_settings_t *settings)
 {
--- a/router/store/evacuations.c
+++ b/router/store/evacuations.c
@@ -10,22 +10,21 @@
   cs_evacuations_list_begin (router->evacuations);
 }
 
-static void
+static int
 on_list_end (cs_router_t *router, cs_revision_t revision,
              cs_time_us_t kept_until, cs_time_us_t now)
 {
-  cs_router_evacuations_end_list (router, revision, now);
+  return cs_router_evacuations_end_list (router, revision, now);
 }
 
-static void
+static int
 on_object (cs_router_t *router, const cs_store_object_t *object,
            cs_time_us_t kept_until, cs_time_us_t now)
 {
   if (object->is_change)
-    cs_router_evacuations_change (router, object->name, !object->deleted,
-                                  object->revision);
-  else
-    (void)cs_evacuations_list_add (router->evacuations, object->name);
+    return cs_router_evacuations_change (router, object->name,
+                                         !object->deleted, object->revision);
+  return cs_evacuations_list_add (router->evacuations, object->name);
 }
 
 const cs_follower_handlers_t cs_evacuation_follower_handlers
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -2,8 +2,8 @@
 
 #include <stdlib.h>
 
+#include "common/error.h"
 #include "common/log.h"
-#include "cranberrystile/outage.h"
 #include "cranberrystile/relist.h"
 #include "router/mesh.h"
 #include "router/store_client.h"
@@ -75,16 +75,6 @@
   return true;
 }
 
-static uint32_t
-watch_wait_ms (const cs_follower_t *follower, cs_time_us_t now)
-{
-  const cs_router_settings_t *settings = &follower->router->settings;
-  if (follower->kind == CS_STORE_EVACUATIONS)
-    return cs_router_settings_evacuation_watch_ms (
-        settings, now - follower->sync_state->confirmed_at);
-  return cs_router_settings_watch_ms (settings);
-}
-
 static void
 start_call (void *context, cs_time_us_t now)
 {
@@ -96,7 +86,8 @@
       && follower->sync_state->revision.era != follower->router->store_era)
     restart_list (follower);
   cs_buf_t path = { 0 };
-  uint32_t timeout_ms = follower->router->settings.call_timeout_ms;
+  const cs_router_settings_t *settings = &follower->router->settings;
+  uint32_t timeout_ms = settings->call_timeout_ms;
   int rc;
   follower->call_started_at = now;
   if (follower->listing)
@@ -104,7 +95,11 @@
                              cs_name_str (&follower->page_after), &path);
   else
     {
-      follower->watch_ms = watch_wait_ms (follower, now);
+      follower->watch_ms
+          = follower->kind == CS_STORE_EVACUATIONS
+                ? cs_router_settings_evacuation_watch_ms (
+                    settings, now - follower->sync_state->confirmed_at)
+                : cs_router_settings_watch_ms (settings);
       rc = cs_store_watch_path (follower->kind,
                                 follower->sync_state->revision.number,
                                 follower->watch_ms, &path);
@@ -170,6 +165,18 @@
   schedule_call (follower, backoff_ms);
 }
 
+/* Repeats the call whose response could not be applied.  The revision stays
+   the same, so that the store states the changes again.  */
+static void
+on_not_applied (cs_follower_t *follower)
+{
+  cs_log (CS_EV_STORE_RESPONSE_REJECTED, "kind=%s reason=no_memory",
+          cs_store_kind_name (follower->kind));
+  if (follower->listing)
+    restart_list (follower);
+  schedule_call (follower, MAX_BACKOFF_MS);
+}
+
 static void
 on_call_responded (cs_follower_t *follower, cs_time_us_t now)
 {
@@ -183,24 +190,27 @@
 static cs_time_us_t
 kept_until (const cs_follower_t *follower, cs_time_us_t now)
 {
-  const cs_router_settings_t *settings = &follower->router->settings;
   cs_outage_policy_t policy
-      = { .lapse_us = settings->lapse_ms * CS_US_PER_MS,
-          .settle_us = cs_router_settings_missing_expiry_us (settings) };
+      = cs_router_settings_outage_policy (&follower->router->settings);
   return cs_outage_kept_until (&follower->outage, &policy, now);
 }
 
-static void
+/* Returns 0, or CS_ERR_NO_MEMORY if an object could not be applied.  */
+static int
 read_items (cs_follower_t *follower, cs_store_page_t *page, cs_time_us_t now)
 {
   cs_store_object_t object;
   cs_time_us_t until = kept_until (follower, now);
   while (cs_store_next_object (page, &object))
     {
-      follower->handlers.on_object (follower->router, &object, until, now);
+      int rc = follower->handlers.on_object (follower->router, &object, until,
+                                             now);
+      if (rc != 0)
+        return rc;
       if (follower->listing)
         cs_name_set (&follower->page_after, object.name);
     }
+  return CS_OK;
 }
 
 /* Records that the platform has confirmed the state at REVISION.  */
@@ -276,18 +286,23 @@
       schedule_list (follower, now);
       return;
     }
-  read_items (follower, page, now);
-  if (page->truncated && cs_name_equal (&last, &follower->page_after))
+  int rc = read_items (follower, page, now);
+  if (rc == 0 && page->truncated
+      && cs_name_equal (&last, &follower->page_after))
     {
       on_call_failed (follower, 0, now);
       return;
     }
-  if (!page->truncated)
+  if (rc == 0 && !page->truncated)
+    rc = follower->handlers.on_list_end (follower->router, revision,
+                                         kept_until (follower, now), now);
+  if (rc != 0)
     {
-      end_list (follower, revision, now);
-      follower->handlers.on_list_end (follower->router, revision,
-                                      kept_until (follower, now), now);
+      on_not_applied (follower);
+      return;
     }
+  if (!page->truncated)
+    end_list (follower, revision, now);
   start_call (follower, now);
 }
 
@@ -301,7 +316,11 @@
       return;
     }
   cs_relist_watched (&follower->relist);
-  read_items (follower, page, now);
+  if (read_items (follower, page, now) != 0)
+    {
+      on_not_applied (follower);
+      return;
+    }
   record_revision (follower, page->revision, now);
   if (page->count > 0)
     cs_mesh_push_changes (follower->router->mesh);
--- a/router/store/targets.c
+++ b/router/store/targets.c
@@ -1,5 +1,6 @@
 /* Updates the fleet from the target entries in the store.  */
 
+#include "common/error.h"
 #include "common/log.h"
 #include "router/apply.h"
 #include "router/follower.h"
@@ -11,16 +12,17 @@
   cs_fleet_list_begin (router->fleet);
 }
 
-static void
+static int
 on_list_end (cs_router_t *router, cs_revision_t revision,
              cs_time_us_t kept_until, cs_time_us_t now)
 {
   cs_fleet_set_revision (router->fleet, revision);
   cs_fleet_list_end (router->fleet, kept_until, now);
   router->fleet_synced = true;
+  return CS_OK;
 }
 
-static void
+static int
 on_object (cs_router_t *router, const cs_store_object_t *object,
            cs_time_us_t kept_until, cs_time_us_t now)
 {
@@ -39,12 +41,13 @@
         cs_log (CS_EV_TARGET_MISSING, "target=%.*s revision=%llu",
                 CS_STR_ARG (object->name),
                 (unsigned long long)object->revision.number);
-      return;
+      return CS_OK;
     }
   /* Entries of other writers that don't describe a target are skipped without
      a log line, which would recur with each list.  */
   if (cs_store_read_target (object, &entry) == 0)
     cs_apply_target (router, &entry, "platform");
+  return CS_OK;
 }
 
 const cs_follower_handlers_t cs_target_follower_handlers
