Don't count low weights as busy slots of plain services

The calls of a target were divided by its weight, also where the expected time and the mean of the calls decide about refusals. So a service with 2 of 6 slots taken and weights of 0.2 (by the pace, or by limits that targets name) counted as busy, and calls that would be in time were refused as too late.

Both now use the calls in flight. The choice of the target still uses the weights.

--- a/cranberrystile/placement/candidates.c
+++ b/cranberrystile/placement/candidates.c
@@ -193,13 +193,14 @@
   for (size_t i = 0; i < candidates->count; i++)
     {
       const cs_target_t *target = candidates->targets[i];
-      service.mean += cs_target_estimated_calls (target);
+      service.mean_calls += cs_target_estimated_calls (target);
       weights += target->weight;
       service.mean_slots += target->slots;
       service.own += target->in_flight;
       known += target->slots > 0;
     }
-  service.mean /= weights;
+  service.mean = service.mean_calls / weights;
+  service.mean_calls /= (double)candidates->count;
   if (known > 0)
     service.mean_slots /= known;
   return service;
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -148,7 +148,8 @@
              : a;
 }
 
-/* Sets the expected times of CHOICE, at a plain service.  */
+/* Sets the expected times of CHOICE, at a plain service.  They follow from the
+   slots that are taken: weights spread the calls and take none.  */
 static void
 estimate_times (const candidates_t *candidates,
                 const cs_choice_request_t *request, cs_time_us_t now,
@@ -168,12 +169,13 @@
       uint32_t its_slots = slots_of (target);
       if (its_slots == 0)
         continue;
-      sum += time_with (target, relative_load (target) + 1, its_slots, now);
+      sum += time_with (target, cs_target_estimated_calls (target) + 1.,
+                        its_slots, now);
       choice->mean_slots += its_slots;
       count++;
     }
-  choice->expected
-      = time_with (chosen, relative_load (chosen) + 1, slots, now);
+  choice->expected = time_with (
+      chosen, cs_target_estimated_calls (chosen) + 1., slots, now);
   choice->mean_expected = sum / count;
   choice->mean_slots /= count;
 }
@@ -364,6 +366,7 @@
   out->live = (uint32_t)count;
   out->mean = service.mean;
   out->own = service.own;
+  out->mean_calls = service.mean_calls;
   if (key != 0)
     {
       out->target = find_available_home (chooser, request, key, &service, now);
--- a/include/cranberrystile/choice_policy.h
+++ b/include/cranberrystile/choice_policy.h
@@ -65,6 +65,7 @@
   double mean;       /* load of a target that names no limit */
   double mean_slots; /* of those of which they are known; 0 if of none */
   uint32_t own;      /* this router's part of the sum of the loads */
+  double mean_calls; /* in flight at a target, whatever its weight */
 } cs_choice_service_t;
 
 cs_choice_policy_t cs_choice_policy_default (void);
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -62,6 +62,7 @@
   cs_choice_reason_t reason;
   uint32_t load;             /* estimated load of TARGET before this request */
   double mean;               /* estimated mean load of the eligible targets */
+  double mean_calls;         /* likewise, whatever their weights */
   uint32_t live;             /* number of eligible targets */
   double expected;           /* time of the request at TARGET, relative to the
                                 usual work; 0: the service isn't plain, TARGET
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -62,7 +62,7 @@
       decision->recent, decision->share,
       forward->service->contention.work_us / CS_US_PER_MS,
       choice->target->id.text, choice->expected, choice->mean_expected,
-      choice->load, choice->mean, choice->mean_slots, choice->live);
+      choice->load, choice->mean_calls, choice->mean_slots, choice->live);
 }
 
 /* Whether a request of a plain service is sent.  Where no time was estimated,
@@ -84,7 +84,7 @@
   cs_contention_load_t load = {
     .expected = choice->expected,
     .mean_expected = choice->mean_expected,
-    .mean_calls = choice->mean,
+    .mean_calls = choice->mean_calls,
     .slots = choice->mean_slots,
   };
   cs_contention_decision_t decision = cs_contention_decide (
--- a/tests/unit/lag_test.cc
+++ b/tests/unit/lag_test.cc
@@ -417,7 +417,7 @@
 TEST (ChoicePolicy, SpreadsEachContextOfABusyService)
 {
   cs_choice_policy_t policy = cs_choice_policy_default ();
-  cs_choice_service_t service = { 160, 11.9, 24, 0 };
+  cs_choice_service_t service = { 160, 11.9, 24, 0, 11.9 };
   EXPECT_EQ (cs_choice_homes_needed (&policy, &service, 0, false),
              policy.homes);
   service.mean = 12;
@@ -436,7 +436,7 @@
   cs_choice_policy_t policy = cs_choice_policy_default ();
   for (size_t count : { 6, 12, 18, 40 })
     {
-      cs_choice_service_t service = { count, 20, 24, 0 };
+      cs_choice_service_t service = { count, 20, 24, 0, 20 };
       EXPECT_EQ (cs_choice_homes_needed (&policy, &service, 0, false),
                  policy.homes)
           << count;
--- a/tests/unit/uneven_test.cc
+++ b/tests/unit/uneven_test.cc
@@ -383,7 +383,7 @@
         = { 1 + static_cast<uint64_t> (call.organisation), 0,
             call.arrived + DEADLINE - now, LATE, is_retry };
     cs_contention_load_t at = { choice.expected, choice.mean_expected,
-                                choice.mean, choice.mean_slots };
+                                choice.mean_calls, choice.mean_slots };
     return cs_contention_decide (&views[call.router]->contention, &request,
                                  &at, now)
                .verdict
@@ -711,4 +711,65 @@
   EXPECT_EQ (cs_slowness_now (&slowness, 320 * SECOND), 1);
 }
 
+// Chooses a target of five with 6 slots for a call of a plain service.
+class PlainChoice : public testing::Test
+{
+protected:
+  void
+  set (int index, uint32_t calls, double slowness, double weight = 1)
+  {
+    cs_target_t *target = view.target (index);
+    target->slots = SLOTS;
+    target->in_flight = calls;
+    target->weight = weight;
+    cs_slowness_record (&target->slowness, slowness, now);
+  }
+
+  cs_choice_t
+  choose ()
+  {
+    cs_choice_request_t request = {};
+    cs_choice_t choice;
+    request.service = cs_str ("orders");
+    request.data_centre = cs_str ("a");
+    request.is_plain = true;
+    request.at_most_once = true;
+    EXPECT_EQ (
+        cs_chooser_choose (view.chooser, view.fleet, &request, now, &choice),
+        CS_OK);
+    return choice;
+  }
+
+  // Returns how many of 1000 calls go to the first target.
+  int
+  count_of_first ()
+  {
+    int count = 0;
+    for (int i = 0; i < 1000; i++)
+      count += choose ().target == view.target (0);
+    return count;
+  }
+
+  View view{ 1 };
+  cs_time_us_t now = 100 * SECOND;
+};
+
+// Weights below 1, by limits that targets name or by their pace, spread the
+// calls.  They take no slots.
+TEST_F (PlainChoice, LowWeightsDontCountAsBusySlots)
+{
+  cs_contention_t contention = {};
+  contention.work_us = WORK;
+  for (int i = 0; i < TARGETS; i++)
+    set (i, 2, 1, 0.2);
+  cs_choice_t choice = choose ();
+  cs_contention_request_t request = { 1, 0, 100 * MS, LATE, false };
+  cs_contention_load_t load = { choice.expected, choice.mean_expected,
+                                choice.mean_calls, choice.mean_slots };
+  EXPECT_EQ (cs_contention_decide (&contention, &request, &load, now).verdict,
+             CS_CONTENTION_SENT)
+      << "2 of 6 slots are taken, mean " << choice.mean_calls << ", expected "
+      << choice.expected;
+}
+
 }
