--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -1,6 +1,5 @@
 #include "cranberrystile/chooser.h"
 
-#include <math.h>
 #include <stdlib.h>
 
 #include "common/error.h"
@@ -11,6 +10,7 @@
 #include "cranberrystile/stale_load.h"
 #include "cranberrystile/surge.h"
 #include "placement/candidates.h"
+#include "placement/plain_time.h"
 
 /* A target that joined less than this ago may lack the contexts for which it
    is a home.  */
@@ -98,25 +98,6 @@
   return index;
 }
 
-/* Returns the slots of TARGET by its entry, or else by its last report; 0 if
-   they are unknown.  */
-static uint32_t
-slots_of (const cs_target_t *target)
-{
-  return target->slots == 0 && target->load.valid ? target->load.slots
-                                                  : target->slots;
-}
-
-/* Returns how long a request is expected to take at TARGET of a plain service
-   with CALLS, itself included, relative to the usual work, which doesn't take
-   longer as long as one of the SLOTS is free.  */
-static double
-time_with (const cs_target_t *target, double calls, uint32_t slots,
-           cs_time_us_t now)
-{
-  return fmax (1, calls / slots) * cs_slowness_now (&target->slowness, now);
-}
-
 /* Returns how long a request to TARGET is expected to take, for comparison.
    Of targets that are as fast, the one with fewer calls is preferred.  At
    engines, and where the SLOTS are unknown, the time is in proportion to the
@@ -128,7 +109,7 @@
   double calls = effective_load (chooser, request, target, now) + 1;
   if (!request->is_plain || slots == 0)
     return calls * cs_slowness_now (&target->slowness, now);
-  return time_with (target, calls, slots, now) + calls * FREE_SLOT_COST;
+  return plain_time_with (target, calls, slots, now) + calls * FREE_SLOT_COST;
 }
 
 /* Returns the one of A and B that is expected to take less time, A if equal.
@@ -138,8 +119,8 @@
 sooner_of (const cs_chooser_t *chooser, const cs_choice_request_t *request,
            cs_target_t *a, cs_target_t *b, cs_time_us_t now)
 {
-  uint32_t slots_a = slots_of (a);
-  uint32_t slots_b = slots_of (b);
+  uint32_t slots_a = plain_time_slots (a);
+  uint32_t slots_b = plain_time_slots (b);
   slots_a = slots_a == 0 ? slots_b : slots_a;
   slots_b = slots_b == 0 ? slots_a : slots_b;
   return expected_time (chooser, request, b, slots_b, now)
@@ -148,38 +129,6 @@
              : a;
 }
 
-/* Sets the expected times of CHOICE, at a plain service.  They follow from the
-   slots that are taken: weights spread the calls and take none.  */
-static void
-estimate_times (const candidates_t *candidates,
-                const cs_choice_request_t *request, cs_time_us_t now,
-                cs_choice_t *choice)
-{
-  const cs_target_t *chosen = choice->target;
-  uint32_t slots = slots_of (chosen);
-  double sum = 0;
-  double count = 0;
-  if (slots == 0
-      || (!request->estimates_time
-          && !cs_slowness_is_stated (&chosen->slowness)))
-    return;
-  for (size_t i = 0; i < candidates->count; i++)
-    {
-      const cs_target_t *target = candidates->targets[i];
-      uint32_t its_slots = slots_of (target);
-      if (its_slots == 0)
-        continue;
-      sum += time_with (target, cs_target_estimated_calls (target) + 1.,
-                        its_slots, now);
-      choice->mean_slots += its_slots;
-      count++;
-    }
-  choice->expected = time_with (
-      chosen, cs_target_estimated_calls (chosen) + 1., slots, now);
-  choice->mean_expected = sum / count;
-  choice->mean_slots /= count;
-}
-
 /* Returns the better of two of the COUNT targets, drawn at random, or NULL if
    there is none: the less loaded one, or where one of them states how slow it
    is, the one that is expected to take less time.  All routers see the same
@@ -377,7 +326,7 @@
         = better_of_two (chooser, request, candidates->targets, count, now);
   out->load = cs_target_estimated_calls (out->target);
   if (request->is_plain)
-    estimate_times (candidates, request, now, out);
+    plain_time_estimate (candidates, request, now, out);
   if (key != 0 && request->can_fetch)
     out->source = find_source (chooser, fleet, request, key, out->target, now);
   if (key != 0)
