Keep targets that state to be fast below the limit of calls

The expected time of a call falls with the fourth load figure, and nothing bounded the calls that a target with a low figure got: one with 40 calls beside four with 6 was taken whenever it was drawn (429 of 1000). No target may get more than 2 x mean + 3 calls.

Of two drawn targets of which one is at the limit, the other one is taken. Where neither of the two states a figure, nothing changes.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -24,6 +24,11 @@
    small to outweigh a stated difference in speed.  */
 #define FREE_SLOT_COST 1e-3
 
+/* Users require that no target gets more calls than LIMIT_FACTOR times the
+   mean of its service + LIMIT_EXTRA.  */
+#define LIMIT_FACTOR 2
+#define LIMIT_EXTRA 3
+
 struct cs_chooser
 {
   cs_choice_policy_t policy;
@@ -112,13 +117,25 @@
   return plain_time_with (target, calls, slots, now) + calls * FREE_SLOT_COST;
 }
 
-/* Returns the one of A and B that is expected to take less time, A if equal.
-   If the slots of one are unknown, as it hasn't answered yet, it is assumed to
-   have as many as the other.  */
+/* Whether one more call would be above the limit of TARGET.  */
+static bool
+is_at_limit (const cs_target_t *target, const cs_choice_service_t *service)
+{
+  return cs_target_estimated_calls (target) + 1
+         > LIMIT_FACTOR * service->mean_calls + LIMIT_EXTRA;
+}
+
+/* Returns the one of A and B that is expected to take less time, A if equal;
+   if one of them is at its limit, the other one.  If the slots of one are
+   unknown, as it hasn't answered yet, it is assumed to have as many as the
+   other.  */
 static cs_target_t *
 sooner_of (const cs_chooser_t *chooser, const cs_choice_request_t *request,
-           cs_target_t *a, cs_target_t *b, cs_time_us_t now)
+           const cs_choice_service_t *service, cs_target_t *a, cs_target_t *b,
+           cs_time_us_t now)
 {
+  if (is_at_limit (a, service) != is_at_limit (b, service))
+    return is_at_limit (a, service) ? b : a;
   uint32_t slots_a = plain_time_slots (a);
   uint32_t slots_b = plain_time_slots (b);
   slots_a = slots_a == 0 ? slots_b : slots_a;
@@ -129,15 +146,18 @@
              : a;
 }
 
-/* Returns the better of two of the COUNT targets, drawn at random, or NULL if
-   there is none: the less loaded one, or where one of them states how slow it
-   is, the one that is expected to take less time.  All routers see the same
-   slightly outdated loads; if each chose the best target, they would overload
-   it together (Mitzenmacher, "How useful is old information?", 2000).  */
+/* Returns the better of two of the targets of SERVICE, drawn at random, or
+   NULL if there is none: the less loaded one, or where one of them states how
+   slow it is, the one that is expected to take less time.  All routers see the
+   same slightly outdated loads; if each chose the best target, they would
+   overload it together (Mitzenmacher, "How useful is old information?", 2000).
+ */
 static cs_target_t *
 better_of_two (cs_chooser_t *chooser, const cs_choice_request_t *request,
-               cs_target_t *const *targets, size_t count, cs_time_us_t now)
+               const cs_choice_service_t *service, cs_time_us_t now)
 {
+  cs_target_t *const *targets = chooser->candidates.targets;
+  size_t count = service->count;
   if (count <= 1)
     return count == 0 ? NULL : targets[0];
   size_t first = draw (chooser, targets, count, count);
@@ -146,7 +166,7 @@
   cs_target_t *b = targets[second];
   if (cs_slowness_is_stated (&a->slowness)
       || cs_slowness_is_stated (&b->slowness))
-    return sooner_of (chooser, request, a, b, now);
+    return sooner_of (chooser, request, service, a, b, now);
   return effective_load (chooser, request, b, now)
                  < effective_load (chooser, request, a, now)
              ? b
@@ -322,8 +342,7 @@
       out->reason = out->target != NULL ? CS_CHOICE_HOME : CS_CHOICE_SPILL;
     }
   if (out->target == NULL)
-    out->target
-        = better_of_two (chooser, request, candidates->targets, count, now);
+    out->target = better_of_two (chooser, request, &service, now);
   out->load = cs_target_estimated_calls (out->target);
   if (request->is_plain)
     plain_time_estimate (candidates, request, now, out);
--- a/tests/unit/uneven_test.cc
+++ b/tests/unit/uneven_test.cc
@@ -754,6 +754,17 @@
   cs_time_us_t now = 100 * SECOND;
 };
 
+// No target may get more than twice the mean of its service + 3 calls,
+// whatever it states.
+TEST_F (PlainChoice, TargetThatStatesToBeFastGetsNoMoreThanTheLimit)
+{
+  for (int i = 1; i < TARGETS; i++)
+    set (i, 6, 1);
+  set (0, 40, 0.1);
+  EXPECT_GT (40, 2 * (40 + 24) / TARGETS + 3);
+  EXPECT_EQ (count_of_first (), 0);
+}
+
 // Weights below 1, by limits that targets name or by their pace, spread the
 // calls.  They take no slots.
 TEST_F (PlainChoice, LowWeightsDontCountAsBusySlots)
