Let penalties at plain services add to the expected time

The penalties for failures and for other data centres counted as calls, which add nothing to the expected time while a slot is free. A target that failed a quarter of its unsafe calls got 429 of 1000 for a figure that was 5 in 100 lower.

Where targets of a plain service state a fourth load figure, a penalty now counts as calls that wait: penalty / slots of the usual work. Engines and other services are compared as before.

--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -66,21 +66,38 @@
   return cs_target_estimated_calls (target) / target->weight;
 }
 
-/* Returns the relative load of TARGET plus the penalties for a target in
-   another data centre and for recent failures.  Without the latter a target
+/* Returns the penalty, in calls, for a target in another data centre.  */
+static double
+distance_penalty (const cs_chooser_t *chooser,
+                  const cs_choice_request_t *request,
+                  const cs_target_t *target)
+{
+  return candidates_is_local (request, target)
+             ? 0
+             : chooser->policy.remote_penalty;
+}
+
+/* Returns the penalty, in calls, for recent failures.  Without it a target
    that fails fast would look idle and attract all calls.  */
 static double
-effective_load (const cs_chooser_t *chooser,
-                const cs_choice_request_t *request, const cs_target_t *target,
-                cs_time_us_t now)
+failure_penalty (const cs_chooser_t *chooser,
+                 const cs_choice_request_t *request, const cs_target_t *target,
+                 cs_time_us_t now)
 {
-  double load = relative_load (target);
   double penalty = request->at_most_once
                        ? chooser->policy.failure_penalty_once
                        : chooser->policy.failure_penalty_repeatable;
-  if (!candidates_is_local (request, target))
-    load += chooser->policy.remote_penalty;
-  return load + penalty * cs_outcomes_failure_rate (&target->outcomes, now);
+  return penalty * cs_outcomes_failure_rate (&target->outcomes, now);
+}
+
+/* Returns the relative load of TARGET plus the penalties.  */
+static double
+effective_load (const cs_chooser_t *chooser,
+                const cs_choice_request_t *request, const cs_target_t *target,
+                cs_time_us_t now)
+{
+  return relative_load (target) + distance_penalty (chooser, request, target)
+         + failure_penalty (chooser, request, target, now);
 }
 
 /* Returns the index of one of the COUNT targets other than EXCEPT, drawn by
@@ -106,15 +123,19 @@
 /* Returns how long a request to TARGET is expected to take, for comparison.
    Of targets that are as fast, the one with fewer calls is preferred.  At
    engines, and where the SLOTS are unknown, the time is in proportion to the
-   calls.  */
+   calls.  Elsewhere penalties count as calls that wait, since calls add no
+   time while a slot is free.  */
 static double
 expected_time (const cs_chooser_t *chooser, const cs_choice_request_t *request,
                const cs_target_t *target, uint32_t slots, cs_time_us_t now)
 {
-  double calls = effective_load (chooser, request, target, now) + 1;
+  double calls = relative_load (target) + 1;
+  double penalty = distance_penalty (chooser, request, target)
+                   + failure_penalty (chooser, request, target, now);
   if (!request->is_plain || slots == 0)
-    return calls * cs_slowness_now (&target->slowness, now);
-  return plain_time_with (target, calls, slots, now) + calls * FREE_SLOT_COST;
+    return (calls + penalty) * cs_slowness_now (&target->slowness, now);
+  return plain_time_with (target, calls, slots, now) + calls * FREE_SLOT_COST
+         + penalty / slots;
 }
 
 /* Whether one more call would be above the limit of TARGET.  */
--- a/tests/unit/uneven_test.cc
+++ b/tests/unit/uneven_test.cc
@@ -754,6 +754,18 @@
   cs_time_us_t now = 100 * SECOND;
 };
 
+// A target that fails a quarter of its calls, at once, has free slots.  A
+// stated figure that is 5 in 100 lower must not make it the first choice for
+// calls that can't be repeated.
+TEST_F (PlainChoice, StatedSpeedDoesNotOutweighFailures)
+{
+  for (int i = 0; i < TARGETS; i++)
+    set (i, 1, i == 0 ? 0.95 : 1);
+  set (0, 0, 0.95);
+  cs_outcomes_add (&view.target (0)->outcomes, 40, 10, now);
+  EXPECT_LT (count_of_first (), 100);
+}
+
 // No target may get more than twice the mean of its service + 3 calls,
 // whatever it states.
 TEST_F (PlainChoice, TargetThatStatesToBeFastGetsNoMoreThanTheLimit)
