Keep the work time of plain calls by route

The expected time of a call followed from one mean over all calls of the service. With calls of 20 ms and a tenth as many of 2 s, a short call was refused as too late with 150 ms left and half of the slots free. Answers with 4xx counted too, so quick 404s pulled the mean down.

What a call waits behind others counts with the mean of all routes, its own work with that of its route. Only answers with a status from 200 to 299 are recorded.

The test passes the route, which the interface lacked; its figures are those of the reproduction.

--- a/cranberrystile/admission/contention.c
+++ b/cranberrystile/admission/contention.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-/* Weight of one call in the mean work time: over some tens of calls, the
+/* Weight of one call in a mean work time: over some tens of calls, the
    spread of single calls evens out.  */
 #define WORK_WEIGHT 0.02
 
@@ -100,6 +100,44 @@
          + SHARE_MARGIN;
 }
 
+static const cs_contention_work_t *
+find_work (const cs_contention_t *contention, uint64_t route)
+{
+  for (int i = 0; i < CS_CONTENTION_ROUTES; i++)
+    if (contention->works[i].at != 0 && contention->works[i].key == route)
+      return &contention->works[i];
+  return NULL;
+}
+
+/* Returns the entry of ROUTE, which replaces the one that was answered the
+   longest ago if there is none.  */
+static cs_contention_work_t *
+find_or_add_work (cs_contention_t *contention, uint64_t route)
+{
+  cs_contention_work_t *oldest = &contention->works[0];
+  for (int i = 0; i < CS_CONTENTION_ROUTES; i++)
+    {
+      cs_contention_work_t *work = &contention->works[i];
+      if (work->at != 0 && work->key == route)
+        return work;
+      if (work->at < oldest->at)
+        oldest = work;
+    }
+  *oldest = (cs_contention_work_t){ .key = route };
+  return oldest;
+}
+
+/* What waits is work of any route.  */
+double
+cs_contention_expected_us (const cs_contention_t *contention, uint64_t route,
+                           double expected, double wait)
+{
+  const cs_contention_work_t *work = find_work (contention, route);
+  if (work == NULL)
+    return 0;
+  return work->work_us * (expected - wait) + contention->work_us * wait;
+}
+
 /* Whether answers are late enough for a request beyond its share to give way.
    Others that are as urgent could be on time without it.  */
 static bool
@@ -118,7 +156,10 @@
   cs_contention_decision_t decision = { .verdict = CS_CONTENTION_SENT };
   double expected = load->mean_expected
                     + (load->expected - load->mean_expected) * DIFFERENCE_LEFT;
-  double expected_us = contention->work_us * expected;
+  double wait
+      = load->mean_wait + (load->wait - load->mean_wait) * DIFFERENCE_LEFT;
+  double expected_us
+      = cs_contention_expected_us (contention, request->route, expected, wait);
   bool is_busy = load->mean_calls >= BUSY_SLOT_SHARE * load->slots;
   decision.expected_us = (cs_time_us_t)expected_us;
   if (contention->since == 0)
@@ -150,12 +191,23 @@
 }
 
 void
-cs_contention_record (cs_contention_t *contention, double expected,
-                      cs_time_us_t took_us)
+cs_contention_record (cs_contention_t *contention, uint64_t route,
+                      double expected, double wait, cs_time_us_t took_us,
+                      cs_time_us_t now)
 {
-  double work_us = (double)took_us / expected;
+  double expected_us
+      = cs_contention_expected_us (contention, route, expected, wait);
+  cs_contention_work_t *work = find_or_add_work (contention, route);
+  /* Without an earlier answer, all of the time is taken as of this route.  */
+  double work_us = expected_us > 0
+                       ? work->work_us * (double)took_us / expected_us
+                       : (double)took_us / expected;
+  if (work->at == 0)
+    work->work_us = work_us;
   if (contention->work_us == 0)
     contention->work_us = work_us;
+  work->at = now;
+  work->work_us += (work_us - work->work_us) * WORK_WEIGHT;
   contention->work_us += (work_us - contention->work_us) * WORK_WEIGHT;
 }
 
--- a/cranberrystile/placement/chooser.c
+++ b/cranberrystile/placement/chooser.c
@@ -134,8 +134,8 @@
                    + failure_penalty (chooser, request, target, now);
   if (!request->is_plain || slots == 0)
     return (calls + penalty) * cs_slowness_now (&target->slowness, now);
-  return plain_time_with (target, calls, slots, now) + calls * FREE_SLOT_COST
-         + penalty / slots;
+  return plain_time_with (target, calls, slots, now).expected
+         + calls * FREE_SLOT_COST + penalty / slots;
 }
 
 /* Whether one more call would be above the limit of TARGET.  */
--- a/cranberrystile/placement/plain_time.c
+++ b/cranberrystile/placement/plain_time.c
@@ -9,11 +9,13 @@
                                                   : target->slots;
 }
 
-double
+plain_time_t
 plain_time_with (const cs_target_t *target, double calls, uint32_t slots,
                  cs_time_us_t now)
 {
-  return fmax (1, calls / slots) * cs_slowness_now (&target->slowness, now);
+  double slowness = cs_slowness_now (&target->slowness, now);
+  double expected = fmax (1, calls / slots) * slowness;
+  return (plain_time_t){ expected, expected - slowness };
 }
 
 void
@@ -23,7 +25,6 @@
 {
   const cs_target_t *chosen = choice->target;
   uint32_t slots = plain_time_slots (chosen);
-  double sum = 0;
   double count = 0;
   if (slots == 0
       || (!request->estimates_time
@@ -35,13 +36,18 @@
       uint32_t its_slots = plain_time_slots (target);
       if (its_slots == 0)
         continue;
-      sum += plain_time_with (target, cs_target_estimated_calls (target) + 1.,
-                              its_slots, now);
+      plain_time_t its_time = plain_time_with (
+          target, cs_target_estimated_calls (target) + 1., its_slots, now);
+      choice->mean_expected += its_time.expected;
+      choice->mean_wait += its_time.wait;
       choice->mean_slots += its_slots;
       count++;
     }
-  choice->expected = plain_time_with (
+  plain_time_t time = plain_time_with (
       chosen, cs_target_estimated_calls (chosen) + 1., slots, now);
-  choice->mean_expected = sum / count;
+  choice->expected = time.expected;
+  choice->wait = time.wait;
+  choice->mean_expected /= count;
+  choice->mean_wait /= count;
   choice->mean_slots /= count;
 }
--- a/cranberrystile/placement/plain_time.h
+++ b/cranberrystile/placement/plain_time.h
@@ -10,10 +10,16 @@
    they are unknown.  */
 uint32_t plain_time_slots (const cs_target_t *target);
 
+typedef struct
+{
+  double expected;
+  double wait; /* the part of EXPECTED that is spent behind other calls */
+} plain_time_t;
+
 /* Returns how long a request is expected to take at TARGET with CALLS, itself
    included.  It doesn't take longer as long as one of the SLOTS is free.  */
-double plain_time_with (const cs_target_t *target, double calls,
-                        uint32_t slots, cs_time_us_t now);
+plain_time_t plain_time_with (const cs_target_t *target, double calls,
+                              uint32_t slots, cs_time_us_t now);
 
 /* Sets the expected times of CHOICE.  They follow from the slots that are
    taken: weights spread the calls and take none.  */
--- a/include/cranberrystile/chooser.h
+++ b/include/cranberrystile/chooser.h
@@ -60,18 +60,20 @@
   cs_target_t *source; /* borrowed; another target that probably holds the
                           context that TARGET lacks; NULL: none */
   cs_choice_reason_t reason;
-  uint32_t load;             /* estimated load of TARGET before this request */
-  double mean;               /* estimated mean load of the eligible targets */
-  double mean_calls;         /* likewise, whatever their weights */
-  uint32_t live;             /* number of eligible targets */
-  double expected;           /* time of the request at TARGET, relative to the
-                                usual work; 0: the service isn't plain, TARGET
-                                doesn't state its slots, or it doesn't state
-                                how slow it is and no estimate was asked for */
-  double mean_expected;      /* likewise, mean of the eligible targets */
-  double mean_slots;         /* with EXPECTED: of the eligible targets whose
-                                slots are known */
-  uint32_t own;              /* calls of this router at these targets */
+  uint32_t load;        /* estimated load of TARGET before this request */
+  double mean;          /* estimated mean load of the eligible targets */
+  double mean_calls;    /* likewise, whatever their weights */
+  uint32_t live;        /* number of eligible targets */
+  double expected;      /* time of the request at TARGET, relative to the
+                           usual work; 0: the service isn't plain, TARGET
+                           doesn't state its slots, or it doesn't state
+                           how slow it is and no estimate was asked for */
+  double wait;          /* the part of EXPECTED spent behind other calls */
+  double mean_expected; /* likewise, mean of the eligible targets */
+  double mean_wait;     /* the part of it spent behind other calls */
+  double mean_slots;    /* with EXPECTED: of the eligible targets whose
+                           slots are known */
+  uint32_t own;         /* calls of this router at these targets */
   cs_time_us_t available_at; /* with CS_ERR_OVERLOADED: when the first target
                                 takes a request */
   bool avoided_cold; /* a cold target had as many requests as it takes from
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -36,6 +36,12 @@
              : cs_hash (forward->organisation->name, 0);
 }
 
+static uint64_t
+route_hash (const cs_forward_t *forward)
+{
+  return cs_hash (forward->route->name, 1);
+}
+
 static void
 record_refusal (const cs_forward_t *forward, const cs_choice_t *choice,
                 const cs_contention_request_t *request,
@@ -60,7 +66,9 @@
       (unsigned long long)(request->remaining_us / CS_US_PER_MS),
       (unsigned long long)(request->objective_us / CS_US_PER_MS),
       decision->recent, decision->share,
-      forward->service->contention.work_us / CS_US_PER_MS,
+      cs_contention_expected_us (&forward->service->contention, request->route,
+                                 1, 0)
+          / CS_US_PER_MS,
       choice->target->id.text, choice->expected, choice->mean_expected,
       choice->load, choice->mean_calls, choice->mean_slots, choice->live);
 }
@@ -80,12 +88,15 @@
     .remaining_us = forward->deadline > now ? forward->deadline - now : 0,
     .objective_us = forward->route->latency_objective_ms * CS_US_PER_MS,
     .is_retry = forward->attempt_count > 0,
+    .route = route_hash (forward),
   };
   cs_contention_load_t load = {
     .expected = choice->expected,
     .mean_expected = choice->mean_expected,
     .mean_calls = choice->mean_calls,
     .slots = choice->mean_slots,
+    .wait = choice->wait,
+    .mean_wait = choice->mean_wait,
   };
   cs_contention_decision_t decision = cs_contention_decide (
       &forward->service->contention, &request, &load, now);
@@ -114,14 +125,17 @@
 {
   cs_contention_t *contention = &forward->service->contention;
   cs_time_us_t took_us = now - forward->sent_at;
-  double expected = forward->choice.expected;
-  if (expected == 0)
+  const cs_choice_t *choice = &forward->choice;
+  uint64_t route = route_hash (forward);
+  if (choice->expected == 0 || !cs_http_is_success (forward->status))
     return;
-  if (contention->work_us > 0)
-    cs_slowness_record_ratio (
-        &forward->target->slowness,
-        (double)took_us / (contention->work_us * expected), now);
-  cs_contention_record (contention, expected, took_us);
+  double expected_us = cs_contention_expected_us (
+      contention, route, choice->expected, choice->wait);
+  if (expected_us > 0)
+    cs_slowness_record_ratio (&forward->target->slowness,
+                              (double)took_us / expected_us, now);
+  cs_contention_record (contention, route, choice->expected, choice->wait,
+                        took_us, now);
 }
 
 /* Chooses a target of VERSION that has capacity for the request; 0: of any. */
@@ -142,7 +156,7 @@
     .at_most_once = !cs_forward_is_repeatable (forward),
     .can_fetch = forward->may_fetch_context,
     .organisation = organisation_hash (forward),
-    .route = cs_hash (forward->route->name, 1),
+    .route = route_hash (forward),
     .peers = cs_mesh_count_members (router->mesh),
     .routers = cs_mesh_count_routers (router->mesh),
     .regions = &router->settings.regions,
--- a/tests/unit/uneven_test.cc
+++ b/tests/unit/uneven_test.cc
@@ -82,6 +82,7 @@
   int organisation;
   int returns; // left to its caller
   double expected;
+  double wait;
 
   bool
   operator> (const Call &other) const
@@ -155,6 +156,7 @@
 const cs_time_us_t DEADLINE = 1500 * MS;
 // Late answers are worth 0.1 to 0.45 of one that is in time.
 const double LATE_WORTH = 0.33;
+const uint64_t ROUTE = 1;
 
 class Model
 {
@@ -307,13 +309,13 @@
           call.at);
     if (call.expected > 0 && call.at - call.arrived < DEADLINE)
       {
-        double work_us = view.contention.work_us;
-        if (work_us > 0)
+        double expected_us = cs_contention_expected_us (
+            &view.contention, ROUTE, call.expected, call.wait);
+        if (expected_us > 0)
           cs_slowness_record_ratio (
-              &target->slowness,
-              (call.at - call.sent) / (work_us * call.expected), call.at);
-        cs_contention_record (&view.contention, call.expected,
-                              call.at - call.sent);
+              &target->slowness, (call.at - call.sent) / expected_us, call.at);
+        cs_contention_record (&view.contention, ROUTE, call.expected,
+                              call.wait, call.at - call.sent, call.at);
       }
     answer (call);
   }
@@ -380,10 +382,15 @@
     if (!load.admits || choice.expected == 0)
       return true;
     cs_contention_request_t request
-        = { 1 + static_cast<uint64_t> (call.organisation), 0,
-            call.arrived + DEADLINE - now, LATE, is_retry };
-    cs_contention_load_t at = { choice.expected, choice.mean_expected,
-                                choice.mean_calls, choice.mean_slots };
+        = { 1 + static_cast<uint64_t> (call.organisation),
+            0,
+            call.arrived + DEADLINE - now,
+            LATE,
+            is_retry,
+            ROUTE };
+    cs_contention_load_t at
+        = { choice.expected,   choice.mean_expected, choice.mean_calls,
+            choice.mean_slots, choice.wait,          choice.mean_wait };
     return cs_contention_decide (&views[call.router]->contention, &request,
                                  &at, now)
                .verdict
@@ -412,6 +419,7 @@
           break;
         call.target = std::atoi (choice.target->id.text + 1);
         call.expected = choice.expected;
+        call.wait = choice.wait;
         call.sent = now;
         Machine &machine = machines[call.target];
         int in_flight = 0;
@@ -597,9 +605,9 @@
 contention_with_usual_traffic ()
 {
   auto contention = std::make_unique<cs_contention_t> ();
-  cs_contention_request_t request = { 1, 0, DEADLINE, LATE, false };
-  cs_contention_load_t idle = { 1, 1, 0, SLOTS };
-  cs_contention_record (contention.get (), 1, WORK);
+  cs_contention_request_t request = { 1, 0, DEADLINE, LATE, false, ROUTE };
+  cs_contention_load_t idle = { 1, 1, 0, SLOTS, 0, 0 };
+  cs_contention_record (contention.get (), ROUTE, 1, 0, WORK, 1);
   for (int i = 1; i <= 300; i++)
     cs_contention_decide (contention.get (), &request, &idle, i * 100 * MS);
   return contention;
@@ -608,8 +616,8 @@
 TEST (Contention, NothingIsRefusedWhileHalfOfTheSlotsAreFree)
 {
   auto contention = contention_with_usual_traffic ();
-  cs_contention_request_t request = { 1, 0, 1, LATE, false };
-  cs_contention_load_t load = { 90, 90, 2.9, SLOTS };
+  cs_contention_request_t request = { 1, 0, 1, LATE, false, ROUTE };
+  cs_contention_load_t load = { 90, 90, 2.9, SLOTS, 0, 0 };
   for (int i = 0; i < 1000; i++)
     EXPECT_EQ (
         cs_contention_decide (contention.get (), &request, &load, 30 * SECOND)
@@ -622,8 +630,8 @@
 TEST (Contention, RefusesWhatCannotBeAnsweredInTime)
 {
   auto contention = contention_with_usual_traffic ();
-  cs_contention_load_t load = { 12, 12, 30, SLOTS };
-  cs_contention_request_t request = { 2, 0, 500 * MS, LATE, true };
+  cs_contention_load_t load = { 12, 12, 30, SLOTS, 0, 0 };
+  cs_contention_request_t request = { 2, 0, 500 * MS, LATE, true, ROUTE };
   auto decision
       = cs_contention_decide (contention.get (), &request, &load, 30 * SECOND);
   EXPECT_EQ (decision.verdict, CS_CONTENTION_TOO_LATE);
@@ -640,11 +648,11 @@
 TEST (Contention, OnlyWhatIsBeyondTheShareGivesWay)
 {
   auto contention = contention_with_usual_traffic ();
-  cs_contention_load_t load = { 7, 7, 30, SLOTS };
+  cs_contention_load_t load = { 7, 7, 30, SLOTS, 0, 0 };
   int sent = 0;
   for (int i = 1; i <= 100; i++)
     {
-      cs_contention_request_t request = { 1, 0, DEADLINE, LATE, false };
+      cs_contention_request_t request = { 1, 0, DEADLINE, LATE, false, ROUTE };
       EXPECT_EQ (cs_contention_decide (contention.get (), &request, &load,
                                        30 * SECOND + i * 100 * MS)
                      .verdict,
@@ -660,7 +668,7 @@
     }
   EXPECT_GT (sent, 50) << "an equal share of the service";
   EXPECT_LT (sent, 400);
-  cs_contention_request_t urgent = { 2, 1, DEADLINE, LATE, false };
+  cs_contention_request_t urgent = { 2, 1, DEADLINE, LATE, false, ROUTE };
   EXPECT_EQ (
       cs_contention_decide (contention.get (), &urgent, &load, 40 * SECOND)
           .verdict,
@@ -782,17 +790,36 @@
 TEST_F (PlainChoice, LowWeightsDontCountAsBusySlots)
 {
   cs_contention_t contention = {};
-  contention.work_us = WORK;
+  cs_contention_record (&contention, ROUTE, 1, 0, WORK, 1);
   for (int i = 0; i < TARGETS; i++)
     set (i, 2, 1, 0.2);
   cs_choice_t choice = choose ();
-  cs_contention_request_t request = { 1, 0, 100 * MS, LATE, false };
-  cs_contention_load_t load = { choice.expected, choice.mean_expected,
-                                choice.mean_calls, choice.mean_slots };
+  cs_contention_request_t request = { 1, 0, 100 * MS, LATE, false, ROUTE };
+  cs_contention_load_t load
+      = { choice.expected,   choice.mean_expected, choice.mean_calls,
+          choice.mean_slots, choice.wait,          choice.mean_wait };
   EXPECT_EQ (cs_contention_decide (&contention, &request, &load, now).verdict,
              CS_CONTENTION_SENT)
       << "2 of 6 slots are taken, mean " << choice.mean_calls << ", expected "
       << choice.expected;
 }
 
+// Calls of one route take 20 ms, and a tenth as many of another one 2 s.  With
+// half of the slots free, a short call would be answered in time; it was
+// refused, as the mean of all calls is above the time it has left.
+TEST (Contention, LongCallsOfAnotherRouteDontMakeShortOnesTooLate)
+{
+  cs_contention_t contention = {};
+  for (int i = 0; i < 1000; i++)
+    if (i % 11 == 0)
+      cs_contention_record (&contention, ROUTE + 1, 1, 0, 2 * SECOND, 1 + i);
+    else
+      cs_contention_record (&contention, ROUTE, 1, 0, 20 * MS, 1 + i);
+  cs_contention_request_t request = { 1, 0, 150 * MS, LATE, false, ROUTE };
+  cs_contention_load_t load = { 1, 1, SLOTS / 2, SLOTS, 0, 0 };
+  EXPECT_EQ (cs_contention_decide (&contention, &request, &load, 100 * SECOND)
+                 .verdict,
+             CS_CONTENTION_SENT);
+}
+
 }
