Pace targets that return together

The share of the slots that the other targets have taken decides whether a returning target gets its full share at once. The others included targets that return, are cold, ejected or evacuated, whose idle slots counted as free: half of a service that came back beside 28 of 32 slots taken got its full share at once.

A target is now compared with those that have their full share and aren't evacuated. If there are none, nothing is gained by a pace, and the full share is given at once.

--- a/cranberrystile/placement/pace_weights.c
+++ b/cranberrystile/placement/pace_weights.c
@@ -1,6 +1,6 @@
 #include "cranberrystile/pace_weights.h"
 
-/* Sums over the targets of a service, which don't include leaving ones.  */
+/* Sums over the steady targets of a service.  */
 typedef struct
 {
   double calls;
@@ -11,9 +11,18 @@
   bool states_slowness; /* a target does, leaving or not */
 } sums_t;
 
+/* Whether TARGET gets its full share.  The idle slots of others don't show
+   that those in use have free ones.  */
+static bool
+is_steady (const cs_target_t *target, const cs_evacuations_t *evacuations)
+{
+  return !target->leaving && target->pace.level == 0 && !target->pace.is_out
+         && !cs_evacuations_has (evacuations, &target->data_centre);
+}
+
 static sums_t
 sum_up (cs_target_t *const *targets, size_t count, const cs_name_t *service,
-        cs_time_us_t now)
+        const cs_evacuations_t *evacuations, cs_time_us_t now)
 {
   sums_t sums = { 0 };
   for (size_t i = 0; i < count; i++)
@@ -23,7 +32,7 @@
         continue;
       sums.states_slowness
           = sums.states_slowness || cs_slowness_is_stated (&target->slowness);
-      if (target->leaving)
+      if (!is_steady (target, evacuations))
         continue;
       sums.calls += cs_target_estimated_calls (target);
       sums.ends_per_s += cs_outcomes_rate_per_s (&target->outcomes, now);
@@ -34,7 +43,7 @@
   return sums;
 }
 
-/* Compares TARGET with the others in SUMS, those of its service.  */
+/* Compares TARGET, which has a pace, with the steady ones in SUMS.  */
 static cs_pace_view_t
 view_of (const cs_target_t *target, const sums_t *sums, cs_time_us_t now)
 {
@@ -43,15 +52,12 @@
     .ends_per_s = cs_outcomes_rate_per_s (&target->outcomes, now),
     .failure_rate = cs_outcomes_failure_rate (&target->outcomes, now),
   };
-  double own = target->leaving ? 0 : 1;
-  double others = sums->count - own;
-  double slots = sums->slots - own * target->slots;
-  view.others_calls = sums->calls - own * view.calls;
-  view.others_ends_per_s = sums->ends_per_s - own * view.ends_per_s;
-  view.others_failure_rate = sums->failure_rates - own * view.failure_rate;
-  if (others > 0)
-    view.others_failure_rate /= others;
-  view.slots_taken = slots > 0 ? view.others_calls / slots : 0;
+  view.others_calls = sums->calls;
+  view.others_ends_per_s = sums->ends_per_s;
+  if (sums->count > 0)
+    view.others_failure_rate = sums->failure_rates / sums->count;
+  if (sums->slots > 0)
+    view.slots_taken = sums->calls / sums->slots;
   return view;
 }
 
@@ -85,7 +91,8 @@
 }
 
 void
-cs_pace_weights_update (cs_fleet_t *fleet, cs_time_us_t now)
+cs_pace_weights_update (cs_fleet_t *fleet, const cs_evacuations_t *evacuations,
+                        cs_time_us_t now)
 {
   size_t count;
   cs_target_t *const *targets = cs_fleet_targets (fleet, &count);
@@ -97,7 +104,7 @@
       if (!targets[i]->pace.is_due)
         continue;
       const cs_name_t *service = &targets[i]->service;
-      sums_t sums = sum_up (targets, count, service, now);
+      sums_t sums = sum_up (targets, count, service, evacuations, now);
       for (size_t j = i; j < count; j++)
         if (targets[j]->pace.is_due
             && cs_name_equal (&targets[j]->service, service))
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -186,7 +186,8 @@
   prune_targets (&process->router, now);
   cs_router_evacuations_tick (&process->router, now);
   cs_limit_weights_update (process->router.fleet, now);
-  cs_pace_weights_update (process->router.fleet, now);
+  cs_pace_weights_update (process->router.fleet, process->router.evacuations,
+                          now);
   cs_cold_update (&process->router, now);
   cs_cold_log_ended (&process->router, now);
   cs_stream_versions_update (process->router.stream_versions, now);
--- a/tests/unit/pace_test.cc
+++ b/tests/unit/pace_test.cc
@@ -117,6 +117,7 @@
   void
   TearDown () override
   {
+    cs_evacuations_destroy (evacuations);
     cs_fleet_destroy (fleet);
   }
 
@@ -131,11 +132,12 @@
         targets[i]->weight = 1;
         cs_outcomes_add (&targets[i]->outcomes, calls * 0.25, 0, now);
       }
-    cs_pace_weights_update (fleet, now);
+    cs_pace_weights_update (fleet, evacuations, now);
     return targets[0]->weight;
   }
 
   cs_fleet_t *fleet;
+  cs_evacuations_t *evacuations = nullptr;
   cs_target_t *const *targets;
   cs_time_us_t now = 60 * CS_US_PER_S;
 };
@@ -189,4 +191,42 @@
   EXPECT_LT (targets[1]->weight, 0.5);
 }
 
+// Half of the data centres come back together.  Their idle slots don't show
+// that the other half has free ones: the full share of each flooded them.
+TEST_F (PaceWeights, SlotsOfReturningTargetsDontCountAsFree)
+{
+  now += TICK;
+  for (int i = 0; i < 10; i++)
+    {
+      targets[i]->cold.per_s = 18;
+      targets[i]->weight = 1;
+      targets[i]->in_flight = i < 5 ? 0 : 28;
+      cs_outcomes_add (&targets[i]->outcomes, i < 5 ? 0 : 7, 0, now);
+      if (i < 5)
+        cs_pace_begin (&targets[i]->pace, now - 1);
+    }
+  cs_pace_weights_update (fleet, evacuations, now);
+  for (int i = 0; i < 5; i++)
+    EXPECT_LT (targets[i]->weight, 0.5) << i;
+}
+
+// Nor do those of targets in an evacuated data centre.
+TEST_F (PaceWeights, SlotsOfEvacuatedTargetsDontCountAsFree)
+{
+  evacuations = cs_evacuations_create ([] (void *, const cs_name_t *, bool) {},
+                                       nullptr);
+  cs_evacuations_change (evacuations, cs_str ("b"), true, { 1, 1 });
+  now += TICK;
+  for (int i = 0; i < 10; i++)
+    {
+      targets[i]->cold.per_s = 18;
+      targets[i]->in_flight = i < 6 ? 0 : 28;
+      if (i > 0 && i < 6)
+        cs_name_set (&targets[i]->data_centre, cs_str ("b"));
+    }
+  cs_pace_begin (&targets[0]->pace, now - 1);
+  cs_pace_weights_update (fleet, evacuations, now);
+  EXPECT_LT (targets[0]->weight, 0.5);
+}
+
 }
