Let an entry end an assumed cold period only if it is newer

An entry that was written before a target was assumed to be cold, and read after that, ended the assumption: a data centre that is taken back, or a failed connection, was followed by 50 requests in half a second where 32 are allowed. An entry now counts against an assumption from 2 s after its latest cause, which is one renewal (1.2 s) and its delivery.

The time of the latest failure is replaced by that of the latest cause. ColdLimit.EntryWrittenBeforeAnAssumptionDoesNotEndIt failed before.

--- a/cranberrystile/admission/cold_limit.c
+++ b/cranberrystile/admission/cold_limit.c
@@ -16,6 +16,9 @@
 /* Peers' reports of successes are up to so old: three hops of a heartbeat of
    0.3 s, and a margin.  */
 #define REPORT_AGE_US (1500 * CS_US_PER_MS)
+/* An entry that is read so long after an assumption was written after it: a
+   target renews its entry every 1.2 s, and the rest is for delivery.  */
+#define ENTRY_AGE_US (2 * CS_US_PER_S)
 
 uint32_t
 cs_cold_permits (uint32_t per_s, size_t rank, size_t routers)
@@ -43,7 +46,8 @@
   /* The store's entry and what peers say may be older than an answer that
      states a longer period.  */
   bool counts = is_longer || statement->source == CS_COLD_ANSWER
-                || (statement->source == CS_COLD_ENTRY && limit->is_assumed);
+                || (statement->source == CS_COLD_ENTRY && limit->is_assumed
+                    && now >= limit->assumed_at + ENTRY_AGE_US);
   if (!counts)
     return false;
   limit->until = until;
@@ -58,7 +62,10 @@
 void
 cs_cold_assume (cs_cold_limit_t *limit, cs_time_us_t until, cs_time_us_t now)
 {
-  if (until <= limit->until || until <= now)
+  if (until <= now)
+    return;
+  limit->assumed_at = now;
+  if (until <= limit->until)
     return;
   limit->until = until;
   limit->is_assumed = true;
@@ -72,7 +79,6 @@
     return;
   cs_cold_assume (limit, now + AWAY_MAX_US, now);
   limit->awaits_success = true;
-  limit->failed_at = now;
 }
 
 void
@@ -80,7 +86,7 @@
                    bool by_peers, cs_time_us_t now)
 {
   if (!limit->awaits_success
-      || (by_peers && now < limit->failed_at + REPORT_AGE_US))
+      || (by_peers && now < limit->assumed_at + REPORT_AGE_US))
     return;
   limit->awaits_success = false;
   if (!limit->is_assumed && now < limit->until)
--- a/include/cranberrystile/cold_limit.h
+++ b/include/cranberrystile/cold_limit.h
@@ -39,13 +39,14 @@
 /* Of one target.  Zero-initialise: not cold, no limit.  */
 typedef struct
 {
-  uint32_t per_s;      /* requests a second from all routers; 0: no limit */
-  uint32_t permits;    /* this router's in any second of a cold period */
-  cs_time_us_t until;  /* when the cold period ends; 0: none was known */
-  bool is_assumed;     /* nobody has stated it */
-  bool awaits_success; /* it has not responded since FAILED_AT */
-  cs_time_us_t failed_at;
-  bool is_logged;          /* that it is cold */
+  uint32_t per_s;     /* requests a second from all routers; 0: no limit */
+  uint32_t permits;   /* this router's in any second of a cold period */
+  cs_time_us_t until; /* when the cold period ends; 0: none was known */
+  bool is_assumed;    /* nobody has stated it */
+  cs_time_us_t assumed_at; /* latest cause for an assumption */
+  bool
+      awaits_success; /* a connection failed, and it has not responded since */
+  bool is_logged;     /* that it is cold */
   cs_time_us_t told_until; /* the end that peers know */
   uint64_t notice;         /* number of the latest notice to peers; 0: none */
   uint64_t told_by;        /* the peer from which it came; 0: none */
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -418,4 +418,26 @@
   json_decref (spec);
 }
 
+// The data centre is taken back as its targets turn cold.  An entry that was
+// written 50 ms before and is read 300 ms after it doesn't show that they are
+// warm.  The first answers, which would, take half a second.
+TEST (ColdLimit, EntryWrittenBeforeAnAssumptionDoesNotEndIt)
+{
+  const cs_time_us_t start = 100 * SECOND;
+  size_t sent = 0;
+  cs_cold_limit_t limit = {};
+  limit.per_s = LIMIT;
+  limit.permits = LIMIT;
+  cs_cold_assume (&limit, start + 3 * SECOND, start);
+  cs_cold_statement_t entry = { CS_COLD_ENTRY, 0 };
+  cs_cold_record (&limit, &entry, start + 300 * MS);
+  for (cs_time_us_t at = 300 * MS; at < 800 * MS; at += 10 * MS)
+    if (cs_cold_allows (&limit, start + at))
+      {
+        cs_cold_take (&limit, start + at);
+        sent++;
+      }
+  EXPECT_LE (sent, 32U);
+}
+
 }
