Keep the stated cold period beside the assumed one

A failed connection marked the whole cold period as assumed, so that the next success cut it to cold_start_s, and an older entry that says 0 ended it. A target that had said that it would be cold for 10 s counted as warm 3 s after one failed connection.

Two ends are kept in place of one and a mark: as stated, and as in force. An assumption raises the second only, and what ends it never goes below the first. What a peer states is also recorded, and passed on, while an assumption is in force that lasts longer.

ColdLimit.FailedConnectionDoesNotShortenAStatedPeriod failed before.

--- a/cranberrystile/admission/cold_limit.c
+++ b/cranberrystile/admission/cold_limit.c
@@ -20,6 +20,12 @@
    target renews its entry every 1.2 s, and the rest is for delivery.  */
 #define ENTRY_AGE_US (2 * CS_US_PER_S)
 
+static cs_time_us_t
+max_time (cs_time_us_t left, cs_time_us_t right)
+{
+  return left > right ? left : right;
+}
+
 uint32_t
 cs_cold_permits (uint32_t per_s, size_t rank, size_t routers)
 {
@@ -34,6 +40,17 @@
   return cs_hash_pair (router, incarnation);
 }
 
+/* Whether STATEMENT surely was made after the latest cause to assume that the
+   target is cold.  */
+static bool
+is_after_assumption (const cs_cold_limit_t *limit, cs_cold_source_t source,
+                     cs_time_us_t now)
+{
+  return source == CS_COLD_ANSWER
+         || (source == CS_COLD_ENTRY
+             && now >= limit->assumed_at + ENTRY_AGE_US);
+}
+
 bool
 cs_cold_record (cs_cold_limit_t *limit, const cs_cold_statement_t *statement,
                 cs_time_us_t now)
@@ -42,18 +59,19 @@
                                ? statement->remaining_us
                                : CS_COLD_MAX_US;
   cs_time_us_t until = now + remaining;
-  bool is_longer = until > limit->until + MIN_LONGER_US;
   /* The store's entry and what peers say may be older than an answer that
      states a longer period.  */
-  bool counts = is_longer || statement->source == CS_COLD_ANSWER
-                || (statement->source == CS_COLD_ENTRY && limit->is_assumed
-                    && now >= limit->assumed_at + ENTRY_AGE_US);
-  if (!counts)
-    return false;
-  limit->until = until;
-  limit->is_assumed = false;
-  limit->awaits_success = false;
-  if (remaining == 0 || until <= limit->told_until + MIN_LONGER_US)
+  bool counts = statement->source == CS_COLD_ANSWER
+                || until > limit->stated_until + MIN_LONGER_US;
+  if (counts)
+    limit->stated_until = until;
+  if (is_after_assumption (limit, statement->source, now))
+    {
+      limit->until = limit->stated_until;
+      limit->awaits_success = false;
+    }
+  limit->until = max_time (limit->until, limit->stated_until);
+  if (!counts || remaining == 0 || until <= limit->told_until + MIN_LONGER_US)
     return false;
   limit->told_until = until;
   return true;
@@ -65,10 +83,7 @@
   if (until <= now)
     return;
   limit->assumed_at = now;
-  if (until <= limit->until)
-    return;
-  limit->until = until;
-  limit->is_assumed = true;
+  limit->until = max_time (limit->until, until);
 }
 
 void
@@ -89,10 +104,7 @@
       || (by_peers && now < limit->assumed_at + REPORT_AGE_US))
     return;
   limit->awaits_success = false;
-  if (!limit->is_assumed && now < limit->until)
-    return;
-  limit->until = now + start_us;
-  limit->is_assumed = true;
+  limit->until = max_time (limit->stated_until, now + start_us);
 }
 
 bool
@@ -104,9 +116,9 @@
 uint32_t
 cs_cold_stated_ms (const cs_cold_limit_t *limit, cs_time_us_t now)
 {
-  if (limit->is_assumed || !cs_cold_is_in_force (limit, now))
+  if (limit->stated_until <= now || limit->per_s == 0)
     return 0;
-  return (uint32_t)((limit->until - now) / CS_US_PER_MS);
+  return (uint32_t)((limit->stated_until - now) / CS_US_PER_MS);
 }
 
 /* Returns the number of the first part that may hold requests of the second
--- a/include/cranberrystile/cold_limit.h
+++ b/include/cranberrystile/cold_limit.h
@@ -41,17 +41,17 @@
 {
   uint32_t per_s;     /* requests a second from all routers; 0: no limit */
   uint32_t permits;   /* this router's in any second of a cold period */
-  cs_time_us_t until; /* when the cold period ends; 0: none was known */
-  bool is_assumed;    /* nobody has stated it */
-  cs_time_us_t assumed_at; /* latest cause for an assumption */
-  bool
-      awaits_success; /* a connection failed, and it has not responded since */
-  bool is_logged;     /* that it is cold */
-  cs_time_us_t told_until; /* the end that peers know */
-  uint64_t notice;         /* number of the latest notice to peers; 0: none */
-  uint64_t told_by;        /* the peer from which it came; 0: none */
-  uint32_t notice_hops;    /* routers that have passed it on */
-  uint64_t latest_part;    /* number of the part of the latest request */
+  cs_time_us_t until; /* when the cold period ends, as stated or as assumed;
+                         0: none was known */
+  cs_time_us_t stated_until; /* as stated; never above UNTIL */
+  cs_time_us_t assumed_at;   /* latest cause for an assumption */
+  bool awaits_success;       /* since a connection to it failed */
+  bool is_logged;            /* that it is cold */
+  cs_time_us_t told_until;   /* the end that peers know */
+  uint64_t notice;      /* number of the latest notice to peers; 0: none */
+  uint64_t told_by;     /* the peer from which it came; 0: none */
+  uint32_t notice_hops; /* routers that have passed it on */
+  uint64_t latest_part; /* number of the part of the latest request */
   uint32_t sent[CS_COLD_PARTS + 1]; /* in the latest parts, as a ring */
 } cs_cold_limit_t;
 
@@ -68,8 +68,8 @@
 bool cs_cold_record (cs_cold_limit_t *limit,
                      const cs_cold_statement_t *statement, cs_time_us_t now);
 
-/* The target is taken to be cold until UNTIL, unless it is said to be cold for
-   longer.  */
+/* The target is taken to be cold until UNTIL, or as long as is stated if that
+   is longer.  */
 void cs_cold_assume (cs_cold_limit_t *limit, cs_time_us_t until,
                      cs_time_us_t now);
 
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -440,4 +440,23 @@
   EXPECT_LE (sent, 32U);
 }
 
+// An assumption after a failed connection replaced what the target had said,
+// so that the next success, or an older entry, ended its cold period.
+TEST (ColdLimit, FailedConnectionDoesNotShortenAStatedPeriod)
+{
+  const cs_time_us_t now = 100 * SECOND;
+  cs_cold_statement_t cold = { CS_COLD_ANSWER, 10 * SECOND };
+  cs_cold_limit_t by_success = {};
+  by_success.per_s = LIMIT;
+  cs_cold_record (&by_success, &cold, now);
+  cs_cold_limit_t by_entry = by_success;
+  cs_cold_failed (&by_success, 3 * SECOND, now + SECOND);
+  cs_cold_succeeded (&by_success, 3 * SECOND, false, now + SECOND + 200 * MS);
+  EXPECT_TRUE (cs_cold_is_in_force (&by_success, now + 8 * SECOND));
+  cs_cold_failed (&by_entry, 3 * SECOND, now + 100 * MS);
+  cs_cold_statement_t entry = { CS_COLD_ENTRY, 0 };
+  cs_cold_record (&by_entry, &entry, now + 300 * MS);
+  EXPECT_TRUE (cs_cold_is_in_force (&by_entry, now + SECOND));
+}
+
 }
