Pass on a cold period that follows an early end

When an answer said that a target is no longer cold, the end that peers had been told of stayed recorded, so that a new period within that time was no news, and routers that knew of the end sent at full rate. The record is now reset once the stated period has ended.

ColdLimit.PeriodThatFollowsAnEarlyEndIsNews failed before.

--- a/cranberrystile/admission/cold_limit.c
+++ b/cranberrystile/admission/cold_limit.c
@@ -59,6 +59,9 @@
                                ? statement->remaining_us
                                : CS_COLD_MAX_US;
   cs_time_us_t until = now + remaining;
+  /* An answer may have ended the period that peers were told of.  */
+  if (limit->stated_until <= now)
+    limit->told_until = 0;
   /* The store's entry and what peers say may be older than an answer that
      states a longer period.  */
   bool counts = statement->source == CS_COLD_ANSWER
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -459,4 +459,19 @@
   EXPECT_TRUE (cs_cold_is_in_force (&by_entry, now + SECOND));
 }
 
+// It was cold, said that it no longer is, and has turned cold again before the
+// end that peers were told of.  Those that heard that it was warm don't know.
+TEST (ColdLimit, PeriodThatFollowsAnEarlyEndIsNews)
+{
+  cs_cold_limit_t limit = {};
+  limit.per_s = LIMIT;
+  cs_time_us_t now = 100 * SECOND;
+  cs_cold_statement_t cold = { CS_COLD_ANSWER, 10 * SECOND };
+  cs_cold_statement_t warm = { CS_COLD_ANSWER, 0 };
+  cs_cold_statement_t again = { CS_COLD_ANSWER, 3 * SECOND };
+  EXPECT_TRUE (cs_cold_record (&limit, &cold, now));
+  EXPECT_FALSE (cs_cold_record (&limit, &warm, now + SECOND));
+  EXPECT_TRUE (cs_cold_record (&limit, &again, now + 2 * SECOND));
+}
+
 }
