Let late messages of peers prolong a cold period only so far

The remaining time is stated when a message is written and counts from when it is read. Messages that were more than 0.5 s late looked like news and were told back, so that 3 s became more than 60 s. Lists of targets don't count hops, so nothing ended that.

A notice that prolongs a known period is now passed on only if it does so by more than 1.5 s; a notice that is sent again over a new link keeps its hops; and what came in a list only begins a period and isn't passed on, nor does it end an assumption.

ColdLimit.LateMessagesDontProlongThePeriodWithoutEnd failed before.

--- a/cranberrystile/admission/cold_limit.c
+++ b/cranberrystile/admission/cold_limit.c
@@ -9,6 +9,11 @@
    to be of a longer period.  They count if they say so much more.  */
 #define MIN_LONGER_US (500 * CS_US_PER_MS)
 
+/* What a peer says is late by the age of its message, again at each router
+   that passes it on.  A period that was known is passed on as prolonged only
+   if it is longer by more than that.  */
+#define PEER_LONGER_US (1500 * CS_US_PER_MS)
+
 /* A target that can't be reached is taken to be cold for so long after the
    last failure.  Routers without a permit send it nothing, and may not learn
    that others have reached it.  */
@@ -51,6 +56,35 @@
              && now >= limit->assumed_at + ENTRY_AGE_US);
 }
 
+/* Whether STATEMENT, that the target is cold until UNTIL, says more than what
+   was stated.  Answers are the latest word; the store's entry and what peers
+   say may be older.  A peer's list is for routers that knew of no period.  */
+static bool
+is_newer (const cs_cold_limit_t *limit, const cs_cold_statement_t *statement,
+          cs_time_us_t until, cs_time_us_t now)
+{
+  bool is_longer = until > limit->stated_until + MIN_LONGER_US;
+  if (statement->source == CS_COLD_ANSWER)
+    return true;
+  if (statement->source == CS_COLD_LIST)
+    return is_longer && limit->stated_until <= now;
+  return is_longer || (limit->is_from_list && until > now);
+}
+
+/* Records that peers are told of a period until UNTIL, as SOURCE says, and
+   returns whether they need to be.  */
+static bool
+tell_peers (cs_cold_limit_t *limit, cs_cold_source_t source,
+            cs_time_us_t until)
+{
+  cs_time_us_t margin
+      = source == CS_COLD_PEER ? PEER_LONGER_US : MIN_LONGER_US;
+  if (source == CS_COLD_LIST || until <= limit->told_until + margin)
+    return false;
+  limit->told_until = until;
+  return true;
+}
+
 bool
 cs_cold_record (cs_cold_limit_t *limit, const cs_cold_statement_t *statement,
                 cs_time_us_t now)
@@ -62,22 +96,20 @@
   /* An answer may have ended the period that peers were told of.  */
   if (limit->stated_until <= now)
     limit->told_until = 0;
-  /* The store's entry and what peers say may be older than an answer that
-     states a longer period.  */
-  bool counts = statement->source == CS_COLD_ANSWER
-                || until > limit->stated_until + MIN_LONGER_US;
+  bool counts = is_newer (limit, statement, until, now);
   if (counts)
-    limit->stated_until = until;
+    {
+      limit->stated_until = until;
+      limit->is_from_list = statement->source == CS_COLD_LIST;
+    }
   if (is_after_assumption (limit, statement->source, now))
     {
       limit->until = limit->stated_until;
       limit->awaits_success = false;
     }
   limit->until = max_time (limit->until, limit->stated_until);
-  if (!counts || remaining == 0 || until <= limit->told_until + MIN_LONGER_US)
-    return false;
-  limit->told_until = until;
-  return true;
+  return counts && remaining > 0
+         && tell_peers (limit, statement->source, until);
 }
 
 void
@@ -119,7 +151,7 @@
 uint32_t
 cs_cold_stated_ms (const cs_cold_limit_t *limit, cs_time_us_t now)
 {
-  if (limit->stated_until <= now || limit->per_s == 0)
+  if (limit->stated_until <= now || limit->is_from_list || limit->per_s == 0)
     return 0;
   return (uint32_t)((limit->stated_until - now) / CS_US_PER_MS);
 }
--- a/include/cranberrystile/cold_limit.h
+++ b/include/cranberrystile/cold_limit.h
@@ -26,7 +26,8 @@
 {
   CS_COLD_ANSWER, /* a response of the target to this router */
   CS_COLD_ENTRY,  /* its entry in the platform's store */
-  CS_COLD_PEER    /* another router */
+  CS_COLD_PEER,   /* another router's notice */
+  CS_COLD_LIST    /* another router's list of targets */
 } cs_cold_source_t;
 
 /* What is said of a target: it is cold for REMAINING_US, 0 if it isn't.  */
@@ -44,6 +45,7 @@
   cs_time_us_t until; /* when the cold period ends, as stated or as assumed;
                          0: none was known */
   cs_time_us_t stated_until; /* as stated; never above UNTIL */
+  bool is_from_list;         /* stated by a peer's list, and not passed on */
   cs_time_us_t assumed_at;   /* latest cause for an assumption */
   bool awaits_success;       /* since a connection to it failed */
   bool is_logged;            /* that it is cold */
@@ -86,8 +88,8 @@
 /* Whether the target is cold and its requests are limited.  */
 bool cs_cold_is_in_force (const cs_cold_limit_t *limit, cs_time_us_t now);
 
-/* Returns for how much longer it is cold, in milliseconds, as stated; 0 if it
-   isn't or nobody has stated it.  */
+/* Returns for how much longer it is cold, in milliseconds, as peers may be
+   told; 0 if it isn't, nobody has stated it, or only a peer's list has.  */
 uint32_t cs_cold_stated_ms (const cs_cold_limit_t *limit, cs_time_us_t now);
 
 /* Whether this router may send the target a request now.  */
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -31,6 +31,7 @@
   bool states_cold; /* COLD_MS is set */
   uint32_t cold_ms; /* it is cold for this much longer; 0: it isn't */
   uint64_t version; /* hash of the service and its software's version */
+  bool from_peer;   /* in another router's list, not the platform's */
   bool draining;
   cs_revision_t revision; /* of the platform's store, at this entry */
 } cs_target_entry_t;
--- a/router/cold.c
+++ b/router/cold.c
@@ -118,9 +118,13 @@
                const cs_cold_statement_t *statement, uint32_t hops,
                cs_time_us_t now)
 {
-  static const char *const sources[] = { "response", "entry", "peer" };
+  static const char *const sources[] = { "response", "entry", "peer", "peer" };
   bool was_in_force = cs_cold_is_in_force (&target->cold, now);
+  cs_time_us_t stated_until = target->cold.stated_until;
   bool is_news = cs_cold_record (&target->cold, statement, now);
+  /* Links that open later are told with so many hops, too.  */
+  if (target->cold.stated_until != stated_until)
+    target->cold.notice_hops = hops;
   /* Statements of a period come by far more often than one begins.  */
   if (!was_in_force)
     on_changed (router, target, sources[statement->source], now);
@@ -134,7 +138,7 @@
                      cs_time_us_t now)
 {
   cs_cold_statement_t statement
-      = { .source = CS_COLD_ENTRY,
+      = { .source = entry->from_peer ? CS_COLD_LIST : CS_COLD_ENTRY,
           .remaining_us = entry->cold_ms * CS_US_PER_MS };
   if (is_new)
     update_service (router, target);
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -57,7 +57,6 @@
   if (mesh == NULL || hops > CS_MAX_HOPS || !mesh->router->fleet_synced)
     return;
   target->cold.notice = ++mesh->cold.count;
-  target->cold.notice_hops = hops;
   target->cold.told_by = 0;
   cs_mesh_send_notices (mesh);
 }
@@ -188,7 +187,9 @@
     {
       const cs_cold_limit_t *limit = &targets[i]->cold;
       uint32_t remaining_ms
-          = limit->notice > since ? cs_cold_stated_ms (limit, now) : 0;
+          = limit->notice > since && limit->notice_hops <= CS_MAX_HOPS
+                ? cs_cold_stated_ms (limit, now)
+                : 0;
       if (remaining_ms == 0)
         continue;
       cs_cold_notice_t *notice = &cold->notices[cold->collected++];
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -474,4 +474,46 @@
   EXPECT_TRUE (cs_cold_record (&limit, &again, now + 2 * SECOND));
 }
 
+// Two routers whose messages are 600 ms late, as over a busy link: what one
+// says seems longer to the other, which tells it back.  The target was kept
+// cold for as long as they went on; lists of targets don't count the hops.
+TEST (ColdLimit, LateMessagesDontProlongThePeriodWithoutEnd)
+{
+  const cs_time_us_t start = 100 * SECOND;
+  cs_cold_limit_t routers[2] = {};
+  routers[0].per_s = routers[1].per_s = LIMIT;
+  cs_cold_statement_t said = { CS_COLD_ANSWER, 3 * SECOND };
+  cs_time_us_t now = start;
+  bool is_news = cs_cold_record (&routers[0], &said, now);
+  for (int i = 1; is_news && i <= 100; i++)
+    {
+      said = { CS_COLD_PEER,
+               cs_cold_stated_ms (&routers[(i - 1) % 2], now) * MS };
+      now += 600 * MS;
+      is_news = cs_cold_record (&routers[i % 2], &said, now);
+    }
+  EXPECT_LE (routers[0].until, start + 5 * SECOND);
+  EXPECT_LE (routers[1].until, start + 5 * SECOND);
+}
+
+// Lists of targets don't count hops: a period that came in one, and was passed
+// on, could go round for good.  Notices still pass where a list came first,
+// and those of a period that the target has prolonged.
+TEST (ColdLimit, PeriodOfAListIsNotPassedOn)
+{
+  const cs_time_us_t now = 100 * SECOND;
+  cs_cold_limit_t limit = cold (1, 0);
+  cs_cold_statement_t list = { CS_COLD_LIST, 3 * SECOND };
+  cs_cold_statement_t notice = { CS_COLD_PEER, 3 * SECOND };
+  EXPECT_FALSE (cs_cold_record (&limit, &list, now));
+  EXPECT_TRUE (cs_cold_is_in_force (&limit, now + 2 * SECOND));
+  EXPECT_EQ (cs_cold_stated_ms (&limit, now), 0U);
+  EXPECT_TRUE (cs_cold_record (&limit, &notice, now));
+  EXPECT_EQ (cs_cold_stated_ms (&limit, now), 3000U);
+  EXPECT_FALSE (cs_cold_record (&limit, &list, now + 2 * SECOND));
+  EXPECT_EQ (limit.until, now + 3 * SECOND);
+  EXPECT_TRUE (cs_cold_record (&limit, &notice, now + 2 * SECOND));
+  EXPECT_EQ (limit.until, now + 5 * SECOND);
+}
+
 }
