Keep the cold state of a target that is listed again

A cold target that was removed and listed again within a second, the same incarnation, started with an empty count of requests and without the end of its stated period, so that its share of the second was sent twice, or more if no response or entry stated the period again. The record of a removal now keeps the cold state, and its permits are updated on return.

ColdTarget.KeepsItsStateWhenItIsListedAgain failed before.

--- a/cranberrystile/fleet/fleet.c
+++ b/cranberrystile/fleet/fleet.c
@@ -11,6 +11,7 @@
   uint64_t started_ms;
   struct sockaddr_in address;
   bool was_leaving;
+  cs_cold_limit_t cold;
   cs_revision_t revision;
 } removal_record_t;
 
@@ -71,6 +72,7 @@
   removal->started_ms = target->started_ms;
   removal->address = target->address;
   removal->was_leaving = target->leaving;
+  removal->cold = target->cold;
   removal->revision = fleet->revision;
   fleet->next_removal = (fleet->next_removal + 1) % CS_FLEET_REMOVALS;
 }
@@ -166,6 +168,7 @@
   if (removal == NULL)
     return;
   target->leaving = target->leaving || removal->was_leaving;
+  target->cold = removal->cold;
   if (removal->revision.era < entry->revision.era)
     target->held_until = now + fleet->hold_us;
 }
@@ -342,9 +345,7 @@
     return false;
   if (cs_revision_compare (fleet->evicted_revision, (cs_revision_t){ 0 }) > 0)
     return true;
-  if (fleet->removals == NULL)
-    return false;
-  for (size_t i = 0; i < CS_FLEET_REMOVALS; i++)
+  for (size_t i = 0; fleet->removals != NULL && i < CS_FLEET_REMOVALS; i++)
     if (cs_str_equal (cs_name_str (&fleet->removals[i].id), id))
       return true;
   return false;
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -106,9 +106,9 @@
 
 /* Adds or updates the target of ENTRY.  A new incarnation of a known id
    replaces the old one; an entry with an older start is ignored.  An
-   incarnation that was leaving when it was removed still is; one that was
-   removed in an earlier era of the store is held.  Sets *ADDED if a new
-   incarnation was added.  Returns 0 or CS_ERR_NO_MEMORY.  */
+   incarnation that is added again after its removal is leaving and cold as it
+   was then; one that was removed in an earlier era of the store is held.  Sets
+   *ADDED if a new incarnation was added.  Returns 0 or CS_ERR_NO_MEMORY.  */
 int cs_fleet_put (cs_fleet_t *fleet, const cs_target_entry_t *entry,
                   cs_time_us_t now, bool *added);
 
--- a/router/cold.c
+++ b/router/cold.c
@@ -141,7 +141,11 @@
       = { .source = entry->from_peer ? CS_COLD_LIST : CS_COLD_ENTRY,
           .remaining_us = entry->cold_ms * CS_US_PER_MS };
   if (is_new)
-    update_service (router, target);
+    {
+      update_service (router, target);
+      /* It may have been removed while it was cold.  */
+      update_permits (router, target, now);
+    }
   if (entry->states_cold)
     cs_cold_apply (router, target, &statement, 0, now);
   else if (is_new)
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -516,4 +516,33 @@
   EXPECT_EQ (limit.until, now + 5 * SECOND);
 }
 
+// A target that was removed and listed again at once had an empty count of
+// requests, and the end of its stated period was lost.
+TEST (ColdTarget, KeepsItsStateWhenItIsListedAgain)
+{
+  cs_fleet_t *fleet = cs_fleet_create ([] (void *, cs_target_t *) {}, nullptr);
+  cs_time_us_t now = 100 * SECOND;
+  cs_target_entry_t entry = {};
+  bool added;
+  size_t count;
+  entry.id = cs_str ("i-1");
+  entry.started_ms = 1;
+  ASSERT_EQ (cs_fleet_put (fleet, &entry, now, &added), CS_OK);
+  cs_cold_limit_t *limit = &cs_fleet_targets (fleet, &count)[0]->cold;
+  *limit = cold (1, 0);
+  cs_cold_statement_t statement = { CS_COLD_ANSWER, 3 * SECOND };
+  cs_cold_record (limit, &statement, now);
+  cs_cold_take (limit, now);
+  for (uint64_t start : { 1, 2 })
+    {
+      entry.started_ms = start;
+      EXPECT_TRUE (cs_fleet_remove (fleet, entry.id, 0, now));
+      ASSERT_EQ (cs_fleet_put (fleet, &entry, now, &added), CS_OK);
+      limit = &cs_fleet_targets (fleet, &count)[0]->cold;
+      EXPECT_EQ (cs_cold_stated_ms (limit, now), start == 1 ? 3000U : 0U);
+      EXPECT_EQ (cs_cold_allows (limit, now), start == 2);
+    }
+  cs_fleet_destroy (fleet);
+}
+
 }
