Pass on a prolonged cold period once the entry confirms it

A hub that heard of a prolongation by 0.5 to 1.5 s in a notice records it without passing it on. The entry that states the same was then no longer than what the hub knew, so that its members were never told and took the target for warm up to 1.5 s early. What is news now depends on what peers were told, also for a statement that confirms what was known. The hops begin anew where the target or its entry states it.

ColdLimit.EntryPassesOnWhatAPeerProlonged failed before.

--- a/cranberrystile/admission/cold_limit.c
+++ b/cranberrystile/admission/cold_limit.c
@@ -96,8 +96,7 @@
   /* An answer may have ended the period that peers were told of.  */
   if (limit->stated_until <= now)
     limit->told_until = 0;
-  bool counts = is_newer (limit, statement, until, now);
-  if (counts)
+  if (is_newer (limit, statement, until, now))
     {
       limit->stated_until = until;
       limit->is_from_list = statement->source == CS_COLD_LIST;
@@ -108,7 +107,8 @@
       limit->awaits_success = false;
     }
   limit->until = max_time (limit->until, limit->stated_until);
-  return counts && remaining > 0
+  /* Also if it confirms what a peer said and was not passed on.  */
+  return remaining > 0 && limit->stated_until > now
          && tell_peers (limit, statement->source, until);
 }
 
--- a/router/cold.c
+++ b/router/cold.c
@@ -123,7 +123,7 @@
   cs_time_us_t stated_until = target->cold.stated_until;
   bool is_news = cs_cold_record (&target->cold, statement, now);
   /* Links that open later are told with so many hops, too.  */
-  if (target->cold.stated_until != stated_until)
+  if (target->cold.stated_until != stated_until || (is_news && hops == 0))
     target->cold.notice_hops = hops;
   /* Statements of a period come by far more often than one begins.  */
   if (!was_in_force)
--- a/tests/unit/cold_test.cc
+++ b/tests/unit/cold_test.cc
@@ -516,6 +516,22 @@
   EXPECT_EQ (limit.until, now + 5 * SECOND);
 }
 
+// A hub that had heard of a short prolongation by a peer, and had not passed
+// it on, took the entry that confirms it for known: its members never heard of
+// it.
+TEST (ColdLimit, EntryPassesOnWhatAPeerProlonged)
+{
+  const cs_time_us_t now = 100 * SECOND;
+  cs_cold_limit_t limit = cold (1, 0);
+  cs_cold_statement_t peer = { CS_COLD_PEER, 3 * SECOND };
+  cs_cold_statement_t entry = { CS_COLD_ENTRY, 2 * SECOND };
+  EXPECT_TRUE (cs_cold_record (&limit, &peer, now));
+  EXPECT_FALSE (cs_cold_record (&limit, &peer, now + SECOND));
+  EXPECT_EQ (limit.until, now + 4 * SECOND);
+  EXPECT_TRUE (cs_cold_record (&limit, &entry, now + 2 * SECOND));
+  EXPECT_FALSE (cs_cold_record (&limit, &entry, now + 2 * SECOND));
+}
+
 // A target that was removed and listed again at once had an empty count of
 // requests, and the end of its stated period was lost.
 TEST (ColdTarget, KeepsItsStateWhenItIsListedAgain)
