Start with a small evacuation_ms, too

A router that doesn't start serves nobody, which is worse than the calls that a small bound costs: with an evacuation_ms below call_timeout_ms + 600, where the bound can't be kept if a call is lost, every router asks the store itself.

--- a/common/settings_table.c
+++ b/common/settings_table.c
@@ -21,7 +21,7 @@
   unsigned line;
   const cs_settings_table_t *table;
   void *out;
-  unsigned lines[MAX_SETTINGS]; /* of each setting; 0: not set */
+  bool seen[MAX_SETTINGS];
   cs_buf_t *reason;
   int rc;
 } parse_state_t;
@@ -165,9 +165,9 @@
       if (strcmp (entry->section, section) != 0
           || strcmp (entry->key, key) != 0)
         continue;
-      if (state->lines[i] != 0)
+      if (state->seen[i])
         return report_error (state, section, key, "is set twice");
-      state->lines[i] = state->line;
+      state->seen[i] = true;
       const char *error = set_value (state->out, entry, value);
       return error == NULL ? 1 : report_error (state, section, key, error);
     }
@@ -201,7 +201,7 @@
   for (size_t i = 0; i < state->table->count; i++)
     {
       const cs_setting_t *entry = &state->table->settings[i];
-      if (state->lines[i] != 0)
+      if (state->seen[i])
         continue;
       if (entry->default_value == NULL)
         report_error (state, entry->section, entry->key, "is missing");
@@ -210,21 +210,6 @@
     }
 }
 
-static void
-report_conflict (parse_state_t *state)
-{
-  const cs_settings_table_t *table = state->table;
-  cs_setting_conflict_t conflict;
-  if (table->find_conflict == NULL
-      || !table->find_conflict (state->out, &conflict))
-    return;
-  for (size_t i = 0; i < table->count; i++)
-    if (strcmp (table->settings[i].section, conflict.section) == 0
-        && strcmp (table->settings[i].key, conflict.key) == 0)
-      state->line = state->lines[i];
-  report_error (state, conflict.section, conflict.key, conflict.what);
-}
-
 int
 cs_settings_table_parse (const cs_settings_table_t *table, const char *file,
                          const char *text, void *out, size_t size,
@@ -245,8 +230,6 @@
     report_error (&state, "-", "-", "cannot be read");
   if (state.rc == 0)
     apply_defaults (&state);
-  if (state.rc == 0)
-    report_conflict (&state);
   return state.rc;
 }
 
--- a/include/common/settings_table.h
+++ b/include/common/settings_table.h
@@ -53,15 +53,6 @@
   size_t count;
 } cs_setting_pairs_t;
 
-/* A setting whose value is valid by itself, but not beside those of others.
-   The first two name a setting of the table.  */
-typedef struct
-{
-  const char *section;
-  const char *key;
-  const char *what; /* is wrong with it */
-} cs_setting_conflict_t;
-
 typedef struct
 {
   const cs_setting_t *settings;
@@ -69,9 +60,6 @@
   const char *pairs_section; /* a section with any keys; NULL: none */
   size_t pairs_offset;       /* of the cs_setting_pairs_t for it */
   bool skips_unknown;        /* keys that aren't in the table are no errors */
-  /* Returns whether a conflict was found in SETTINGS.  NULL: none is looked
-     for.  */
-  bool (*find_conflict) (const void *settings, cs_setting_conflict_t *out);
 } cs_settings_table_t;
 
 /* Parses TEXT, called FILE in messages, into the structure at OUT, whose SIZE
--- a/router/settings.c
+++ b/router/settings.c
@@ -90,32 +90,11 @@
     OFFSET (unacknowledged_ms), 0, 600000, "2000" },
 };
 
-/* With less time, the permitted age of a confirmation would be below the
-   shortest watch: the bound could not be kept, and every router would ask the
-   platform all the time.  */
-static bool
-find_conflict (const void *all, cs_setting_conflict_t *out)
-{
-  const cs_router_settings_t *parsed = all;
-  double min_ms = (double)parsed->call_timeout_ms + EVACUATION_LOST_CALL_MS
-                  + MIN_EVACUATION_WATCH_MS;
-  if (parsed->evacuation_ms <= 0 || parsed->evacuation_ms >= min_ms)
-    return false;
-  *out = (cs_setting_conflict_t){
-    .section = "platform",
-    .key = "evacuation_ms",
-    .what = "is less than call_timeout_ms + 600, the time of a lost watch and "
-            "the call after it",
-  };
-  return true;
-}
-
 static const cs_settings_table_t table
     = { .settings = settings,
         .count = sizeof settings / sizeof settings[0],
         .pairs_section = "regions",
-        .pairs_offset = OFFSET (regions),
-        .find_conflict = find_conflict };
+        .pairs_offset = OFFSET (regions) };
 
 cs_time_us_t
 cs_router_settings_update_limit_us (const cs_router_settings_t *settings)
