versions: keep the only version of a service in the store

All routers are killed at the end of an outage of the store in which the entries of the old version's servers expire, and a server of a new version registers first.

While one version served, neither it nor the streams were saved anywhere. A router that had just started read the list of kind streams, found nothing, and took its history for complete.

Change: first hubs write the versions of a service also while there is one, and mark it as the base. The object is read 2 s and written 4 s after a hub's start; a write is not followed by a list any more, so a release costs a list less. A router that has just started, and finds no base in the store, trusts the only version that it knows only after lapse_ms, when expired entries are back.

Suites Versions, OutOfStep, SecondVersion, Peers, State, Restore, Start, Standstill pass.

--- a/cranberrystile/stream/version_history.c
+++ b/cranberrystile/stream/version_history.c
@@ -81,3 +81,25 @@
       }
   return count;
 }
+
+void
+cs_version_history_set_base (cs_version_history_t *history, uint64_t version)
+{
+  const cs_version_seen_t *base = find (history, version);
+  if (base == NULL)
+    return;
+  for (size_t i = 0; i < history->count; i++)
+    if (history->seen[i].service == base->service)
+      history->seen[i].is_base = history->seen[i].version == version;
+}
+
+uint64_t
+cs_version_history_base (const cs_version_history_t *history, uint64_t service,
+                         cs_time_us_t now)
+{
+  for (size_t i = 0; i < history->count; i++)
+    if (history->seen[i].service == service && history->seen[i].is_base
+        && has_streams (&history->seen[i], now))
+      return history->seen[i].version;
+  return 0;
+}
--- a/include/cranberrystile/version_history.h
+++ b/include/cranberrystile/version_history.h
@@ -23,6 +23,7 @@
   uint64_t service; /* hash of its name */
   uint64_t version; /* hash of the service and the version */
   cs_time_us_t seen_at;
+  bool is_base; /* the only version of the service before others joined */
 } cs_version_seen_t;
 
 /* Initialise with zeros.  */
@@ -53,4 +54,13 @@
                                  uint64_t service, cs_time_us_t now,
                                  uint64_t *version);
 
+/* Makes VERSION the base of its service, in place of any other.  Does nothing
+   if it is not known.  */
+void cs_version_history_set_base (cs_version_history_t *history,
+                                  uint64_t version);
+
+/* Returns the base version of SERVICE; 0: not known.  */
+uint64_t cs_version_history_base (const cs_version_history_t *history,
+                                  uint64_t service, cs_time_us_t now);
+
 #endif
--- a/include/platform/streams.h
+++ b/include/platform/streams.h
@@ -14,6 +14,7 @@
   uint64_t version; /* hash of the service and the version */
   uint64_t seen_ms; /* wall clock: when the last of its targets was gone; 0:
                        in service */
+  bool is_base;     /* see cs_version_seen_t */
 } cs_store_version_t;
 
 /* Appends the path of the object with the versions provided that it is at
--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -29,14 +29,16 @@
 }
 
 static int
-build_versions (const cs_stream_versions_t *versions, const char **method,
+build_versions (cs_stream_versions_t *versions, const char **method,
                 cs_buf_t *path, cs_buf_t *body, cs_time_us_t now)
 {
-  cs_store_version_t list[CS_VERSION_HISTORY_MAX];
-  size_t count = cs_stream_versions_list (versions, list, now);
+  versions->stored_count
+      = cs_stream_versions_list (versions, versions->stored, now);
   *method = versions->stored_revision != 0 ? "PUT" : "POST";
   int rc = cs_store_versions_path (versions->stored_revision, path);
-  return rc != 0 ? rc : cs_store_write_versions (list, count, body);
+  return rc != 0 ? rc
+                 : cs_store_write_versions (versions->stored,
+                                            versions->stored_count, body);
 }
 
 static int
@@ -304,6 +306,16 @@
   return is_ok || status == STATUS_CONFLICT || status == STATUS_NOT_FOUND;
 }
 
+/* The object that was written, if it was, is read before the next write: its
+   revision is not known.  */
+static bool
+on_versions_written (cs_stream_versions_t *versions, int status)
+{
+  if (!cs_http_is_success (status))
+    versions->stored_count = 0;
+  return cs_http_is_success (status) || status == STATUS_CONFLICT;
+}
+
 static bool
 on_removed (cs_stream_versions_t *versions, int status)
 {
@@ -326,9 +338,7 @@
     case CS_STREAM_CALL_READ:
       return read_page (versions, response, now);
     case CS_STREAM_CALL_WRITE_VERSIONS:
-      /* Whether it succeeded or not, the next list shows.  */
-      return cs_http_is_success (response->status)
-             || response->status == STATUS_CONFLICT;
+      return on_versions_written (versions, response->status);
     case CS_STREAM_CALL_SAVE:
       return on_saved (versions, response->status, now);
     case CS_STREAM_CALL_REMOVE:
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -116,6 +116,11 @@
 bool cs_stream_history_is_complete (const cs_stream_versions_t *versions,
                                     cs_time_us_t now);
 
+/* Whether targets whose entries had expired in an outage before this router
+   started are back in the list.  */
+bool cs_stream_targets_are_settled (const cs_stream_versions_t *versions,
+                                    cs_time_us_t now);
+
 /* Writes the versions that the store should name to OUT, and returns their
    number.  */
 size_t cs_stream_versions_list (const cs_stream_versions_t *versions,
--- a/router/store/stream_lookups.c
+++ b/router/store/stream_lookups.c
@@ -63,6 +63,17 @@
   return true;
 }
 
+/* Whether the only version that this router has found since its start may have
+   joined during an outage that ended the entries of the others.  */
+static bool
+may_lack_version (const cs_stream_versions_t *versions,
+                  const cs_version_lookup_t *lookup, cs_time_us_t now)
+{
+  return cs_version_history_base (&versions->history, lookup->service, now)
+             == 0
+         && !cs_stream_targets_are_settled (versions, now);
+}
+
 static int
 decide (const cs_stream_versions_t *versions, cs_version_lookup_t *lookup,
         bool targets_checked, cs_time_us_t now)
@@ -80,7 +91,8 @@
     }
   lookup->version = 0;
   if (!targets_checked || versions->synced_at == 0
-      || needs_list (versions, lookup, now))
+      || needs_list (versions, lookup, now)
+      || may_lack_version (versions, lookup, now))
     return CS_ERR_IN_PROGRESS;
   cs_version_history_count (&versions->history, lookup->service, now,
                             &lookup->version);
@@ -166,8 +178,9 @@
   cs_time_us_t limit
       = lookup->asked_at + SAVE_TIME_US
         + versions->router->settings.call_timeout_ms * CS_US_PER_MS;
-  if (now < limit)
-    return decide (versions, lookup, false, now);
+  if (now < limit
+      || (lookup->targets_checked && may_lack_version (versions, lookup, now)))
+    return decide (versions, lookup, lookup->targets_checked, now);
   lookup->is_over = true;
   bool none_can_know
       = cs_mesh_has_latest_targets (versions->router->mesh, lookup->asked_at);
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -7,8 +7,10 @@
 #include "router/mesh.h"
 #include "router/store/stream_internal.h"
 
-/* A first hub reads what the store names this long after its start.  */
-#define FIRST_READ_US (4 * CS_US_PER_S)
+/* A first hub reads what the store names this long after its start, and writes
+   the only version of a service after that: not while all routers start.  */
+#define FIRST_READ_US (2 * CS_US_PER_S)
+#define FIRST_WRITE_US (4 * CS_US_PER_S)
 
 bool
 cs_stream_versions_are_several (const cs_stream_versions_t *versions,
@@ -61,6 +63,8 @@
         age = (wall_ms - stored->seen_ms) * CS_US_PER_MS;
       seen.seen_at = age < now ? now - age : 0;
       cs_version_history_see (&versions->history, &seen, now);
+      if (stored->is_base)
+        cs_version_history_set_base (&versions->history, stored->version);
     }
 }
 
@@ -73,12 +77,19 @@
   for (size_t i = 0; i < history->count; i++)
     {
       const cs_version_seen_t *seen = &history->seen[i];
-      bool is_present = seen->seen_at >= versions->updated_at;
+      uint64_t version;
+      /* The only version of a service counts as present until it is forgotten:
+         that its targets come and go costs no calls.  */
+      bool is_present
+          = seen->seen_at >= versions->updated_at
+            || cs_version_history_count (history, seen->service, now, &version)
+                   == 1;
       out[i] = (cs_store_version_t){
         .service = seen->service,
         .version = seen->version,
         .seen_ms
         = is_present ? 0 : wall_ms - (now - seen->seen_at) / CS_US_PER_MS,
+        .is_base = seen->is_base,
       };
     }
   return history->count;
@@ -93,32 +104,71 @@
   return NULL;
 }
 
-/* Whether the store should be told of a change.  It needs no object while
-   there has never been more than one version of a service.  */
+/* Whether the store should be told of a change.  */
 static bool
 differs_from_stored (const cs_stream_versions_t *versions, cs_time_us_t now)
 {
   cs_store_version_t list[CS_VERSION_HISTORY_MAX];
-  if (versions->stored_revision == 0 && versions->stored_count == 0
-      && !cs_stream_versions_are_several (versions, now))
-    return false;
   size_t count = cs_stream_versions_list (versions, list, now);
   for (size_t i = 0; i < count; i++)
     {
       const cs_store_version_t *stored
           = find_stored (versions, list[i].version);
-      if (stored == NULL || (stored->seen_ms == 0) != (list[i].seen_ms == 0))
+      if (stored == NULL || (stored->seen_ms == 0) != (list[i].seen_ms == 0)
+          || stored->is_base != list[i].is_base)
         return true;
     }
   return count < versions->stored_count;
 }
 
+bool
+cs_stream_targets_are_settled (const cs_stream_versions_t *versions,
+                               cs_time_us_t now)
+{
+  return versions->synced_at != 0
+         && now >= versions->synced_at
+                       + versions->router->settings.lapse_ms * CS_US_PER_MS;
+}
+
+/* A version that has been the only one of its service for as long as streams
+   live is its base.  So is the only one that a router finds after its start,
+   unless the store names another.  */
+static void
+find_bases (cs_stream_versions_t *versions, cs_time_us_t now)
+{
+  cs_version_history_t *history = &versions->history;
+  uint64_t version;
+  if (!cs_stream_history_is_complete (versions, now)
+      || !cs_stream_targets_are_settled (versions, now))
+    return;
+  for (size_t i = 0; i < history->count; i++)
+    {
+      uint64_t service = history->seen[i].service;
+      if (cs_version_history_base (history, service, now) == 0
+          && cs_version_history_count (history, service, now, &version) == 1)
+        cs_version_history_set_base (history, version);
+    }
+}
+
 static bool
 is_first_hub (const cs_stream_versions_t *versions)
 {
   return cs_mesh_is_first_hub (versions->router->mesh);
 }
 
+/* Whether the object with the versions has to be read or written.  */
+static bool
+is_object_due (const cs_stream_versions_t *versions, cs_time_us_t now)
+{
+  if (!is_first_hub (versions))
+    return false;
+  if (!versions->is_read && now >= versions->synced_at + FIRST_READ_US)
+    return true;
+  return (now >= versions->synced_at + FIRST_WRITE_US
+          || cs_stream_versions_are_several (versions, now))
+         && differs_from_stored (versions, now);
+}
+
 void
 cs_stream_versions_update (cs_stream_versions_t *versions, cs_time_us_t now)
 {
@@ -132,6 +182,7 @@
   bool is_new = see_targets (versions, now);
   versions->updated_at = now;
   cs_version_history_expire (&versions->history, now);
+  find_bases (versions, now);
   cs_stream_table_expire (versions->own, now);
   cs_stream_table_expire (versions->known, now);
   /* Streams in progress began when there was one version.  */
@@ -141,11 +192,7 @@
     versions->unsaved_since = 0;
   if (cs_stream_hub_is_late (versions, now))
     versions->save_due = true;
-  versions->versions_due
-      = is_first_hub (versions)
-        && (differs_from_stored (versions, now)
-            || (!versions->is_read
-                && now >= versions->synced_at + FIRST_READ_US));
+  versions->versions_due = is_object_due (versions, now);
   cs_stream_lookups_update (versions, now);
   cs_stream_calls_start (versions, now);
 }
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -31,9 +31,9 @@
 TEST (VersionHistory, GoneVersionCountsWhileItsStreamsLast)
 {
   cs_version_history_t history = {};
-  cs_version_seen_t old_one = { 1, 10, 100 * SECOND };
-  cs_version_seen_t new_one = { 1, 11, 120 * SECOND };
-  cs_version_seen_t elsewhere = { 2, 12, 120 * SECOND };
+  cs_version_seen_t old_one = { 1, 10, 100 * SECOND, false };
+  cs_version_seen_t new_one = { 1, 11, 120 * SECOND, false };
+  cs_version_seen_t elsewhere = { 2, 12, 120 * SECOND, false };
   EXPECT_TRUE (cs_version_history_see (&history, &old_one, 100 * SECOND));
   EXPECT_TRUE (cs_version_history_see (&history, &new_one, 120 * SECOND));
   EXPECT_TRUE (cs_version_history_see (&history, &elsewhere, 120 * SECOND));
@@ -52,7 +52,7 @@
   cs_version_history_t history = {};
   for (uint64_t i = 0; i <= CS_VERSION_HISTORY_MAX; i++)
     {
-      cs_version_seen_t seen = { 1, 1000 + i, 100 * SECOND + i };
+      cs_version_seen_t seen = { 1, 1000 + i, 100 * SECOND + i, false };
       EXPECT_TRUE (cs_version_history_see (&history, &seen, 101 * SECOND));
     }
   EXPECT_EQ (history.count, size_t (CS_VERSION_HISTORY_MAX));
@@ -175,7 +175,7 @@
 
 TEST (StreamObjects, VersionsAreReadAsTheyWereWritten)
 {
-  cs_store_version_t written[] = { { 1, 2, 0 }, { 1, 3, 99 } };
+  cs_store_version_t written[] = { { 1, 2, 0, false }, { 1, 3, 99, true } };
   cs_store_version_t read[4];
   cs_buf_t text = {};
   ASSERT_EQ (cs_store_write_versions (written, 2, &text), CS_OK);
@@ -185,6 +185,8 @@
   });
   EXPECT_EQ (read[1].service, 1U);
   EXPECT_EQ (read[0].version, 2U);
+  EXPECT_FALSE (read[0].is_base);
+  EXPECT_TRUE (read[1].is_base);
   cs_buf_free (&text);
 }
 
