versions: take unrecorded streams up at the base version

Cause, from the logs: the version of a stream is passed on when a router sees a second version, which a frozen, killed or cut-off one doesn't. Both lists that a take-up reads lack the stream, and two versions are possible, so it was refused, though it had begun before the second one.

Change: a stream that begins at another version than the base is saved before its first event; so one without a record began at the base, and goes on there, while most targets have that version. New streams begin at the base while saves fail or are slow. Ended streams of other versions stay recorded for as long as callers wait. A full table is noted in the object and makes readers refuse.

--- a/cranberrystile/routing/routing.c
+++ b/cranberrystile/routing/routing.c
@@ -3,6 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Callers abandon a stream after the longest of this, four times the objective
+   for its first event and eight times that for the pauses between events.  */
+#define MIN_PATIENCE_MS 2000
+#define PATIENCE_OBJECTIVES 4
+#define PATIENCE_GAPS 8
+
 cs_routing_t *
 cs_routing_create (void)
 {
@@ -119,3 +125,22 @@
                  sizeof *routing->keys, compare_keys);
   return found == NULL ? NULL : &routing->organisations[found->organisation];
 }
+
+cs_time_us_t
+cs_routing_stream_patience_us (const cs_routing_t *routing)
+{
+  uint64_t patience_ms = MIN_PATIENCE_MS;
+  for (size_t i = 0; i < routing->route_count; i++)
+    {
+      const cs_route_t *route = &routing->routes[i];
+      uint64_t first_ms
+          = (uint64_t)route->latency_objective_ms * PATIENCE_OBJECTIVES;
+      uint64_t gap_ms
+          = (uint64_t)route->event_gap_objective_ms * PATIENCE_GAPS;
+      if (route->kind != CS_ROUTE_STREAMING)
+        continue;
+      patience_ms = first_ms > patience_ms ? first_ms : patience_ms;
+      patience_ms = gap_ms > patience_ms ? gap_ms : patience_ms;
+    }
+  return patience_ms * CS_US_PER_MS;
+}
--- a/cranberrystile/stream/version_history.c
+++ b/cranberrystile/stream/version_history.c
@@ -93,6 +93,16 @@
       history->seen[i].is_base = history->seen[i].version == version;
 }
 
+bool
+cs_version_history_is_base (const cs_version_history_t *history,
+                            uint64_t version)
+{
+  for (size_t i = 0; i < history->count; i++)
+    if (history->seen[i].version == version)
+      return history->seen[i].is_base;
+  return false;
+}
+
 uint64_t
 cs_version_history_base (const cs_version_history_t *history, uint64_t service,
                          cs_time_us_t now)
@@ -103,3 +113,33 @@
       return history->seen[i].version;
   return 0;
 }
+
+uint64_t
+cs_version_history_main_base (const cs_version_history_t *history,
+                              uint64_t service, cs_time_us_t now)
+{
+  uint64_t base = cs_version_history_base (history, service, now);
+  uint32_t of_base = 0;
+  uint32_t all = 0;
+  for (size_t i = 0; i < history->count; i++)
+    {
+      const cs_version_seen_t *seen = &history->seen[i];
+      if (seen->service != service)
+        continue;
+      all += seen->targets;
+      if (seen->version == base)
+        of_base = seen->targets;
+    }
+  return 2 * of_base > all ? base : 0;
+}
+
+void
+cs_version_history_count_target (cs_version_history_t *history,
+                                 uint64_t version)
+{
+  cs_version_seen_t *seen = find (history, version);
+  if (seen != NULL)
+    seen->targets++;
+  for (size_t i = 0; version == 0 && i < history->count; i++)
+    history->seen[i].targets = 0;
+}
--- a/include/cranberrystile/routing.h
+++ b/include/cranberrystile/routing.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/clock.h"
 #include "common/str.h"
 #include "cranberrystile/regions.h"
 
@@ -143,4 +144,8 @@
                                              const cs_route_t *route,
                                              double fraction);
 
+/* Returns the longest time that callers wait for an event of a stream before
+   they take it up, by the objectives of all routes.  */
+cs_time_us_t cs_routing_stream_patience_us (const cs_routing_t *routing);
+
 #endif
--- a/include/cranberrystile/version_history.h
+++ b/include/cranberrystile/version_history.h
@@ -23,7 +23,8 @@
   uint64_t service; /* hash of its name */
   uint64_t version; /* hash of the service and the version */
   cs_time_us_t seen_at;
-  bool is_base; /* the only version of the service before others joined */
+  bool is_base;     /* the only version of the service before others joined */
+  uint32_t targets; /* that have it now */
 } cs_version_seen_t;
 
 /* Initialise with zeros.  */
@@ -59,8 +60,20 @@
 void cs_version_history_set_base (cs_version_history_t *history,
                                   uint64_t version);
 
+bool cs_version_history_is_base (const cs_version_history_t *history,
+                                 uint64_t version);
+
 /* Returns the base version of SERVICE; 0: not known.  */
 uint64_t cs_version_history_base (const cs_version_history_t *history,
                                   uint64_t service, cs_time_us_t now);
 
+/* Returns the base version of SERVICE if most of its targets have it; 0: they
+   don't, or it is not known.  */
+uint64_t cs_version_history_main_base (const cs_version_history_t *history,
+                                       uint64_t service, cs_time_us_t now);
+
+/* Counts a target of VERSION, or, if that is 0, forgets those counted.  */
+void cs_version_history_count_target (cs_version_history_t *history,
+                                      uint64_t version);
+
 #endif
--- a/include/platform/streams.h
+++ b/include/platform/streams.h
@@ -39,13 +39,15 @@
 
 /* Calls FN with each stream of a router's object; those that can't be read are
    left out.  Returns until when (wall clock, in milliseconds) callers may take
-   them up, or 0 if OBJECT isn't a router's.  */
+   them up, or 0 if OBJECT isn't a router's.  Stores in *IS_PARTIAL whether the
+   router had more streams than the object has.  */
 uint64_t cs_store_read_streams (const cs_store_object_t *object,
-                                cs_store_stream_fn *fn, void *context);
+                                cs_store_stream_fn *fn, void *context,
+                                bool *is_partial);
 
-/* Appends the object NAME with the records of TABLE to OUT.  Returns 0 or
-   CS_ERR_NO_MEMORY.  */
+/* Appends the object NAME with the records of TABLE to OUT.  IS_PARTIAL: there
+   were more streams than TABLE has.  Returns 0 or CS_ERR_NO_MEMORY.  */
 int cs_store_write_streams (cs_str_t name, const cs_stream_table_t *table,
-                            uint64_t until_ms, cs_buf_t *out);
+                            uint64_t until_ms, bool is_partial, cs_buf_t *out);
 
 #endif
--- a/include/router/stream_versions.h
+++ b/include/router/stream_versions.h
@@ -12,6 +12,9 @@
 #include "cranberrystile/stream_table.h"
 #include "router/router.h"
 
+/* A save within this time delays no first event.  */
+#define CS_STREAM_PROMPT_SAVE_US (200 * CS_US_PER_MS)
+
 typedef struct cs_version_lookup cs_version_lookup_t;
 
 /* Called with the result of a lookup: CS_OK, or CS_ERR_UNKNOWN_VERSION.  */
@@ -68,6 +71,17 @@
                                    const cs_stream_record_t *record,
                                    cs_time_us_t now);
 
+/* The version at which streams of SERVICE should begin while others can't be
+   saved in time; 0: any.  */
+uint64_t cs_stream_versions_preferred (const cs_stream_versions_t *versions,
+                                       uint64_t service, cs_time_us_t now);
+
+/* Whether a stream of SERVICE that begins at VERSION must not bring its caller
+   an event before it is saved: unrecorded ones go on at another version.  */
+bool cs_stream_versions_must_save (const cs_stream_versions_t *versions,
+                                   uint64_t service, uint64_t version,
+                                   cs_time_us_t now);
+
 /* The whole stream was sent.  */
 void cs_stream_versions_end (cs_stream_versions_t *versions, uint64_t stream,
                              cs_time_us_t now);
--- a/router/forward/choice.c
+++ b/router/forward/choice.c
@@ -197,7 +197,7 @@
       && forward->connection == NULL)
     cs_load_shedder_record (&forward->service->load_shedder, forward->rank,
                             now);
-  uint64_t preferred = cs_forward_preferred_version (forward);
+  uint64_t preferred = cs_forward_preferred_version (forward, now);
   int rc = choose_version (forward, preferred, choice, now);
   if (rc != 0 && preferred != forward->version
       && cs_forward_may_change_version (forward, now))
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -303,7 +303,7 @@
   forward->received_at = now;
   forward->routing = cs_routing_reference (router->routing);
   cs_timer_init (&forward->deadline_timer, router->loop, on_deadline, forward);
-  cs_timer_init (&forward->hold_timer, router->loop, cs_forward_end_hold,
+  cs_timer_init (&forward->hold_timer, router->loop, cs_forward_check_hold,
                  forward);
   cs_timer_init (&forward->watchdog, router->loop, cs_forward_check_silence,
                  forward);
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -181,7 +181,8 @@
 /* The version at which the request is sent next if a target of it can be
    chosen; 0: any.  The store may name the version that was recorded for it
    until another one is saved.  */
-uint64_t cs_forward_preferred_version (const cs_forward_t *forward);
+uint64_t cs_forward_preferred_version (const cs_forward_t *forward,
+                                       cs_time_us_t now);
 
 /* Whether the request may be sent to another version than the preferred one:
    not while the current target may still answer and the other version can't be
@@ -198,8 +199,9 @@
    not be sent unsaved.  */
 void cs_forward_end_wait_for_save (cs_forward_t *forward);
 
-/* Callback of the timer of that wait.  */
-void cs_forward_end_hold (void *forward, cs_time_us_t now);
+/* Callback of the timer of that wait: ends it unless the events must be saved
+   first.  */
+void cs_forward_check_hold (void *forward, cs_time_us_t now);
 
 /* start_hold.c */
 
--- a/router/forward/version.c
+++ b/router/forward/version.c
@@ -5,10 +5,14 @@
 
 /* Reading from the target pauses while more than this waits for the save.  */
 #define MAX_HELD_BYTES (64U * 1024)
-/* Events wait for the version of their stream to be saved until this much
-   after the request was sent: a store that is slow must not make all streams
-   late.  */
-#define MAX_SAVE_US (200 * CS_US_PER_MS)
+/* How often it is checked whether events that wait still have to.  */
+#define SAVE_RECHECK_US (100 * CS_US_PER_MS)
+
+static uint64_t
+service_hash (const cs_forward_t *forward)
+{
+  return cs_hash (cs_name_str (&forward->service->name), 0);
+}
 
 /* The stream goes on at the service that began it, also if the route is shared
    by several.  */
@@ -71,7 +75,7 @@
   forward->stream = begun_by.len > 0 ? cs_hash (begun_by, 0) : 0;
   forward->lookup = (cs_version_lookup_t){
     .stream = forward->stream,
-    .service = cs_hash (cs_name_str (&forward->service->name), 0),
+    .service = service_hash (forward),
     .on_result = on_version_found,
     .context = forward,
   };
@@ -97,8 +101,7 @@
                                 .version = forward->target->version,
                                 .until = forward->received_at + life_us };
   uint64_t number = cs_stream_versions_begin (
-      forward->router->stream_versions,
-      cs_hash (cs_name_str (&forward->service->name), 0), &record, now);
+      forward->router->stream_versions, service_hash (forward), &record, now);
   /* A stream that is taken up was saved before.  */
   forward->save.number = forward->request.last_event_id.len > 0 ? 0 : number;
   if (forward->recorded_version != 0
@@ -108,12 +111,16 @@
 }
 
 uint64_t
-cs_forward_preferred_version (const cs_forward_t *forward)
+cs_forward_preferred_version (const cs_forward_t *forward, cs_time_us_t now)
 {
   bool may_have_run = forward->outcome_unknown || forward->connection != NULL;
-  if (forward->version != 0 || !may_have_run)
+  if (forward->version != 0)
     return forward->version;
-  return forward->recorded_version;
+  if (may_have_run)
+    return forward->recorded_version;
+  return cs_forward_is_resumable (forward) ? cs_stream_versions_preferred (
+             forward->router->stream_versions, service_hash (forward), now)
+                                           : 0;
 }
 
 bool
@@ -148,12 +155,24 @@
   return true;
 }
 
+/* Whether events must not be sent before the version of the stream is saved,
+   however long that takes.  Otherwise a store that is slow must not make all
+   streams late.  */
+static bool
+must_save (const cs_forward_t *forward, cs_time_us_t now)
+{
+  return forward->must_save
+         || cs_stream_versions_must_save (forward->router->stream_versions,
+                                          service_hash (forward),
+                                          forward->recorded_version, now);
+}
+
 void
 cs_forward_end_wait_for_save (cs_forward_t *forward)
 {
   if (!end_hold (forward))
     return;
-  if (!forward->must_save)
+  if (!must_save (forward, cs_loop_now (forward->router->loop)))
     {
       cs_forward_flush (forward);
       return;
@@ -163,8 +182,8 @@
   forward->events = (cs_event_stream_t){ 0 };
 }
 
-void
-cs_forward_end_hold (void *context, cs_time_us_t now)
+static void
+on_saved (void *context, cs_time_us_t now)
 {
   cs_forward_t *forward = context;
   if (!end_hold (forward))
@@ -173,6 +192,16 @@
   cs_forward_flush (forward);
 }
 
+void
+cs_forward_check_hold (void *context, cs_time_us_t now)
+{
+  cs_forward_t *forward = context;
+  if (must_save (forward, now))
+    cs_timer_set (&forward->hold_timer, SAVE_RECHECK_US);
+  else
+    on_saved (forward, now);
+}
+
 void
 cs_forward_flush_events (cs_forward_t *forward)
 {
@@ -186,10 +215,10 @@
   if (forward->is_held || forward->response_body.len == 0)
     return;
   cs_time_us_t now = cs_loop_now (forward->router->loop);
-  cs_time_us_t held_until = forward->sent_at + MAX_SAVE_US;
-  forward->save.on_saved = cs_forward_end_hold;
+  cs_time_us_t held_until = forward->sent_at + CS_STREAM_PROMPT_SAVE_US;
+  forward->save.on_saved = on_saved;
   forward->save.context = forward;
-  if ((now >= held_until && !forward->must_save)
+  if ((now >= held_until && !must_save (forward, now))
       || cs_stream_versions_wait (forward->router->stream_versions,
                                   &forward->save))
     {
@@ -197,6 +226,6 @@
       return;
     }
   forward->is_held = true;
-  if (!forward->must_save)
-    cs_timer_set (&forward->hold_timer, held_until - now);
+  cs_timer_set (&forward->hold_timer,
+                now < held_until ? held_until - now : SAVE_RECHECK_US);
 }
--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -15,7 +15,7 @@
 
 static int
 build_save (const cs_stream_versions_t *versions, const char **method,
-            cs_buf_t *path, cs_buf_t *body)
+            cs_buf_t *path, cs_buf_t *body, cs_time_us_t now)
 {
   cs_str_t name = cs_name_str (&versions->name);
   cs_str_t no_name = { "", 0 };
@@ -23,9 +23,9 @@
   *method = versions->is_saved ? "PUT" : "POST";
   int rc = cs_store_object_path (CS_STORE_STREAMS,
                                  versions->is_saved ? name : no_name, path);
-  return rc != 0
-             ? rc
-             : cs_store_write_streams (name, versions->own, until_ms, body);
+  return rc != 0 ? rc
+                 : cs_store_write_streams (name, versions->own, until_ms,
+                                           now < versions->lost_until, body);
 }
 
 static int
@@ -64,6 +64,7 @@
   versions->list_has_versions = false;
   versions->removable_count = 0;
   versions->known_at = 0;
+  versions->known_is_partial = false;
   cs_stream_table_clear (versions->known);
 }
 
@@ -91,7 +92,7 @@
       versions->save_due = false;
       versions->saving_number = versions->last_number;
       cs_mesh_streams_saving (versions->router->mesh);
-      rc = build_save (versions, &method, &path, &body);
+      rc = build_save (versions, &method, &path, &body, now);
       break;
     case CS_STREAM_CALL_REMOVE:
       method = "DELETE";
@@ -191,7 +192,10 @@
                                 .until = reader->now + CS_STREAM_LIFE_US };
   if (cs_stream_table_merge (reader->versions->known, &record, reader->now)
       != 0)
-    reader->versions->router->counters.streams_not_recorded++;
+    {
+      reader->versions->router->counters.streams_not_recorded++;
+      reader->versions->known_is_partial = true;
+    }
 }
 
 static void
@@ -225,7 +229,11 @@
   reader_t reader = { versions, now };
   if (cs_str_equal (object->name, cs_name_str (&versions->name)))
     return;
-  uint64_t until_ms = cs_store_read_streams (object, add_known, &reader);
+  bool is_partial;
+  uint64_t until_ms
+      = cs_store_read_streams (object, add_known, &reader, &is_partial);
+  if (is_partial)
+    versions->known_is_partial = true;
   /* Clocks of routers may differ by less than the life of a stream.  */
   if (until_ms != 0
       && until_ms + CS_STREAM_LIFE_US / CS_US_PER_MS < cs_clock_wall_ms ())
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -51,6 +51,10 @@
   uint64_t saving_number; /* in the save in progress */
   uint64_t saved_number;
   cs_time_us_t unsaved_since; /* when one was due that is not saved; 0: none */
+  cs_time_us_t save_us;       /* what the latest save took */
+  cs_time_us_t patience_us;   /* callers that get nothing more of a stream take
+                                 it up within this time */
+  uint64_t patience_version;  /* of the configuration that it is from */
   cs_time_us_t pass_at;       /* to the hub; 0: nothing to pass */
   cs_time_us_t carries_until; /* members rely on this router */
   uint64_t ended[CS_STREAM_ENDED_MAX]; /* to tell the hub */
@@ -73,8 +77,10 @@
   uint64_t read_era;
   cs_time_us_t read_at; /* when the latest list began, in LIST_ERA */
   uint64_t list_era;
-  bool list_has_versions; /* the object with the versions was in it */
-  cs_name_t page_after;   /* last name on the previous page; empty: none */
+  bool list_has_versions;  /* the object with the versions was in it */
+  bool known_is_partial;   /* streams are missing from KNOWN */
+  cs_time_us_t lost_until; /* streams are missing from OWN */
+  cs_name_t page_after;    /* last name on the previous page; empty: none */
   cs_removable_t
       removable[CS_STREAM_REMOVABLE_MAX]; /* their streams are over */
   size_t removable_count;
--- a/router/store/stream_lookups.c
+++ b/router/store/stream_lookups.c
@@ -84,7 +84,9 @@
       if (lookup->version == CS_STREAM_VERSION_AMBIGUOUS)
         return CS_ERR_UNKNOWN_VERSION;
       lookup->lacks_target
-          = !targets_checked && !lookup->is_over
+          = !lookup->is_over
+            && (!targets_checked
+                || !cs_stream_targets_are_settled (versions, now))
             && cs_fleet_find_version (versions->router->fleet, lookup->version)
                    == NULL;
       return lookup->lacks_target ? CS_ERR_IN_PROGRESS : CS_OK;
@@ -151,6 +153,8 @@
        lookup = lookup->next)
     {
       cs_time_us_t due = list_due (lookup);
+      if (lookup->reads >= MAX_READS || lookup->lacks_target)
+        continue;
       if (needs_list (versions, lookup, now) && (first == 0 || due < first))
         first = due;
     }
@@ -168,8 +172,29 @@
   return false;
 }
 
+/* Decides on LOOKUP when no router has recorded its stream.  Those that begin
+   at another version than the base are recorded before their first event while
+   most targets have the base.  */
+static int
+decide_unrecorded (const cs_stream_versions_t *versions,
+                   cs_version_lookup_t *lookup, cs_time_us_t now)
+{
+  const cs_version_history_t *history = &versions->history;
+  if (versions->known_is_partial)
+    return CS_ERR_UNKNOWN_VERSION;
+  lookup->version
+      = cs_version_history_main_base (history, lookup->service, now);
+  if (lookup->version != 0)
+    return CS_OK;
+  return cs_version_history_base (history, lookup->service, now) != 0
+                 && !cs_stream_targets_are_settled (versions, now)
+             ? CS_ERR_IN_PROGRESS
+             : CS_ERR_UNKNOWN_VERSION;
+}
+
 /* The store can't be read for so long that the search ends.  While no router
-   can read it, none can learn of a version either.  */
+   can read it, none can learn of a version either.  A router that has read it
+   waits for the entries that may come back.  */
 static int
 decide_at_end (const cs_stream_versions_t *versions,
                cs_version_lookup_t *lookup, cs_time_us_t started_at,
@@ -178,8 +203,11 @@
   cs_time_us_t limit
       = lookup->asked_at + SAVE_TIME_US
         + versions->router->settings.call_timeout_ms * CS_US_PER_MS;
+  if (lookup->reads >= MAX_READS)
+    return decide_unrecorded (versions, lookup, now);
+  bool has_read = lookup->targets_checked || lookup->reads > 0;
   if (now < limit
-      || (lookup->targets_checked && may_lack_version (versions, lookup, now)))
+      || (has_read && !cs_stream_targets_are_settled (versions, now)))
     return decide (versions, lookup, lookup->targets_checked, now);
   lookup->is_over = true;
   bool none_can_know
@@ -201,7 +229,7 @@
     return rc;
   lookup->reads++;
   return lookup->reads < MAX_READS ? CS_ERR_IN_PROGRESS
-                                   : CS_ERR_UNKNOWN_VERSION;
+                                   : decide_unrecorded (versions, lookup, now);
 }
 
 static int
--- a/router/store/stream_saves.c
+++ b/router/store/stream_saves.c
@@ -6,8 +6,9 @@
 
 /* Streams that begin within this time are saved, or passed on, together.  */
 #define COLLECT_US (10 * CS_US_PER_MS)
-/* A stream that was sent whole may be cut off before it has arrived; its
-   caller takes it up within this time.  */
+/* A stream that was sent whole may be cut off before it has arrived.  Its
+   caller takes it up within this time, or, if nothing shows the cut, within
+   this much more than callers wait for an event.  */
 #define DELIVERY_US (1 * CS_US_PER_S)
 /* A hub that hasn't saved a stream within this time is not relied on.  */
 #define MAX_UNSAVED_US (600 * CS_US_PER_MS)
@@ -21,6 +22,13 @@
     versions->pass_at = now + COLLECT_US;
 }
 
+static void
+on_not_recorded (cs_stream_versions_t *versions, cs_time_us_t now)
+{
+  versions->router->counters.streams_not_recorded++;
+  versions->lost_until = now + CS_STREAM_LIFE_US;
+}
+
 uint64_t
 cs_stream_versions_begin (cs_stream_versions_t *versions, uint64_t service,
                           const cs_stream_record_t *record, cs_time_us_t now)
@@ -34,7 +42,7 @@
   numbered.number = ++versions->last_number;
   if (cs_stream_table_put (versions->own, &numbered, now) != 0)
     {
-      versions->router->counters.streams_not_recorded++;
+      on_not_recorded (versions, now);
       return 0;
     }
   bool is_single
@@ -42,9 +50,11 @@
         < 2;
   if (is_single && cs_stream_history_is_complete (versions, now))
     return 0;
-  if (is_single)
+  if (!versions->is_read
+      && (is_single
+          || cs_version_history_base (&versions->history, service, now) == 0))
     versions->list_wanted = true;
-  else
+  if (!is_single)
     cs_stream_request_save (versions, now);
   cs_stream_calls_start (versions, now);
   return numbered.number;
@@ -59,8 +69,12 @@
   if (known == NULL)
     return;
   cs_stream_record_t record = *known;
-  if (record.until > now + DELIVERY_US)
-    record.until = now + DELIVERY_US;
+  cs_time_us_t kept_us = DELIVERY_US;
+  /* One of the base version goes on there also without a record.  */
+  if (!cs_version_history_is_base (&versions->history, record.version))
+    kept_us += versions->patience_us;
+  if (record.until > now + kept_us)
+    record.until = now + kept_us;
   cs_stream_table_put (versions->own, &record, now);
   if (versions->ended_count < CS_STREAM_ENDED_MAX)
     versions->ended[versions->ended_count++] = stream;
@@ -80,7 +94,7 @@
                       ? known->number
                       : ++versions->last_number;
   if (version == 0 || cs_stream_table_put (versions->own, &record, now) != 0)
-    versions->router->counters.streams_not_recorded++;
+    on_not_recorded (versions, now);
   versions->carries_until = now + CS_STREAM_LIFE_US;
   versions->save_due = true;
   cs_timer_set (&versions->timer, 0);
@@ -95,6 +109,8 @@
   if (number <= versions->saved_number)
     return;
   versions->saved_number = number;
+  versions->save_us
+      = versions->unsaved_since == 0 ? 0 : now - versions->unsaved_since;
   versions->unsaved_since = number < versions->last_number ? now : 0;
   while (*link != NULL)
     {
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -11,6 +11,8 @@
    the only version of a service after that: not while all routers start.  */
 #define FIRST_READ_US (2 * CS_US_PER_S)
 #define FIRST_WRITE_US (4 * CS_US_PER_S)
+/* After a save that took longer, streams begin at the base version.  */
+#define SLOW_SAVE_US (400 * CS_US_PER_MS)
 
 bool
 cs_stream_versions_are_several (const cs_stream_versions_t *versions,
@@ -35,6 +37,7 @@
   bool is_new = false;
   cs_target_t *const *targets
       = cs_fleet_targets (versions->router->fleet, &count);
+  cs_version_history_count_target (&versions->history, 0);
   for (size_t i = 0; i < count; i++)
     {
       cs_version_seen_t seen
@@ -44,6 +47,8 @@
       if (seen.version != 0
           && cs_version_history_see (&versions->history, &seen, now))
         is_new = true;
+      if (seen.version != 0)
+        cs_version_history_count_target (&versions->history, seen.version);
     }
   return is_new;
 }
@@ -188,6 +193,12 @@
   /* Streams in progress began when there was one version.  */
   if (is_new && cs_stream_versions_are_several (versions, now))
     cs_stream_request_save (versions, now);
+  if (router->routing != NULL
+      && router->routing->version != versions->patience_version)
+    {
+      versions->patience_version = router->routing->version;
+      versions->patience_us = cs_routing_stream_patience_us (router->routing);
+    }
   if (!cs_stream_versions_are_several (versions, now))
     versions->unsaved_since = 0;
   if (cs_stream_hub_is_late (versions, now))
@@ -206,6 +217,27 @@
     cs_stream_versions_update (versions, now);
 }
 
+uint64_t
+cs_stream_versions_preferred (const cs_stream_versions_t *versions,
+                              uint64_t service, cs_time_us_t now)
+{
+  if ((versions->save_us <= SLOW_SAVE_US
+       && cs_stream_versions_are_saved_soon (versions, now))
+      || !cs_stream_versions_are_several (versions, now))
+    return 0;
+  return cs_version_history_main_base (&versions->history, service, now);
+}
+
+bool
+cs_stream_versions_must_save (const cs_stream_versions_t *versions,
+                              uint64_t service, uint64_t version,
+                              cs_time_us_t now)
+{
+  uint64_t base
+      = cs_version_history_main_base (&versions->history, service, now);
+  return base != 0 && version != 0 && version != base;
+}
+
 bool
 cs_stream_history_is_complete (const cs_stream_versions_t *versions,
                                cs_time_us_t now)
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -31,9 +31,9 @@
 TEST (VersionHistory, GoneVersionCountsWhileItsStreamsLast)
 {
   cs_version_history_t history = {};
-  cs_version_seen_t old_one = { 1, 10, 100 * SECOND, false };
-  cs_version_seen_t new_one = { 1, 11, 120 * SECOND, false };
-  cs_version_seen_t elsewhere = { 2, 12, 120 * SECOND, false };
+  cs_version_seen_t old_one = { 1, 10, 100 * SECOND, false, 0 };
+  cs_version_seen_t new_one = { 1, 11, 120 * SECOND, false, 0 };
+  cs_version_seen_t elsewhere = { 2, 12, 120 * SECOND, false, 0 };
   EXPECT_TRUE (cs_version_history_see (&history, &old_one, 100 * SECOND));
   EXPECT_TRUE (cs_version_history_see (&history, &new_one, 120 * SECOND));
   EXPECT_TRUE (cs_version_history_see (&history, &elsewhere, 120 * SECOND));
@@ -52,7 +52,7 @@
   cs_version_history_t history = {};
   for (uint64_t i = 0; i <= CS_VERSION_HISTORY_MAX; i++)
     {
-      cs_version_seen_t seen = { 1, 1000 + i, 100 * SECOND + i, false };
+      cs_version_seen_t seen = { 1, 1000 + i, 100 * SECOND + i, false, 0 };
       EXPECT_TRUE (cs_version_history_see (&history, &seen, 101 * SECOND));
     }
   EXPECT_EQ (history.count, size_t (CS_VERSION_HISTORY_MAX));
@@ -60,6 +60,36 @@
   EXPECT_NE (cs_version_history_seen_at (&history, 1001), 0U);
 }
 
+// A base version with few targets left does not decide where streams go on.
+TEST (VersionHistory, BaseIsMainWhileMostTargetsHaveIt)
+{
+  cs_version_history_t history = {};
+  for (uint64_t version : { 10, 11 })
+    {
+      cs_version_seen_t seen = { 1, version, 100 * SECOND, false, 0 };
+      cs_version_history_see (&history, &seen, 100 * SECOND);
+    }
+  EXPECT_EQ (cs_version_history_base (&history, 1, 101 * SECOND), 0U);
+  cs_version_history_set_base (&history, 11);
+  cs_version_history_set_base (&history, 10);
+  cs_version_history_set_base (&history, 12);
+  EXPECT_EQ (cs_version_history_base (&history, 1, 101 * SECOND), 10U);
+  EXPECT_TRUE (cs_version_history_is_base (&history, 10));
+  EXPECT_FALSE (cs_version_history_is_base (&history, 11));
+  auto main_with = [&] (int of_base, int of_other) {
+    cs_version_history_count_target (&history, 0);
+    for (int i = 0; i < of_base; i++)
+      cs_version_history_count_target (&history, 10);
+    for (int i = 0; i < of_other; i++)
+      cs_version_history_count_target (&history, 11);
+    return cs_version_history_main_base (&history, 1, 101 * SECOND);
+  };
+  EXPECT_EQ (main_with (2, 1), 10U);
+  EXPECT_EQ (main_with (1, 1), 0U);
+  EXPECT_EQ (main_with (0, 0), 0U);
+  EXPECT_EQ (cs_version_history_base (&history, 1, 131 * SECOND), 0U);
+}
+
 // Two records of one stream that disagree must not decide where it goes on.
 TEST (StreamTable, DisagreeingRecordsMakeAStreamAmbiguous)
 {
@@ -132,11 +162,15 @@
       = { 4, CS_STREAM_VERSION_AMBIGUOUS, SECOND, 0, false };
   cs_stream_table_put (table, &ambiguous, 1);
   cs_buf_t text = {};
-  ASSERT_EQ (cs_store_write_streams (cs_str ("router-1"), table, 1234, &text),
-             CS_OK);
+  ASSERT_EQ (
+      cs_store_write_streams (cs_str ("router-1"), table, 1234, true, &text),
+      CS_OK);
   Streams read;
+  bool is_partial = false;
   with_object (std::string (text.data, text.len), [&] (auto &object) {
-    EXPECT_EQ (cs_store_read_streams (&object, collect, &read), 1234U);
+    EXPECT_EQ (cs_store_read_streams (&object, collect, &read, &is_partial),
+               1234U);
+    EXPECT_TRUE (is_partial);
     EXPECT_FALSE (cs_store_is_versions (&object));
   });
   EXPECT_EQ (read, expected);
@@ -148,13 +182,16 @@
 TEST (StreamObjects, UnreadableMembersAreLeftOut)
 {
   Streams read;
+  bool is_partial = true;
   with_object (
       R"({"metadata":{"name":"router-2"},"spec":{"until_ms":9,"streams":{
         "7":"0000000000000001","000000000000000g":"0000000000000002",
         "000000000000000a":"0000000000000003zzzzzzzzzzzzzzzz00",
         "000000000000000b":7,"000000000000000c":[[]]}}})",
       [&] (auto &object) {
-        EXPECT_EQ (cs_store_read_streams (&object, collect, &read), 9U);
+        EXPECT_EQ (
+            cs_store_read_streams (&object, collect, &read, &is_partial), 9U);
+        EXPECT_FALSE (is_partial);
       });
   EXPECT_EQ (read, (Streams{ { 3, 10 } }));
   with_object (R"({"metadata":{"name":"versions"},"spec":{"versions":[
