quarantine: keep blocks through a loss of all routers

Cause: routers read the list of blocks once, with allow_stale. The block was a second old, so the list lacked it, and nobody read it again. On related paths: a block that follows from peers' reports alone, or that a router without the store found, was saved by nobody; a restored store did not get it back; writes were given up or put off by up to 24 s in an outage.

Change: the list is linearizable. The hubs of each data centre save what they learn from peers, unless there is an entry, and all blocks when the store was restored or they become hubs. Failed calls are repeated within 3 s while the store is away. Entries keep the time of the block, and writes of a block that was cleared meanwhile are dropped.

--- a/include/router/quarantine.h
+++ b/include/router/quarantine.h
@@ -18,11 +18,15 @@
 void cs_router_crash_reported (cs_router_t *router, const cs_crash_t *crash,
                                uint32_t hops, cs_time_us_t now);
 
-/* A peer, or the platform's store, has a part as blocked.  */
+/* A peer has a part as blocked.  */
 void cs_router_block_reported (cs_router_t *router,
                                const cs_part_time_t *blocked,
                                cs_time_us_t now);
 
+/* The platform's store has a part as blocked.  */
+void cs_router_block_read (cs_router_t *router, const cs_part_time_t *blocked,
+                           cs_time_us_t now);
+
 /* A target has written some of an answer to a request with CAUSES, and has not
    crashed.  */
 void cs_router_served (cs_router_t *router, const cs_causes_t *causes,
--- a/router/lifecycle.c
+++ b/router/lifecycle.c
@@ -191,6 +191,7 @@
   cs_cold_update (&process->router, now);
   cs_cold_log_ended (&process->router, now);
   cs_stream_versions_update (process->router.stream_versions, now);
+  cs_blocked_parts_update (process->router.blocked_parts, now);
   reload_if_changed (process);
   process->router.counters.log_lines_dropped = cs_log_dropped ();
   if (process->router.stopping)
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -229,6 +229,13 @@
   return 1 + (double)mesh->member_count;
 }
 
+bool
+cs_mesh_is_hub (const cs_mesh_t *mesh)
+{
+  return mesh == NULL
+         || (mesh->role.is_hub && cs_directory_is_read (mesh->directory));
+}
+
 bool
 cs_mesh_is_first_hub (const cs_mesh_t *mesh)
 {
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -52,11 +52,28 @@
 }
 
 static void
-save_blocked (cs_router_t *router, const cs_id_list_t *list, cs_time_us_t now)
+save_list (cs_router_t *router, const cs_id_list_t *list, bool is_own,
+           cs_time_us_t now)
 {
   for (uint32_t i = 0; i < list->count; i++)
-    if (cs_quarantine_is_blocked (router->quarantine, list->ids[i], now))
-      cs_blocked_parts_save (router->blocked_parts, list->ids[i]);
+    {
+      cs_part_time_t blocked = { list->ids[i], now };
+      if (cs_quarantine_is_blocked (router->quarantine, blocked.part, now))
+        cs_blocked_parts_save (router->blocked_parts, &blocked, is_own);
+    }
+}
+
+/* Saves what CRASH has blocked.  The router that saw the crash may be unable
+   to, or know of fewer crashes; so hubs save what they have learnt from
+   peers.  */
+static void
+save_blocked (cs_router_t *router, const cs_crash_t *crash, bool is_own,
+              cs_time_us_t now)
+{
+  if (!is_own && !cs_mesh_is_hub (router->mesh))
+    return;
+  save_list (router, &crash->causes.requests, is_own, now);
+  save_list (router, &crash->causes.parts, is_own, now);
 }
 
 static void
@@ -72,26 +89,43 @@
 cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash, cs_time_us_t now)
 {
   cs_quarantine_drop_answered (router->quarantine, crash, now);
-  if (add_crash (router, crash, 0, now) != CS_CRASH_BLOCKED)
-    return;
-  save_blocked (router, &crash->causes.requests, now);
-  save_blocked (router, &crash->causes.parts, now);
+  if (add_crash (router, crash, 0, now) == CS_CRASH_BLOCKED)
+    save_blocked (router, crash, true, now);
 }
 
 void
 cs_router_crash_reported (cs_router_t *router, const cs_crash_t *crash,
                           uint32_t hops, cs_time_us_t now)
 {
-  add_crash (router, crash, hops, now);
+  if (add_crash (router, crash, hops, now) == CS_CRASH_BLOCKED)
+    save_blocked (router, crash, false, now);
+}
+
+/* Returns whether that was new.  */
+static bool
+add_block (cs_router_t *router, const cs_part_time_t *blocked,
+           cs_time_us_t now)
+{
+  cs_crash_t crash = { .causes.parts = { { blocked->part }, 1 } };
+  if (cs_quarantine_block (router->quarantine, blocked, now))
+    return true;
+  announce_served (router, &crash, now);
+  return false;
 }
 
 void
 cs_router_block_reported (cs_router_t *router, const cs_part_time_t *blocked,
                           cs_time_us_t now)
 {
-  cs_crash_t crash = { .causes.parts = { { blocked->part }, 1 } };
-  if (!cs_quarantine_block (router->quarantine, blocked, now))
-    announce_served (router, &crash, now);
+  if (add_block (router, blocked, now) && cs_mesh_is_hub (router->mesh))
+    cs_blocked_parts_save (router->blocked_parts, blocked, false);
+}
+
+void
+cs_router_block_read (cs_router_t *router, const cs_part_time_t *blocked,
+                      cs_time_us_t now)
+{
+  (void)add_block (router, blocked, now);
 }
 
 void
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -4,25 +4,32 @@
 
 #include "http/head.h"
 #include "platform/store.h"
+#include "router/mesh.h"
 #include "router/quarantine.h"
 #include "router/store_client.h"
 
-/* Exponential backoff of a call that failed, with jitter.  */
+/* Exponential backoff of a call that failed, with jitter.  After an outage of
+   the store all routers may be lost within seconds.  */
 #define MIN_BACKOFF_MS 500
-#define MAX_BACKOFF_DOUBLINGS 5
-/* A change that fails more often is left to the peers.  */
-#define MAX_FAILURES 8
+#define MAX_BACKOFF_DOUBLINGS 2
+/* A change that the store refuses more often is left to the peers.  */
+#define MAX_REFUSALS 8
 /* Changes that wait to be written; more are left to the peers.  */
 #define MAX_CHANGES 16
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
+#define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_SERVER_ERROR 500
 
 typedef struct
 {
   uint64_t part;
+  cs_time_us_t blocked_at;
   bool remove;  /* the part is no longer blocked */
   bool replace; /* there is an entry already */
+  bool is_own;  /* this router's report blocked the part; an entry that there
+                   is already is renewed */
 } change_t;
 
 struct cs_blocked_parts
@@ -32,7 +39,10 @@
   cs_timer_t timer;
   bool is_read;
   bool call_in_flight;
-  uint32_t failures; /* consecutive */
+  uint32_t failures;  /* consecutive */
+  uint32_t refusals;  /* of the change that is being written */
+  uint64_t saved_era; /* of the store, in which all blocks were saved as by a
+                         hub; 0: none */
   cs_name_t page_after;
   change_t changes[MAX_CHANGES]; /* the first one is being written */
   size_t change_count;
@@ -41,9 +51,11 @@
 /* Builds the call that writes CHANGE.  Returns 0 or CS_ERR_NO_MEMORY.  */
 static int
 build_write (const change_t *change, const char **method, cs_buf_t *path,
-             cs_buf_t *body)
+             cs_buf_t *body, cs_time_us_t now)
 {
-  cs_store_blocked_part_t entry = { change->part, cs_clock_wall_ms () };
+  uint64_t age_ms = (now - change->blocked_at) / CS_US_PER_MS;
+  cs_store_blocked_part_t entry
+      = { change->part, cs_clock_wall_ms () - age_ms };
   *method = change->remove ? "DELETE" : change->replace ? "PUT" : "POST";
   int rc = cs_store_blocked_part_path (
       change->part, change->remove || change->replace, path);
@@ -52,6 +64,25 @@
   return rc;
 }
 
+static void
+remove_first_change (cs_blocked_parts_t *parts)
+{
+  parts->refusals = 0;
+  parts->change_count--;
+  for (size_t i = 0; i < parts->change_count; i++)
+    parts->changes[i] = parts->changes[i + 1];
+}
+
+/* Drops the first changes if they save parts that an answer has cleared.  */
+static void
+drop_cleared (cs_blocked_parts_t *parts, cs_time_us_t now)
+{
+  while (parts->change_count > 0 && !parts->changes[0].remove
+         && !cs_quarantine_is_blocked (parts->router->quarantine,
+                                       parts->changes[0].part, now))
+    remove_first_change (parts);
+}
+
 /* Makes the next call that is due, if none is in flight.  */
 static void
 start_call (void *context, cs_time_us_t now)
@@ -61,13 +92,18 @@
   cs_buf_t path = { 0 };
   cs_buf_t body = { 0 };
   int rc;
-  if (parts->call_in_flight || (parts->is_read && parts->change_count == 0))
+  if (parts->call_in_flight)
+    return;
+  drop_cleared (parts, now);
+  if (parts->is_read && parts->change_count == 0)
     return;
+  /* A list that may be old could lack what was saved just before all routers
+     were lost.  */
   if (!parts->is_read)
-    rc = cs_store_stale_list_path (CS_STORE_BLOCKED_PARTS,
-                                   cs_name_str (&parts->page_after), &path);
+    rc = cs_store_list_path (CS_STORE_BLOCKED_PARTS,
+                             cs_name_str (&parts->page_after), &path);
   else
-    rc = build_write (&parts->changes[0], &method, &path, &body);
+    rc = build_write (&parts->changes[0], &method, &path, &body, now);
   if (rc == 0)
     {
       parts->call_in_flight = true;
@@ -108,7 +144,7 @@
   if (age >= policy.block_us)
     add_change (parts, &(change_t){ .part = entry.part, .remove = true });
   else
-    cs_router_block_reported (parts->router, &blocked, now);
+    cs_router_block_read (parts->router, &blocked, now);
 }
 
 /* Reads a page of the list; returns whether it was the last one.  */
@@ -130,12 +166,13 @@
   return is_last;
 }
 
-static void
-remove_first_change (cs_blocked_parts_t *parts)
+/* Whether the call failed for a reason that has nothing to do with the change.
+ */
+static bool
+is_outage (int status)
 {
-  parts->change_count--;
-  for (size_t i = 0; i < parts->change_count; i++)
-    parts->changes[i] = parts->changes[i + 1];
+  return status == 0 || status == STATUS_TOO_MANY_REQUESTS
+         || status >= STATUS_SERVER_ERROR;
 }
 
 /* Returns whether the next call need not wait.  */
@@ -144,13 +181,16 @@
 {
   change_t *change = &parts->changes[0];
   bool is_done = cs_http_is_success (status)
-                 || (status == STATUS_NOT_FOUND && change->remove);
-  if (status == STATUS_CONFLICT && !change->replace && !change->remove)
+                 || (status == STATUS_NOT_FOUND && change->remove)
+                 || (status == STATUS_CONFLICT && !change->is_own);
+  if (status == STATUS_CONFLICT && change->is_own && !change->replace)
     {
       change->replace = true;
       return true;
     }
-  if (is_done || parts->failures >= MAX_FAILURES)
+  if (is_done)
+    remove_first_change (parts);
+  else if (!is_outage (status) && ++parts->refusals > MAX_REFUSALS)
     remove_first_change (parts);
   return is_done;
 }
@@ -217,10 +257,13 @@
 }
 
 void
-cs_blocked_parts_save (cs_blocked_parts_t *parts, uint64_t part)
+cs_blocked_parts_save (cs_blocked_parts_t *parts,
+                       const cs_part_time_t *blocked, bool is_own)
 {
   if (parts != NULL)
-    add_change (parts, &(change_t){ .part = part });
+    add_change (parts, &(change_t){ .part = blocked->part,
+                                    .blocked_at = blocked->at,
+                                    .is_own = is_own });
 }
 
 void
@@ -229,3 +272,20 @@
   if (parts != NULL)
     add_change (parts, &(change_t){ .part = part, .remove = true });
 }
+
+void
+cs_blocked_parts_update (cs_blocked_parts_t *parts, cs_time_us_t now)
+{
+  cs_router_t *router = parts->router;
+  cs_part_time_t blocked[CS_QUARANTINE_SUSPECTS];
+  if (!cs_mesh_is_hub (router->mesh))
+    parts->saved_era = 0;
+  else if (parts->is_read && parts->saved_era != router->store_era)
+    {
+      size_t count
+          = cs_quarantine_list_blocked (router->quarantine, now, blocked);
+      for (size_t i = 0; i < count; i++)
+        cs_blocked_parts_save (parts, &blocked[i], false);
+      parts->saved_era = router->store_era;
+    }
+}
--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -1,6 +1,7 @@
 // Requests that end the target which begins to answer them.
 
 #include "fixture.h"
+#include "relay.h"
 
 namespace
 {
@@ -134,6 +135,21 @@
       }
   }
 
+  void
+  expect_known_after_loss_of_all ()
+  {
+    router->signal (SIGKILL);
+    peer->signal (SIGKILL);
+    router->restart ();
+    peer->restart ();
+    ASSERT_TRUE (Router::eventually (
+        [&] { return router->is_ready () && peer->is_ready (); }));
+    std::this_thread::sleep_for (std::chrono::milliseconds (1000));
+    int before = reached;
+    send_bad (6, "talk");
+    EXPECT_EQ (reached, before);
+  }
+
   static constexpr const char *crash_body = "crash";
   static constexpr const char *slow_body = "slow";
   std::string framing = "Transfer-Encoding: chunked\r\n";
@@ -195,16 +211,64 @@
 {
   send_bad (8, "talk");
   std::this_thread::sleep_for (std::chrono::milliseconds (500));
-  router->signal (SIGKILL);
-  peer->signal (SIGKILL);
-  router->restart ();
-  peer->restart ();
+  expect_known_after_loss_of_all ();
+}
+
+// As above, but the store had the block only for a moment: a list that may be
+// old lacks it.
+TEST_F (CrashingPart, IsKnownFromAStoreWhoseOldListsLackIt)
+{
+  Store::Copy old = store.copy ();
+  send_bad (8, "talk");
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  store.set_old_lists (old);
+  expect_known_after_loss_of_all ();
+}
+
+// The router that saw the last crash could not reach the store, and the others
+// left it to that one.
+TEST_F (CrashingPart, IsSavedByThePeersOfARouterWithoutTheStore)
+{
+  Relay relay (store.port ());
+  Router cut_off ("r3", relay.address (), extra_settings ());
+  ASSERT_TRUE (Router::eventually ([&] {
+    return cut_off.is_ready ()
+           && cut_off.log ().find ("name=r2") != std::string::npos
+           && cut_off.log ().find ("name=r1") != std::string::npos;
+  }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  relay.cut = true;
+  for (int i = 0; i < 8; i++)
+    ask (cut_off, "talk", std::string ("aa:50,") + bad_part + ":30",
+         std::to_string (i));
+  EXPECT_TRUE (Router::eventually (
+      [&] { return store.count ("blockedparts") > 0; }, 2000));
+  cut_off.signal (SIGKILL);
+  expect_known_after_loss_of_all ();
+}
+
+// The store came back from a copy without the block.
+TEST_F (CrashingPart, IsSavedAgainInAStoreThatWasRestored)
+{
+  Store::Copy old = store.copy ();
+  send_bad (8, "talk");
   ASSERT_TRUE (Router::eventually (
-      [&] { return router->is_ready () && peer->is_ready (); }));
-  std::this_thread::sleep_for (std::chrono::milliseconds (1000));
-  int before = reached;
-  send_bad (6, "talk");
-  EXPECT_EQ (reached, before);
+      [&] { return store.count ("blockedparts") > 0; }, 2000));
+  store.restore (old);
+  EXPECT_TRUE (Router::eventually (
+      [&] { return store.count ("blockedparts") > 0; }, 4000));
+  expect_known_after_loss_of_all ();
+}
+
+// The store was away for longer than the write was repeated.
+TEST_F (CrashingPart, IsSavedSoonAfterALongOutage)
+{
+  store.error_status = 503;
+  send_bad (8, "talk");
+  std::this_thread::sleep_for (std::chrono::milliseconds (8000));
+  store.error_status = 0;
+  EXPECT_TRUE (Router::eventually (
+      [&] { return store.count ("blockedparts") > 0; }, 3500));
 }
 
 // With the entry gone from the store only its hub can tell it.
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -105,6 +105,15 @@
     changed_.notify_all ();
   }
 
+  // Lists that may be old are taken from COPY from now on.
+  void
+  set_old_lists (const Copy &copy)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    old_objects_ = copy.objects;
+    lists_old_ = true;
+  }
+
   int
   port () const
   {
@@ -304,7 +313,12 @@
         evacuation_lists += kind == "evacuations";
         {
           std::lock_guard<std::mutex> lock (mutex_);
+          bool is_old = lists_old_ && !query (target, "allow_stale").empty ();
+          if (is_old)
+            objects_.swap (old_objects_);
           body = list (kind, query (target, "after"), truncated);
+          if (is_old)
+            objects_.swap (old_objects_);
         }
         if (kind == "servers" && holds_lists && !truncated)
           hold_list ();
@@ -369,6 +383,8 @@
   std::atomic<bool> stopping_{ false };
   uint64_t revision_ = 10;
   std::map<std::string, std::map<std::string, Object>> objects_;
+  std::map<std::string, std::map<std::string, Object>> old_objects_;
+  bool lists_old_ = false;
   std::vector<Change> history_;
   wire::Server server_; // declared last: its threads use the other members
 };
