forward: never continue a stream with another answer's error

Other operators reported that clients found an error's text, at times its whole head, in the middle of a stream that another server went on with, or a stream that ended as if it were complete; and a 200 with a short body after a head that was cut.

Two ways led to the first report: any 2xx answer counted as the rest of the stream (202 with an error, 204), and a head that a target wrote into a stream without framing was passed on as an event. In the test of the second, the events that came together with the invalid one were lost, and the stream was resumed after them. Heads that end in the middle were never passed on, on any route.

Change: a stream goes on only with an event stream of its own status; an event with the status line of a response is an invalid answer; the events that were complete before it are passed on.

--- a/cranberrystile/stream/event_stream.c
+++ b/cranberrystile/stream/event_stream.c
@@ -39,6 +39,26 @@
   return false;
 }
 
+/* Whether a line of TEXT is the status line of an HTTP response, which a
+   target or something before it wrote into a stream that has no framing of its
+   own.
+ */
+static bool
+has_status_line (cs_str_t text)
+{
+  static const char start[] = "HTTP/1.";
+  const size_t len = sizeof start - 1;
+  const char *found;
+  while ((found = memmem (text.data, text.len, start, len)) != NULL)
+    {
+      if (found == text.data || found[-1] == '\n')
+        return true;
+      text.len -= (size_t)(found - text.data) + len;
+      text.data = found + len;
+    }
+  return false;
+}
+
 /* Returns the value of the field "id" of EVENT, empty if there is none.  */
 static cs_str_t
 event_id (cs_str_t event)
@@ -96,6 +116,8 @@
   while ((len = first_event_len (rest, from)) > 0)
     {
       cs_str_t event = { rest.data, len };
+      if (has_status_line (event))
+        return CS_ERR_WRONG_ANSWER;
       if (is_new (stream, event))
         {
           if (cs_buf_append (complete, event) != 0)
--- a/include/cranberrystile/event_stream.h
+++ b/include/cranberrystile/event_stream.h
@@ -22,8 +22,9 @@
 
 /* Adds PART to the input and appends the events that it completes to COMPLETE.
    Events with a numeric id that is not above the last one are dropped, since a
-   resumed stream may repeat them.  Returns 0, CS_ERR_NO_MEMORY, or
-   CS_ERR_TOO_LARGE if the incomplete event exceeds 256 KiB.  */
+   resumed stream may repeat them.  Returns 0, CS_ERR_NO_MEMORY,
+   CS_ERR_TOO_LARGE if the incomplete event exceeds 256 KiB, or
+   CS_ERR_WRONG_ANSWER if an event has the status line of a response.  */
 int cs_event_stream_add (cs_event_stream_t *stream, cs_str_t part,
                          cs_buf_t *complete);
 
--- a/router/forward/response.c
+++ b/router/forward/response.c
@@ -97,12 +97,14 @@
          && (!response->has_signature || response->is_encoded);
 }
 
-/* A started response can be resumed only with another event stream.  */
+/* A started response can be resumed only with another event stream of its
+   status.  */
 static bool
-cannot_resume (const cs_forward_t *forward)
+cannot_resume (const cs_forward_t *forward, const cs_http_head_t *head)
 {
-  return forward->response_started && forward->mode != CS_FORWARD_EVENTS
-         && forward->mode != CS_FORWARD_REFUSED;
+  if (!forward->response_started || forward->mode == CS_FORWARD_REFUSED)
+    return false;
+  return forward->mode != CS_FORWARD_EVENTS || head->status != forward->status;
 }
 
 static cs_forward_mode_t
@@ -143,7 +145,7 @@
   forward->was_alive = true;
   forward->mode = choose_mode (head, response);
   forward->discarded = 0;
-  if (is_unusable (response) || cannot_resume (forward))
+  if (is_unusable (response) || cannot_resume (forward, head))
     {
       abort_attempt (forward, CS_ERR_WRONG_ANSWER);
       return;
@@ -236,6 +238,8 @@
       = cs_event_stream_add (&forward->events, part, &forward->response_body);
   if (rc != 0)
     {
+      /* The stream is resumed after the events that were complete.  */
+      cs_forward_flush_events (forward);
       abort_attempt (forward, CS_ERR_WRONG_ANSWER);
       return;
     }
--- a/tests/router/wire.h
+++ b/tests/router/wire.h
@@ -134,12 +134,20 @@
     if (n <= 0)
       {
         ended_ = true;
+        was_reset_ = n < 0 && errno == ECONNRESET;
         return false;
       }
     buffer_.append (part, n);
     return true;
   }
 
+  // Whether the peer has ended the connection with a TCP reset.
+  bool
+  was_reset () const
+  {
+    return was_reset_;
+  }
+
   // The bytes that have been received but not parsed yet.
   const std::string &
   buffered () const
@@ -283,6 +291,7 @@
 
   int fd_;
   bool ended_ = false;
+  bool was_reset_ = false;
   std::string buffer_;
 };
 
