--- a/daemon/caller/exchange.c
+++ b/daemon/caller/exchange.c
@@ -127,16 +127,15 @@
     cs_web_write (exchange->request, body);
 }
 
-/* Reports an error within a stream by an error event, then ends the stream and
-   the connection, so that the caller cannot mistake a truncated stream for a
-   complete one.  */
+/* Reports an error within a stream by an error event, then ends the connection
+   without the last chunk, so that no caller can mistake a truncated stream for
+   a complete one.  */
 static void
 fail_in_stream (cs_exchange_t *exchange, const cs_buf_t *body)
 {
   cs_buf_t event = { 0 };
   if (cs_buf_printf (&event, "event: error\ndata: %s\n\n", body->data) == 0)
     cs_exchange_stream_part (exchange, cs_buf_str (&event));
-  cs_exchange_stream_end (exchange);
   cs_web_close_after (exchange->request);
   cs_buf_free (&event);
 }
--- a/tests/scenarios/chats.c
+++ b/tests/scenarios/chats.c
@@ -31,6 +31,7 @@
   atomic_long not_run; /* reported as not run, or connection refused */
   atomic_long failed;  /* error response or event, or a cut transfer */
   atomic_long wrong;   /* truncated, or of another chat, but without error */
+  atomic_long ended_whole;   /* failed, but framed as a complete response */
   atomic_long retry_missing; /* 429 or 503 without Retry-After */
   atomic_long prompt_tokens, cached_tokens;
   double first_byte_ms[MAX_SAMPLES];
@@ -223,7 +224,10 @@
   bool same = cs_str_equal (cs_buf_str (&text), cs_buf_str (&expected));
   /* curl reports a cut transfer, so the caller can see that it failed.  */
   if (error || code != CURLE_OK)
-    atomic_fetch_add (&load->failed, 1);
+    {
+      atomic_fetch_add (&load->failed, 1);
+      atomic_fetch_add (&load->ended_whole, code == CURLE_OK);
+    }
   else if (done && same)
     atomic_fetch_add (&load->whole, 1);
   else
@@ -326,6 +330,7 @@
   set_number (scenario, id, "not-run", (double)load->not_run);
   set_number (scenario, id, "failed", (double)load->failed);
   set_number (scenario, id, "wrong", (double)load->wrong);
+  set_number (scenario, id, "ended-whole", (double)load->ended_whole);
   set_number (scenario, id, "retry-missing", (double)load->retry_missing);
   set_number (scenario, id, "cached-percent",
               load->prompt_tokens == 0
@@ -342,8 +347,8 @@
 /* chats ID to=ADDRESS,... [key=] [model=] [count=] [chats=] [threads=]
    [tokens=] [spread=] [stream=] [timeout=MS] [pause=MS] [name=]: sends COUNT
    requests from THREADS threads, each to a random address.  Sets $ID.whole,
-   .not-run, .failed, .wrong, .retry-missing, .cached-percent, .seconds,
-   .median-ms and .p95-ms.  */
+   .not-run, .failed, .wrong, .ended-whole, .retry-missing, .cached-percent,
+   .seconds, .median-ms and .p95-ms.  */
 void
 verb_chats (scenario_t *scenario, const words_t *words)
 {
