versions: trust the base while half of the targets have it

As many servers of a new version may join at once as there are of the old one; streams of a frozen host were refused then, as more than half of the targets had to have the base. At half, new streams of an outage of the store put twice the load on the targets of the base version, which is what the users bear.

--- a/router/store/stream_lookups.c
+++ b/router/store/stream_lookups.c
@@ -174,7 +174,7 @@
 
 /* Decides on LOOKUP when no router has recorded its stream.  Those that begin
    at another version than the base are recorded before their first event while
-   most targets have the base.  */
+   half of the targets have the base.  */
 static int
 decide_unrecorded (const cs_stream_versions_t *versions,
                    cs_version_lookup_t *lookup, cs_time_us_t now)
