quarantine: save all blocks as a hub, whatever the store's era

Read again as a newcomer: a hub that knows more than 16 blocks left those beyond to the peers, and a store that states no era got none when a router became a hub. Counting targets by version and forgetting the counts are two functions now. The tests of CrashingPart that concern the store, VersionHistory and the stream units pass.

--- a/cranberrystile/stream/version_history.c
+++ b/cranberrystile/stream/version_history.c
@@ -140,6 +140,11 @@
   cs_version_seen_t *seen = find (history, version);
   if (seen != NULL)
     seen->targets++;
-  for (size_t i = 0; version == 0 && i < history->count; i++)
+}
+
+void
+cs_version_history_reset_targets (cs_version_history_t *history)
+{
+  for (size_t i = 0; i < history->count; i++)
     history->seen[i].targets = 0;
 }
--- a/include/cranberrystile/version_history.h
+++ b/include/cranberrystile/version_history.h
@@ -72,8 +72,11 @@
 uint64_t cs_version_history_main_base (const cs_version_history_t *history,
                                        uint64_t service, cs_time_us_t now);
 
-/* Counts a target of VERSION, or, if that is 0, forgets those counted.  */
+/* Counts a target of VERSION.  */
 void cs_version_history_count_target (cs_version_history_t *history,
                                       uint64_t version);
 
+/* Forgets the targets that were counted.  */
+void cs_version_history_reset_targets (cs_version_history_t *history);
+
 #endif
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -15,7 +15,7 @@
 /* A change that the store refuses more often is left to the peers.  */
 #define MAX_REFUSALS 8
 /* Changes that wait to be written; more are left to the peers.  */
-#define MAX_CHANGES 16
+#define MAX_CHANGES CS_QUARANTINE_SUSPECTS
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
@@ -41,8 +41,8 @@
   bool call_in_flight;
   uint32_t failures;  /* consecutive */
   uint32_t refusals;  /* of the change that is being written */
-  uint64_t saved_era; /* of the store, in which all blocks were saved as by a
-                         hub; 0: none */
+  bool has_saved_all; /* as a hub, in SAVED_ERA of the store */
+  uint64_t saved_era;
   cs_name_t page_after;
   change_t changes[MAX_CHANGES]; /* the first one is being written */
   size_t change_count;
@@ -278,14 +278,14 @@
 {
   cs_router_t *router = parts->router;
   cs_part_time_t blocked[CS_QUARANTINE_SUSPECTS];
-  if (!cs_mesh_is_hub (router->mesh))
-    parts->saved_era = 0;
-  else if (parts->is_read && parts->saved_era != router->store_era)
-    {
-      size_t count
-          = cs_quarantine_list_blocked (router->quarantine, now, blocked);
-      for (size_t i = 0; i < count; i++)
-        cs_blocked_parts_save (parts, &blocked[i], false);
-      parts->saved_era = router->store_era;
-    }
+  if (!cs_mesh_is_hub (router->mesh) || parts->saved_era != router->store_era)
+    parts->has_saved_all = false;
+  if (!cs_mesh_is_hub (router->mesh) || !parts->is_read
+      || parts->has_saved_all)
+    return;
+  size_t count = cs_quarantine_list_blocked (router->quarantine, now, blocked);
+  for (size_t i = 0; i < count; i++)
+    cs_blocked_parts_save (parts, &blocked[i], false);
+  parts->has_saved_all = true;
+  parts->saved_era = router->store_era;
 }
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -37,7 +37,7 @@
   bool is_new = false;
   cs_target_t *const *targets
       = cs_fleet_targets (versions->router->fleet, &count);
-  cs_version_history_count_target (&versions->history, 0);
+  cs_version_history_reset_targets (&versions->history);
   for (size_t i = 0; i < count; i++)
     {
       cs_version_seen_t seen
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -77,7 +77,7 @@
   EXPECT_TRUE (cs_version_history_is_base (&history, 10));
   EXPECT_FALSE (cs_version_history_is_base (&history, 11));
   auto main_with = [&] (int of_base, int of_other) {
-    cs_version_history_count_target (&history, 0);
+    cs_version_history_reset_targets (&history);
     for (int i = 0; i < of_base; i++)
       cs_version_history_count_target (&history, 10);
     for (int i = 0; i < of_other; i++)
