quarantine: read the blocks in full at the hubs only

Peers.RestartOfAllReadsTheListsAtTheHubsOnly failed in a whole run of the tests: 8 lists of the store, 4 allowed.

Change: routers list old blocks at their start as before; a hub reads a full list as soon as it is one, and tells its members through the blocks that it announces. A router that starts takes itself for a hub for a moment, so one that is not preferred waits for a second.

Nothing else that was counted may happen more often than before.

--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -63,8 +63,10 @@
    read the list of routers.  */
 bool cs_mesh_is_first_hub (const cs_mesh_t *mesh);
 
-/* Whether this router is one of the hubs of its data centre.  */
+/* Whether this router is one of the hubs of its data centre; a preferred one
+   would be if all other routers could be reached.  */
 bool cs_mesh_is_hub (const cs_mesh_t *mesh);
+bool cs_mesh_is_preferred_hub (const cs_mesh_t *mesh);
 
 /* Whether this router did not start for the first time.  If so, stores the
    time since its start in *AGE_US.  */
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -236,6 +236,14 @@
          || (mesh->role.is_hub && cs_directory_is_read (mesh->directory));
 }
 
+bool
+cs_mesh_is_preferred_hub (const cs_mesh_t *mesh)
+{
+  return mesh == NULL
+         || (mesh->role.is_preferred_hub
+             && cs_directory_is_read (mesh->directory));
+}
+
 bool
 cs_mesh_is_first_hub (const cs_mesh_t *mesh)
 {
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -17,6 +17,9 @@
 /* Changes that wait to be written; more are left to the peers.  */
 #define MAX_CHANGES CS_QUARANTINE_SUSPECTS
 
+/* A router that starts takes itself for a hub until it has reached others.  */
+#define HUB_SETTLE_US (1 * CS_US_PER_S)
+
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
 #define STATUS_TOO_MANY_REQUESTS 429
@@ -37,7 +40,12 @@
   cs_router_t *router;
   cs_store_client_t *client;
   cs_timer_t timer;
-  bool is_read;
+  bool is_read;        /* a whole list, which may have been old */
+  bool is_read_as_hub; /* one that was not old */
+  bool is_hub;         /* and will stay one, as far as is known */
+  cs_time_us_t hub_since;
+  bool lists;       /* the call in flight, or the latest one, is for a list */
+  bool list_is_old; /* it may be */
   bool call_in_flight;
   uint32_t failures;  /* consecutive */
   uint32_t refusals;  /* of the change that is being written */
@@ -83,6 +91,25 @@
     remove_first_change (parts);
 }
 
+/* A list that may be old could lack what was saved just before all routers
+   were lost.  Hubs read one that isn't, and tell their members.  */
+static bool
+needs_list (const cs_blocked_parts_t *parts)
+{
+  return !parts->is_read || (parts->is_hub && !parts->is_read_as_hub);
+}
+
+static int
+build_list (cs_blocked_parts_t *parts, cs_buf_t *path)
+{
+  cs_str_t after = cs_name_str (&parts->page_after);
+  if (after.len == 0)
+    parts->list_is_old = !parts->is_hub;
+  return parts->list_is_old
+             ? cs_store_stale_list_path (CS_STORE_BLOCKED_PARTS, after, path)
+             : cs_store_list_path (CS_STORE_BLOCKED_PARTS, after, path);
+}
+
 /* Makes the next call that is due, if none is in flight.  */
 static void
 start_call (void *context, cs_time_us_t now)
@@ -95,13 +122,11 @@
   if (parts->call_in_flight)
     return;
   drop_cleared (parts, now);
-  if (parts->is_read && parts->change_count == 0)
+  parts->lists = needs_list (parts);
+  if (!parts->lists && parts->change_count == 0)
     return;
-  /* A list that may be old could lack what was saved just before all routers
-     were lost.  */
-  if (!parts->is_read)
-    rc = cs_store_list_path (CS_STORE_BLOCKED_PARTS,
-                             cs_name_str (&parts->page_after), &path);
+  if (parts->lists)
+    rc = build_list (parts, &path);
   else
     rc = build_write (&parts->changes[0], &method, &path, &body, now);
   if (rc == 0)
@@ -166,6 +191,19 @@
   return is_last;
 }
 
+/* Returns whether the next call need not wait.  */
+static bool
+on_listed (cs_blocked_parts_t *parts, const cs_store_response_t *response)
+{
+  cs_name_t last = parts->page_after;
+  if (!read_page (parts, response, cs_loop_now (parts->router->loop)))
+    return !cs_name_equal (&last, &parts->page_after);
+  parts->page_after.len = 0;
+  parts->is_read = true;
+  parts->is_read_as_hub = !parts->list_is_old;
+  return true;
+}
+
 /* Whether the call failed for a reason that has nothing to do with the change.
  */
 static bool
@@ -213,17 +251,12 @@
   cs_blocked_parts_t *parts = context;
   bool is_ok;
   parts->call_in_flight = false;
-  if (parts->is_read)
-    is_ok = on_written (parts, response->status);
+  if (parts->lists)
+    is_ok = on_listed (parts, response);
   else
-    {
-      cs_name_t last = parts->page_after;
-      parts->is_read
-          = read_page (parts, response, cs_loop_now (parts->router->loop));
-      is_ok = parts->is_read || !cs_name_equal (&last, &parts->page_after);
-    }
+    is_ok = on_written (parts, response->status);
   parts->failures = is_ok ? 0 : parts->failures + 1;
-  if (!parts->is_read || parts->change_count > 0)
+  if (needs_list (parts) || parts->change_count > 0)
     cs_timer_set (&parts->timer,
                   (cs_time_us_t)(pause_ms (parts) * CS_US_PER_MS));
 }
@@ -235,6 +268,7 @@
   if (parts == NULL)
     return NULL;
   parts->router = router;
+  parts->hub_since = cs_loop_now (router->loop);
   cs_timer_init (&parts->timer, router->loop, start_call, parts);
   parts->client = cs_store_client_create (router, on_response, parts);
   if (parts->client == NULL)
@@ -278,10 +312,16 @@
 {
   cs_router_t *router = parts->router;
   cs_part_time_t blocked[CS_QUARANTINE_SUSPECTS];
-  if (!cs_mesh_is_hub (router->mesh) || parts->saved_era != router->store_era)
+  bool was_hub = parts->is_hub;
+  if (!cs_mesh_is_hub (router->mesh))
+    parts->hub_since = now;
+  parts->is_hub = cs_mesh_is_preferred_hub (router->mesh)
+                  || now > parts->hub_since + HUB_SETTLE_US;
+  if (parts->is_hub && !was_hub && !parts->call_in_flight)
+    cs_timer_set (&parts->timer, 0);
+  if (!parts->is_hub || parts->saved_era != router->store_era)
     parts->has_saved_all = false;
-  if (!cs_mesh_is_hub (router->mesh) || !parts->is_read
-      || parts->has_saved_all)
+  if (!parts->is_hub || !parts->is_read_as_hub || parts->has_saved_all)
     return;
   size_t count = cs_quarantine_list_blocked (router->quarantine, now, blocked);
   for (size_t i = 0; i < count; i++)
--- a/tests/router/peers_test.cc
+++ b/tests/router/peers_test.cc
@@ -109,6 +109,7 @@
 TEST_F (Peers, RestartOfAllReadsTheListsAtTheHubsOnly)
 {
   int before = store.full_lists;
+  int blocked_before = store.full_blocked_lists;
   router->signal (SIGKILL);
   for (auto &one : routers)
     one->signal (SIGKILL);
@@ -124,6 +125,7 @@
       4000));
   std::this_thread::sleep_for (std::chrono::milliseconds (1000));
   EXPECT_LE (store.full_lists - before, 2 * 2) << "two hubs, two kinds";
+  EXPECT_LE (store.full_blocked_lists - blocked_before, 2) << "two hubs";
   EXPECT_EQ (send_request (request ("GET", "/safe/x")).status (), 200);
 }
 
