event stream: find status lines without a search that may get NULL

The sanitized build failed: with -fsanitize=undefined gcc takes the text of an empty event for a null argument of memmem (-Werror=nonnull). The lines are compared one by one now, as for ids.

--- a/cranberrystile/stream/event_stream.c
+++ b/cranberrystile/stream/event_stream.c
@@ -41,20 +41,19 @@
 
 /* Whether a line of TEXT is the status line of an HTTP response, which a
    target or something before it wrote into a stream that has no framing of its
-   own.
- */
+   own.  */
 static bool
 has_status_line (cs_str_t text)
 {
-  static const char start[] = "HTTP/1.";
-  const size_t len = sizeof start - 1;
-  const char *found;
-  while ((found = memmem (text.data, text.len, start, len)) != NULL)
+  while (text.len > 0)
     {
-      if (found == text.data || found[-1] == '\n')
+      if (cs_str_starts_with (text, cs_str ("HTTP/1.")))
         return true;
-      text.len -= (size_t)(found - text.data) + len;
-      text.data = found + len;
+      const char *end = memchr (text.data, '\n', text.len);
+      if (end == NULL)
+        return false;
+      text.len -= (size_t)(end - text.data) + 1;
+      text.data = end + 1;
     }
   return false;
 }
