--- a/review/12/main.cc
+++ b/review/12/main.cc
@@ -1,16 +1,18 @@
-// A request crashes each server that begins to run it, and comes again with
-// the same path, caller and body, and a query that counts its tries.
+// A router restarts while the store is down, and is lost before the store is
+// back.  Its streams of the newer version are taken up at another router.
 
-#include "engines.h"
+#include "versions.h"
 
 using namespace review;
 
 namespace
 {
 
-constexpr int CONTACT_MS = 3000;
-constexpr int MAX_AFTER = 3;
-const char *const DEADLY = "{\"order\":\"deadly\"}";
+constexpr int DEADLINE_MS = 12000;
+constexpr int PATIENCE_MS = 2400;
+constexpr int STREAMS = 24;
+constexpr int MAX_RETRIES = 3;
+constexpr size_t MAX_MIXED = 2;
 
 }
 
@@ -22,94 +24,102 @@
   Record record (argv[1]);
   Folder folder;
   Store store;
-  std::atomic<int64_t> third_ms{ 0 };
-  std::atomic<int> reached{ 0 };
-  std::atomic<int> reached_after{ 0 };
-  std::atomic<int> sound{ 0 };
-  std::atomic<int> sound_unknown{ 0 };
-  std::atomic<int> number{ 0 };
-  Engines *pool = nullptr;
+  std::map<std::string, std::string> version_of;
+  std::mutex mutex;
   auto answer = [&] (wire::Socket &socket, const wire::Message &message,
                      Target &engine) {
-    std::string id = message.field ("x-request-id");
-    if (message.body != DEADLY)
-      {
-        sleep_ms (30);
-        return Target::respond_with ("done") (socket, message);
-      }
-    reached++;
-    bool is_after = third_ms != 0 && record.now () > third_ms + CONTACT_MS;
-    if (is_after)
-      reached_after++;
-    record.line ("the request, as %s, reaches server %s%s", id.c_str (),
-                 engine.id ().c_str (),
-                 is_after ? ", later than contact_ms after the third crash"
-                          : "");
-    if (!has_trouble ())
-      return Target::respond_with ("done") (socket, message);
-    sleep_ms (20);
-    pool->crash (engine);
-    if (pool->crashes >= 3 && third_ms == 0)
-      third_ms = record.now ();
-    return false;
+    std::string version;
+    {
+      std::lock_guard<std::mutex> lock (mutex);
+      version = version_of[engine.id ()];
+    }
+    record.line ("server %s of version %s runs %s, after event '%s' of %s",
+                 engine.id ().c_str (), version.c_str (),
+                 message.field ("x-request-id").c_str (),
+                 message.field ("last-event-id").c_str (),
+                 message.field ("resumes").c_str ());
+    return send_stream (socket, message, version, 100, 50);
   };
-  store.put (
-      "config", "main",
-      "{\"version\":1,\"routes\":[{\"name\":\"book\",\"host\":\"h.example\","
-      "\"path_prefix\":\"/book/\",\"kind\":\"unsafe\",\"service\":\"desk\","
-      "\"target_latency_ms\":300,\"max_attempts\":1,\"timeout_ms\":1500}],"
-      "\"services\":[{\"name\":\"desk\",\"health_path\":\"/h\"}],"
-      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-      "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{"
-      "\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}");
-  Engines engines (store, record, "desk", answer);
-  pool = &engines;
-  for (int i = 0; i < 4; i++)
-    engines.add ("v1", i % 2 == 0 ? "a" : "b");
+  store.put ("config", "main", chat_config ());
+  Engines engines (store, record, "pool", answer);
+  auto add = [&] (const std::string &version, const std::string &zone) {
+    std::lock_guard<std::mutex> lock (mutex);
+    version_of[engines.add (version, zone)] = version;
+  };
+  for (int i = 0; i < 6; i++)
+    add ("v1", i % 2 == 0 ? "a" : "b");
   Router r1 (folder.path (), "r1", "a", store.address ());
   Router r2 (folder.path (), "r2", "b", store.address ());
   if (!r1.wait_ready (10000) || !r2.wait_ready (10000))
     return EXIT_NOT_RUN;
-  sleep_ms (6000);
-  auto ask = [&] (const Router &router, bool is_deadly) {
-    std::string id = "q" + std::to_string (++number);
-    wire::Socket socket (wire::Socket::connect_to (router.callers ()));
-    socket.send (request_text ("POST", "/book/x?try=" + id, id, "",
-                               is_deadly ? DEADLY : "order " + id, 1500));
-    wire::Message response = socket.read (3000);
-    record.line ("%s %s at %s: status %d",
-                 is_deadly ? "the request as" : "request", id.c_str (),
-                 router.name ().c_str (), response.status ());
-    if (is_deadly)
-      return;
-    sound++;
-    if (response.status () == 502 || response.status () == 504)
-      sound_unknown++;
-  };
-  std::atomic<bool> stopping{ false };
+  sleep_ms (8000);
+  record.line ("a release begins");
+  for (int i = 0; i < 4; i++)
+    {
+      add ("v2", i % 2 == 0 ? "a" : "b");
+      sleep_ms (800);
+    }
+  sleep_ms (1500);
+  if (has_trouble ())
+    {
+      record.line ("the store is down");
+      store.silent = true;
+      sleep_ms (1000);
+      record.line ("router r2 is killed");
+      r2.stop (SIGKILL);
+      sleep_ms (500);
+      record.line ("router r2 starts again");
+      r2.start ();
+      if (!r2.wait_ready (4000))
+        return EXIT_NOT_RUN;
+      record.line ("router r2 is ready");
+    }
+  std::vector<Stream> streams (STREAMS);
   std::vector<std::thread> callers;
-  for (int i = 0; i < 8; i++)
+  for (int i = 0; i < STREAMS; i++)
     callers.emplace_back ([&, i] {
-      while (!stopping)
+      Stream &stream = streams[i];
+      int64_t until_ms = wire::now_ms () + DEADLINE_MS;
+      stream.first_id = "q" + std::to_string (i);
+      ask_stream (r2.callers (), stream, stream.first_id, until_ms,
+                  PATIENCE_MS);
+      if (stream.is_complete)
+        return;
+      for (int retry = 1; retry <= MAX_RETRIES && !stream.is_complete; retry++)
         {
-          ask (i % 2 == 0 ? r1 : r2, false);
-          sleep_ms (60);
+          double pause_s
+              = ask_stream (r1.callers (), stream,
+                            stream.first_id + "-" + std::to_string (retry),
+                            until_ms, PATIENCE_MS);
+          sleep_ms (static_cast<int64_t> (pause_s * 1000));
         }
     });
-  sleep_ms (1000);
-  for (int i = 0; i < 40; i++)
+  sleep_ms (1500);
+  if (has_trouble ())
     {
-      ask (i % 2 == 0 ? r1 : r2, true);
+      record.line ("router r2 is killed");
+      r2.stop (SIGKILL);
       sleep_ms (500);
+      record.line ("the store is back");
+      store.silent = false;
     }
-  stopping = true;
   for (auto &caller : callers)
     caller.join ();
-  record.line ("the request reached servers %d times, of these later than "
-               "contact_ms after the third crash: %d (at most %d); crashes: "
-               "%d; other requests: %d, of these ended with an unknown "
-               "outcome: %d",
-               reached.load (), reached_after.load (), MAX_AFTER,
-               engines.crashes.load (), sound.load (), sound_unknown.load ());
-  return has_trouble () && reached_after > MAX_AFTER ? EXIT_BROKEN : EXIT_HELD;
+  size_t mixed = 0;
+  for (auto &stream : streams)
+    {
+      std::string versions;
+      for (auto &version : stream.versions ())
+        versions += " " + version;
+      mixed += stream.versions ().size () > 1;
+      record.line ("stream %s: %zu events of versions%s, taken up %d times, "
+                   "last status %d, %s",
+                   stream.first_id.c_str (), stream.events.size (),
+                   versions.c_str (), stream.takeups, stream.last_status,
+                   stream.is_complete ? "complete" : "not complete");
+    }
+  record.line ("streams with events of two versions: %zu (at most %zu)", mixed,
+               MAX_MIXED);
+  printf ("streams with events of two versions: %zu of %d\n", mixed, STREAMS);
+  return mixed > MAX_MIXED ? EXIT_BROKEN : EXIT_HELD;
 }
--- a/review/lib-3/versions.h
+++ b/review/lib-3/versions.h
@@ -12,6 +12,7 @@
 struct Stream
 {
   std::string first_id;
+  std::string shared_part = "aa"; // of its prompt
   std::string last_id;
   std::vector<std::string> events;
   int takeups = 0;
@@ -122,7 +123,8 @@
 {
   double retry_after_s = 0;
   std::string fields
-      = "X-Model: m\r\nX-Token-Usage: 60,400\r\nX-Prompt-Prefix: aa:40,"
+      = "X-Model: m\r\nX-Token-Usage: 60,400\r\nX-Prompt-Prefix: "
+        + stream.shared_part + ":40,"
         + std::to_string (1000
                           + std::hash<std::string>{}(stream.first_id) % 100000)
         + ":20\r\n";
