Store: require the known revision in each write of streams and each removal

Callers got streams of two software versions. A write of a router's object with the versions of its streams got no response and was executed seconds later, after a newer one, whose contents it replaced. When the router was killed, the streams that the older contents lacked went on at the wrong version. Removals of that object, and of a router's entry after the router had started again, undid later writes in the same way.

Cause: writes and removals held whatever the object was at, while the store may execute a call without a response late "if its condition still holds". The first write of an entry by a new start changed nothing, so its revision did not even rise.

Each write and removal now requires the revision that the object had before, which the response to the write before names; after 409 that of the object in the response, and where none is named the list is read first. So nothing earlier can be executed once a write has succeeded. A restored store gives revisions out again: objects then get new names, and the one with the versions is read once more.

Ruled out: a fault of the relay in the suite SecondVersion, which only passes on what a cut has held, as a network does. Writes without a response that are repeated after 10 s would leave the record wrong until then.

--- a/include/common/event.h
+++ b/include/common/event.h
@@ -24,6 +24,7 @@
   X (PLATFORM_RESTORED, 1202, 5)                                              \
   X (STORE_RESTORED, 1203, 4)                                                 \
   X (STORE_RESPONSE_REJECTED, 1204, 4)                                        \
+  X (STORE_CONFLICT, 1205, 5)                                                 \
   X (PEER_CONNECTED, 1301, 6)                                                 \
   X (PEER_LOST, 1302, 4)                                                      \
   X (PEER_REJECTED, 1303, 4)                                                  \
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -43,10 +43,10 @@
    objects of KIND are created.  */
 int cs_store_object_path (cs_store_kind_t kind, cs_str_t name, cs_buf_t *out);
 
-/* Appends the path that deletes an object provided that it is still at
-   REVISION.  */
-int cs_store_remove_path (cs_store_kind_t kind, cs_str_t name,
-                          uint64_t revision, cs_buf_t *out);
+/* Appends the path at which the object NAME is replaced or deleted provided
+   that it is still at REVISION.  */
+int cs_store_object_at_path (cs_store_kind_t kind, cs_str_t name,
+                             uint64_t revision, cs_buf_t *out);
 
 /* Appends the path of a long poll for changes of KIND after REVISION that
    returns after WAIT_MS at the latest.  */
@@ -66,6 +66,10 @@
   json_t *spec;           /* likewise */
 } cs_store_page_t;
 
+/* Returns the revision of the object in the response to a write, or to one
+   that was refused as the object has changed; 0 if BODY doesn't state it.  */
+uint64_t cs_store_read_written (cs_str_t body);
+
 /* Returns the era that the head of a response states, or 0.  */
 uint64_t cs_store_read_era (const cs_http_head_t *head);
 
--- a/include/router/store_client.h
+++ b/include/router/store_client.h
@@ -12,7 +12,7 @@
 {
   int status;    /* HTTP status, or 0 if there was no valid response */
   uint64_t era;  /* of the store; 0 if there was no valid response */
-  cs_str_t body; /* borrowed; empty unless the response was 2xx */
+  cs_str_t body; /* borrowed; empty unless the response was 2xx or 409 */
 } cs_store_response_t;
 
 /* Called with the result of a call.  A response of an earlier era than the
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "http/head.h"
 #include "platform/store.h"
+#include "router/peer/entry_calls.h"
 #include "router/peer/internal.h"
 #include "router/store_client.h"
 
@@ -54,71 +55,20 @@
   cs_name_t page_after; /* last name on the previous page */
   bool had_entry;       /* of an earlier start of this router */
   bool was_missing;     /* the last renewal found no entry */
+  bool was_changed;     /* the last removal found another revision */
   uint32_t renewals;
   cs_time_us_t written_at; /* when the own entry was last written */
+  uint64_t own_revision;   /* of the own entry; 0: not known */
   bool own_is_listed;      /* in the latest list */
   cs_time_us_t renew_at;
   cs_member_t expired; /* member whose entry is being deleted */
 };
 
-/* Creates, renews or deletes this router's entry, depending on METHOD.  NAME
-   is empty to create it.  */
-static void
-write_entry (cs_directory_t *directory, const char *method, cs_str_t name)
-{
-  const cs_router_settings_t *settings = &directory->mesh->router->settings;
-  cs_router_entry_t entry
-      = { .name = cs_str (settings->name),
-          .data_centre = cs_str (settings->data_centre),
-          .address = cs_str (settings->peers),
-          .capacity = cs_router_settings_capacity (settings),
-          .renewals = directory->renewals };
-  cs_buf_t path = { 0 };
-  cs_buf_t body = { 0 };
-  if (cs_store_object_path (CS_STORE_ROUTERS, name, &path) == 0
-      && cs_store_write_router (&entry, &body) == 0)
-    cs_store_client_call (directory->client, method, cs_buf_str (&path),
-                          cs_buf_str (&body),
-                          settings->call_timeout_ms * CS_US_PER_MS);
-  cs_buf_free (&path);
-  cs_buf_free (&body);
-}
-
-static void
-list_entries (cs_directory_t *directory)
-{
-  const cs_router_settings_t *settings = &directory->mesh->router->settings;
-  cs_buf_t path = { 0 };
-  if (cs_store_stale_list_path (CS_STORE_ROUTERS,
-                                cs_name_str (&directory->page_after), &path)
-      == 0)
-    cs_store_client_call (directory->client, "GET", cs_buf_str (&path),
-                          (cs_str_t){ "", 0 },
-                          settings->call_timeout_ms * CS_US_PER_MS);
-  cs_buf_free (&path);
-}
-
-static void
-remove_expired (cs_directory_t *directory)
-{
-  const cs_router_settings_t *settings = &directory->mesh->router->settings;
-  cs_buf_t path = { 0 };
-  if (cs_store_remove_path (CS_STORE_ROUTERS,
-                            cs_name_str (&directory->expired.name),
-                            directory->expired.renewal.revision.number, &path)
-      == 0)
-    cs_store_client_call (directory->client, "DELETE", cs_buf_str (&path),
-                          (cs_str_t){ "", 0 },
-                          settings->call_timeout_ms * CS_US_PER_MS);
-  cs_buf_free (&path);
-}
-
 static void
 start_call (void *context, cs_time_us_t now)
 {
   cs_directory_t *directory = context;
   const cs_router_settings_t *settings = &directory->mesh->router->settings;
-  cs_str_t name = cs_str (settings->name);
   if (directory->call_in_flight || directory->step == STEP_DONE)
     return;
   if (directory->leaving)
@@ -130,19 +80,23 @@
   switch (directory->step)
     {
     case STEP_CREATE:
-      write_entry (directory, "POST", (cs_str_t){ "", 0 });
+      cs_entry_create (settings, directory->client, directory->renewals);
       return;
     case STEP_REPLACE:
-      write_entry (directory, "PUT", name);
+      cs_entry_renew (settings, directory->client, directory->renewals);
       return;
     case STEP_LIST:
-      list_entries (directory);
+      cs_entry_list (settings, directory->client,
+                     cs_name_str (&directory->page_after));
       return;
     case STEP_REMOVE:
-      remove_expired (directory);
+      cs_entry_remove (settings, directory->client,
+                       cs_name_str (&directory->expired.name),
+                       directory->expired.renewal.revision.number);
       return;
     case STEP_WITHDRAW:
-      write_entry (directory, "DELETE", name);
+      cs_entry_remove (settings, directory->client, cs_str (settings->name),
+                       directory->own_revision);
       return;
     case STEP_DONE:
       return;
@@ -173,7 +127,11 @@
       if (cs_store_read_router (&object, &entry) != 0)
         continue;
       if (cs_str_equal (entry.name, own_name))
-        directory->own_is_listed = true;
+        {
+          directory->own_is_listed = true;
+          if (directory->own_revision == 0)
+            directory->own_revision = object.revision.number;
+        }
       cs_mesh_list_entry (directory->mesh, &entry, object.revision);
     }
   cs_store_page_release (&page);
@@ -227,7 +185,8 @@
 }
 
 static void
-on_entry_written (cs_directory_t *directory)
+on_entry_written (cs_directory_t *directory,
+                  const cs_store_response_t *response)
 {
   cs_router_t *router = directory->mesh->router;
   double pause_s = router->settings.renew_s
@@ -235,6 +194,7 @@
   directory->written_at = cs_loop_now (router->loop);
   directory->renew_at
       = directory->written_at + (cs_time_us_t)(pause_s * CS_US_PER_S);
+  directory->own_revision = cs_store_read_written (response->body);
   directory->renewals++;
   directory->was_missing = false;
   directory->step = STEP_LIST;
@@ -279,7 +239,7 @@
       if (status == STATUS_CONFLICT)
         directory->step = STEP_REPLACE;
       if (cs_http_is_success (status))
-        on_entry_written (directory);
+        on_entry_written (directory, response);
       /* If the store reports the entry both as missing and as existing, wait
          for the timer instead of retrying in a tight loop.  */
       return status == STATUS_CONFLICT && !directory->was_missing;
@@ -288,7 +248,7 @@
       if (directory->was_missing)
         directory->step = STEP_CREATE;
       if (cs_http_is_success (status))
-        on_entry_written (directory);
+        on_entry_written (directory, response);
       /* A renewal that ran instead of a scheduled list is followed by that
          list immediately.  The second list waits for its initial delay.  */
       return directory->was_missing
@@ -309,8 +269,12 @@
       on_remove_response (directory, status);
       return false;
     case STEP_WITHDRAW:
+      if (status != STATUS_CONFLICT || directory->was_changed)
+        directory->step = STEP_DONE;
+      directory->was_changed = true;
+      directory->own_revision = cs_store_read_written (response->body);
+      return directory->step != STEP_DONE;
     case STEP_DONE:
-      directory->step = STEP_DONE;
       return false;
     }
   return false;
@@ -337,6 +301,9 @@
   if (directory == NULL)
     return NULL;
   directory->mesh = mesh;
+  /* An entry that an earlier start has written changes with the first write.
+   */
+  directory->renewals = (uint32_t)cs_clock_wall_ms ();
   cs_timer_init (&directory->timer, mesh->router->loop, start_call, directory);
   directory->client
       = cs_store_client_create (mesh->router, on_response, directory);
--- a/router/store/client.c
+++ b/router/store/client.c
@@ -17,6 +17,8 @@
 #define PROBE_IDLE_S 1
 #define PROBE_COUNT 2
 
+#define STATUS_CONFLICT 409
+
 struct cs_store_client
 {
   cs_router_t *router;
@@ -79,9 +81,9 @@
   if (cs_http_is_success (status) && body.len == 0)
     status = 0;
   cs_store_response_t response = { .status = status, .era = era };
-  if (cs_http_is_success (status))
+  if (cs_http_is_success (status) || status == STATUS_CONFLICT)
     response.body = cs_buf_str (&body);
-  else
+  if (!cs_http_is_success (status))
     {
       client->router->counters.store_failures++;
       drop_channel (client);
--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -9,25 +9,12 @@
 #define MAX_BACKOFF_DOUBLINGS 5
 /* Pause between the beginnings of two lists.  */
 #define LIST_PAUSE_US (50 * CS_US_PER_MS)
+/* A write without a response is executed within this time, or never.  */
+#define LATE_WRITE_US (10 * CS_US_PER_S)
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_CONFLICT 409
 
-static int
-build_save (const cs_stream_versions_t *versions, const char **method,
-            cs_buf_t *path, cs_buf_t *body, cs_time_us_t now)
-{
-  cs_str_t name = cs_name_str (&versions->name);
-  cs_str_t no_name = { "", 0 };
-  uint64_t until_ms = cs_clock_wall_ms () + CS_STREAM_LIFE_US / CS_US_PER_MS;
-  *method = versions->is_saved ? "PUT" : "POST";
-  int rc = cs_store_object_path (CS_STORE_STREAMS,
-                                 versions->is_saved ? name : no_name, path);
-  return rc != 0 ? rc
-                 : cs_store_write_streams (name, versions->own, until_ms,
-                                           now < versions->lost_until, body);
-}
-
 static int
 build_versions (cs_stream_versions_t *versions, const char **method,
                 cs_buf_t *path, cs_buf_t *body, cs_time_us_t now)
@@ -45,13 +32,12 @@
 build_removal (const cs_stream_versions_t *versions, cs_buf_t *path)
 {
   if (versions->removable_count == 0)
-    return cs_store_object_path (CS_STORE_STREAMS,
-                                 cs_name_str (&versions->name), path);
+    return cs_stream_object_removal_path (versions, path);
   const cs_removable_t *removable
       = &versions->removable[versions->removable_count - 1];
-  return cs_store_remove_path (CS_STORE_STREAMS,
-                               cs_name_str (&removable->name),
-                               removable->revision, path);
+  return cs_store_object_at_path (CS_STORE_STREAMS,
+                                  cs_name_str (&removable->name),
+                                  removable->revision, path);
 }
 
 static void
@@ -62,6 +48,7 @@
   versions->read_at = now;
   versions->list_era = versions->router->store_era;
   versions->list_has_versions = false;
+  versions->list_has_own = false;
   versions->removable_count = 0;
   versions->known_at = 0;
   versions->known_is_partial = false;
@@ -88,11 +75,12 @@
       rc = build_versions (versions, &method, &path, &body, now);
       break;
     case CS_STREAM_CALL_SAVE:
+      cs_stream_object_check_era (versions, now);
       versions->saved_at = now;
       versions->save_due = false;
       versions->saving_number = versions->last_number;
       cs_mesh_streams_saving (versions->router->mesh);
-      rc = build_save (versions, &method, &path, &body, now);
+      rc = cs_stream_object_save (versions, &method, &path, &body, now);
       break;
     case CS_STREAM_CALL_REMOVE:
       method = "DELETE";
@@ -124,6 +112,9 @@
   cs_time_us_t save_at = versions->saved_at + CS_STREAM_SAVE_INTERVAL_US;
   cs_time_us_t list_at = cs_stream_read_due (versions, now);
   bool is_current = versions->is_read && versions->stored_is_current;
+  bool is_unsure = cs_stream_object_is_unsure (versions);
+  bool is_over = versions->is_saved && !versions->save_due
+                 && !cs_stream_versions_are_several (versions, now);
   *at = now;
   if (versions->page_after.len > 0)
     return CS_STREAM_CALL_READ;
@@ -131,19 +122,19 @@
     return CS_STREAM_CALL_CHECK;
   if (versions->versions_due)
     return is_current ? CS_STREAM_CALL_WRITE_VERSIONS : CS_STREAM_CALL_READ;
-  if (versions->save_due && now >= save_at)
+  if (versions->save_due && !is_unsure && now >= save_at)
     return CS_STREAM_CALL_SAVE;
-  if (list_at == 0 && versions->list_wanted)
+  if (list_at == 0
+      && (versions->list_wanted
+          || (is_unsure && (versions->save_due || is_over))))
     list_at = now;
   if (list_at != 0 && list_at < versions->read_at + LIST_PAUSE_US)
     list_at = versions->read_at + LIST_PAUSE_US;
   if (list_at != 0 && now >= list_at)
     return CS_STREAM_CALL_READ;
-  if (versions->removable_count > 0
-      || (versions->is_saved && !versions->save_due
-          && !cs_stream_versions_are_several (versions, now)))
+  if (versions->removable_count > 0 || (is_over && !is_unsure))
     return CS_STREAM_CALL_REMOVE;
-  *at = versions->save_due ? save_at : 0;
+  *at = versions->save_due && !is_unsure ? save_at : 0;
   if (versions->pass_at != 0 && (*at == 0 || versions->pass_at < *at))
     *at = versions->pass_at;
   if (list_at != 0 && (*at == 0 || list_at < *at))
@@ -228,7 +219,11 @@
 {
   reader_t reader = { versions, now };
   if (cs_str_equal (object->name, cs_name_str (&versions->name)))
-    return;
+    {
+      versions->list_has_own = true;
+      versions->own_revision = object->revision.number;
+      return;
+    }
   bool is_partial;
   uint64_t until_ms
       = cs_store_read_streams (object, add_known, &reader, &is_partial);
@@ -248,7 +243,10 @@
       versions->stored_count = 0;
       versions->stored_revision = 0;
     }
+  versions->is_saved = versions->list_has_own;
   versions->is_read = true;
+  if (versions->read_era != 0 && versions->read_era != versions->list_era)
+    versions->reread_at = now + LATE_WRITE_US;
   versions->read_era = versions->list_era;
   versions->stored_is_current = true;
   versions->list_wanted = false;
@@ -297,23 +295,6 @@
          && !cs_name_equal (&last, &versions->page_after);
 }
 
-static bool
-on_saved (cs_stream_versions_t *versions, int status, cs_time_us_t now)
-{
-  bool is_ok = cs_http_is_success (status);
-  if (is_ok)
-    {
-      cs_mesh_streams_saved (versions->router->mesh);
-      cs_stream_versions_saved (versions, versions->saving_number, now);
-    }
-  versions->save_due = versions->save_due || !is_ok;
-  if (is_ok || status == STATUS_CONFLICT)
-    versions->is_saved = true;
-  else if (status == STATUS_NOT_FOUND)
-    versions->is_saved = false;
-  return is_ok || status == STATUS_CONFLICT || status == STATUS_NOT_FOUND;
-}
-
 /* The object that was written, if it was, is read before the next write: its
    revision is not known.  */
 static bool
@@ -325,15 +306,15 @@
 }
 
 static bool
-on_removed (cs_stream_versions_t *versions, int status)
+on_removed (cs_stream_versions_t *versions,
+            const cs_store_response_t *response)
 {
-  bool is_done = cs_http_is_success (status) || status == STATUS_NOT_FOUND
-                 || status == STATUS_CONFLICT;
-  if (versions->removable_count > 0)
-    versions->removable_count--;
-  else if (is_done)
-    versions->is_saved = false;
-  return is_done;
+  int status = response->status;
+  if (versions->removable_count == 0)
+    return cs_stream_object_removed (versions, response);
+  versions->removable_count--;
+  return cs_http_is_success (status) || status == STATUS_NOT_FOUND
+         || status == STATUS_CONFLICT;
 }
 
 /* Returns whether the call succeeded, or shows what to do instead.  */
@@ -348,9 +329,9 @@
     case CS_STREAM_CALL_WRITE_VERSIONS:
       return on_versions_written (versions, response->status);
     case CS_STREAM_CALL_SAVE:
-      return on_saved (versions, response->status, now);
+      return cs_stream_object_saved (versions, response, now);
     case CS_STREAM_CALL_REMOVE:
-      return on_removed (versions, response->status);
+      return on_removed (versions, response);
     case CS_STREAM_CALL_CHECK:
       return cs_stream_check_read (versions, response, now);
     case CS_STREAM_CALL_NONE:
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -67,7 +67,9 @@
   uint32_t failures;     /* consecutive */
   cs_time_us_t retry_at;
 
-  cs_name_t name;        /* of this router's object */
+  cs_name_t name; /* of this router's object, in OWN_ERA of the store */
+  uint64_t own_era;
+  uint64_t own_revision; /* of the object; 0: it has to be read */
   bool is_saved;         /* the object exists */
   bool save_due;         /* OWN has changed */
   cs_time_us_t saved_at; /* when it was last written */
@@ -75,9 +77,11 @@
   bool list_wanted; /* to learn which versions there were before the start */
   bool is_read;     /* a whole list, in READ_ERA of the store */
   uint64_t read_era;
-  cs_time_us_t read_at; /* when the latest list began, in LIST_ERA */
+  cs_time_us_t reread_at; /* after the store was restored; 0: not due */
+  cs_time_us_t read_at;   /* when the latest list began, in LIST_ERA */
   uint64_t list_era;
   bool list_has_versions;  /* the object with the versions was in it */
+  bool list_has_own;       /* this router's object was in it */
   bool known_is_partial;   /* streams are missing from KNOWN */
   cs_time_us_t lost_until; /* streams are missing from OWN */
   cs_name_t page_after;    /* last name on the previous page; empty: none */
@@ -116,6 +120,34 @@
 /* Passes the streams on to the hub.  Returns false if there is none.  */
 bool cs_stream_pass (cs_stream_versions_t *versions, cs_time_us_t now);
 
+/* stream_object.c */
+
+/* Gives this router's object a new name.  Returns 0 or CS_ERR_NO_MEMORY.  */
+int cs_stream_object_name (cs_stream_versions_t *versions);
+
+/* Begins another object if the store was restored since the latest one.  */
+void cs_stream_object_check_era (cs_stream_versions_t *versions,
+                                 cs_time_us_t now);
+
+/* Whether the object has to be read before it is written again.  */
+bool cs_stream_object_is_unsure (const cs_stream_versions_t *versions);
+
+/* Build the calls that write and remove the object.  Return 0 or
+   CS_ERR_NO_MEMORY.  */
+int cs_stream_object_save (const cs_stream_versions_t *versions,
+                           const char **method, cs_buf_t *path, cs_buf_t *body,
+                           cs_time_us_t now);
+int cs_stream_object_removal_path (const cs_stream_versions_t *versions,
+                                   cs_buf_t *path);
+
+/* Read the responses.  Return whether the call succeeded, or shows what to do
+   instead.  */
+bool cs_stream_object_saved (cs_stream_versions_t *versions,
+                             const cs_store_response_t *response,
+                             cs_time_us_t now);
+bool cs_stream_object_removed (cs_stream_versions_t *versions,
+                               const cs_store_response_t *response);
+
 /* stream_versions.c */
 
 /* Whether no version is missing from the history.  */
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -184,6 +184,13 @@
     versions->synced_at = versions->followed_since = now;
   if (versions->read_era != router->store_era)
     versions->is_read = false;
+  cs_stream_object_check_era (versions, now);
+  /* A write of the era before may have found the revision that it requires. */
+  if (versions->reread_at != 0 && now >= versions->reread_at)
+    {
+      versions->reread_at = 0;
+      versions->list_wanted = is_first_hub (versions);
+    }
   bool is_new = see_targets (versions, now);
   versions->updated_at = now;
   cs_version_history_expire (&versions->history, now);
@@ -260,7 +267,6 @@
 cs_stream_versions_create (cs_router_t *router)
 {
   cs_stream_versions_t *versions = calloc (1, sizeof *versions);
-  cs_buf_t name = { 0 };
   if (versions == NULL)
     return NULL;
   versions->router = router;
@@ -270,15 +276,8 @@
   versions->known = cs_stream_table_create ();
   versions->client
       = cs_store_client_create (router, cs_stream_calls_on_response, versions);
-  int rc = cs_buf_printf (
-      &name, "router-%016llx",
-      (unsigned long long)cs_hash (cs_str (router->settings.name),
-                                   cs_clock_wall_ms ()));
-  if (rc == 0)
-    cs_name_set (&versions->name, cs_buf_str (&name));
-  cs_buf_free (&name);
-  if (rc == 0 && versions->own != NULL && versions->known != NULL
-      && versions->client != NULL)
+  if (cs_stream_object_name (versions) == 0 && versions->own != NULL
+      && versions->known != NULL && versions->client != NULL)
     return versions;
   cs_stream_versions_destroy (versions);
   return NULL;
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -120,6 +120,36 @@
     return server_.port ();
   }
 
+  // The next write by METHOD of an object whose kind and name begin with
+  // PREFIX gets no response, nor does any later call on its connection.  It is
+  // executed by execute_kept.
+  void
+  keep_write (const std::string &method, const std::string &prefix)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    kept_method_ = method;
+    kept_prefix_ = prefix;
+    is_kept_ = false;
+  }
+
+  bool
+  has_kept ()
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    return is_kept_;
+  }
+
+  // Returns the status of the write that was kept.  Revisions of an earlier
+  // era may have been given out again: then its condition HOLDS.
+  int
+  execute_kept (bool holds = false)
+  {
+    std::lock_guard<std::mutex> lock (mutex_);
+    if (holds)
+      kept_.revision.clear ();
+    return execute (kept_).first;
+  }
+
   // Stated in all responses, unless 0.
   std::atomic<int> era{ 1 };
   // Calls are read but get no response; this includes watches in progress.
@@ -163,6 +193,15 @@
     bool deleted;
   };
 
+  struct Write
+  {
+    std::string method;
+    std::string kind;
+    std::string name;
+    std::string spec;
+    std::string revision; // empty: none is required
+  };
+
   std::string
   to_json (const std::string &name, const Object &object) const
   {
@@ -264,22 +303,24 @@
   void
   serve (wire::Socket &socket)
   {
+    bool is_lost = false;
     while (!server_.is_stopping ())
       {
         wire::Message request = socket.read (100000);
         if (!request.is_complete)
           return;
         calls++;
-        if (silent)
+        if (silent || is_lost)
           continue;
         if (error_status != 0)
           respond (socket, error_status, "{}");
         else
-          serve_request (socket, request);
+          is_lost = !serve_request (socket, request);
       }
   }
 
-  void
+  // Returns whether the call gets a response.
+  bool
   serve_request (wire::Socket &socket, const wire::Message &request)
   {
     size_t space = request.start_line.find (' ');
@@ -306,6 +347,15 @@
     else if (method == "GET" && !since.empty ())
       watch (socket, kind, std::stoull (since),
              std::stoi (query (target, "wait_ms")));
+    else if (method == "GET" && !name.empty ())
+      {
+        std::unique_lock<std::mutex> lock (mutex_);
+        auto at = objects_[kind].find (name);
+        bool exists = at != objects_[kind].end ();
+        std::string body = exists ? to_json (name, at->second) : "{}";
+        lock.unlock ();
+        respond (socket, exists ? 200 : 404, body);
+      }
     else if (method == "GET")
       {
         std::string body;
@@ -330,57 +380,71 @@
         respond (socket, 200, body);
       }
     else
-      write (socket, method, kind, name, request.body,
-             query (target, "revision"));
+      return write (socket, method, kind, name, request.body,
+                    query (target, "revision"));
+    return true;
+  }
+
+  // Executes a PUT, POST or DELETE of an object; fails with 409 and the object
+  // if that isn't at the revision of CALL.  Returns the status and the body of
+  // the response.
+  std::pair<int, std::string>
+  execute (const Write &call)
+  {
+    auto &objects = objects_[call.kind];
+    auto at = objects.find (call.name);
+    bool exists = at != objects.end ();
+    if (call.method == "POST"
+            ? exists
+            : exists && !call.revision.empty ()
+                  && std::to_string (at->second.revision) != call.revision)
+      return { 409, to_json (call.name, at->second) };
+    if (!exists && call.method != "POST")
+      return { 404, "{}" };
+    if (call.method == "DELETE")
+      {
+        objects.erase (at);
+        history_.push_back ({ ++revision_, call.kind, call.name, true });
+      }
+    else if (!exists || at->second.spec != call.spec)
+      {
+        objects[call.name] = { ++revision_, call.spec };
+        history_.push_back ({ revision_, call.kind, call.name, false });
+      }
+    changed_.notify_all ();
+    return { 200, call.method == "DELETE"
+                      ? "{}"
+                      : to_json (call.name, objects[call.name]) };
   }
 
-  // Returns whether object NAME is at REVISION; an empty REVISION always
-  // matches.
+  // Returns whether the call gets a response.
   bool
-  is_at_revision (const std::string &kind, const std::string &name,
-                  const std::string &revision)
-  {
-    std::lock_guard<std::mutex> lock (mutex_);
-    auto at = objects_[kind].find (name);
-    return revision.empty ()
-           || (at != objects_[kind].end ()
-               && std::to_string (at->second.revision) == revision);
-  }
-
-  // Executes a PUT, POST or DELETE of an object; fails with 409 if it isn't at
-  // REVISION.
-  void
   write (wire::Socket &socket, const std::string &method,
-         const std::string &kind, std::string name, const std::string &body,
-         const std::string &revision)
+         const std::string &kind, const std::string &name,
+         const std::string &body, const std::string &revision)
   {
-    if (!is_at_revision (kind, name, revision))
-      {
-        respond (socket, 409, "{}");
-        return;
-      }
-    if (method == "DELETE")
+    Write call = { method, kind, name, "", revision };
+    if (method != "DELETE")
       {
-        remove (kind, name);
-        respond (socket, 200, "{}");
-        return;
+        size_t at = body.find ("\"name\":");
+        size_t from = body.find ('"', at + 7) + 1;
+        call.name = body.substr (from, body.find ('"', from) - from);
+        size_t spec = body.find ("\"spec\":") + 7;
+        call.spec = body.substr (spec, body.size () - spec - 1);
       }
-    size_t at = body.find ("\"name\":");
-    size_t from = body.find ('"', at + 7) + 1;
-    name = body.substr (from, body.find ('"', from) - from);
-    bool exists;
-    {
-      std::lock_guard<std::mutex> lock (mutex_);
-      exists = objects_[kind].count (name) > 0;
-    }
-    if (exists != (method == "PUT"))
+    std::unique_lock<std::mutex> lock (mutex_);
+    if (method == kept_method_
+        && (kind + "/" + call.name).find (kept_prefix_) == 0)
       {
-        respond (socket, exists ? 409 : 404, "{}");
-        return;
+        kept_ = call;
+        is_kept_ = true;
+        kept_method_.clear ();
+        return false;
       }
-    size_t spec = body.find ("\"spec\":") + 7;
-    put (kind, name, body.substr (spec, body.size () - spec - 1));
-    respond (socket, 200, body);
+    auto response = execute (call);
+    lock.unlock ();
+    respond (socket, response.first, response.second);
+    return true;
   }
 
   std::mutex mutex_;
@@ -390,6 +454,10 @@
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::map<std::string, std::map<std::string, Object>> old_objects_;
   bool lists_old_ = false;
+  std::string kept_method_;
+  std::string kept_prefix_;
+  bool is_kept_ = false;
+  Write kept_;
   std::vector<Change> history_;
   wire::Server server_; // declared last: its threads use the other members
 };
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -634,7 +634,7 @@
   EXPECT_STREQ (path.data,
                 "/-/objects/servers?after=a%20b%26c%3D%0D%0AX%3A%20%FF%2F%25");
   cs_buf_clear (&path);
-  ASSERT_EQ (cs_store_remove_path (CS_STORE_ROUTERS, odd, 5, &path), 0);
+  ASSERT_EQ (cs_store_object_at_path (CS_STORE_ROUTERS, odd, 5, &path), 0);
   EXPECT_STREQ (path.data, "/-/objects/routers/"
                            "a%20b%26c%3D%0D%0AX%3A%20%FF%2F%25?revision=5");
   cs_buf_clear (&path);
