Streams: a list that is read for the revision alone requests no save

Where the store's responses to writes do not name the revision, the list is read before the next write.

A list requests a save only if it may have shown that there are several versions, or that the router's object is not there. LateWrite.RevisionIsReadWhereResponsesDoNotNameIt is new.

--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -49,6 +49,7 @@
   versions->list_era = versions->router->store_era;
   versions->list_has_versions = false;
   versions->list_has_own = false;
+  versions->list_was_several = cs_stream_versions_are_several (versions, now);
   versions->removable_count = 0;
   versions->known_at = 0;
   versions->known_is_partial = false;
@@ -252,10 +253,10 @@
   versions->list_wanted = false;
   /* What differs is found at the next update.  */
   versions->versions_due = false;
-  if (cs_stream_versions_are_several (versions, now))
-    cs_stream_request_save (versions, now);
-  else
+  if (!cs_stream_versions_are_several (versions, now))
     cs_stream_versions_saved (versions, versions->last_number, now);
+  else if (!versions->is_saved || !versions->list_was_several)
+    cs_stream_request_save (versions, now);
   versions->known_at = versions->read_at;
   cs_stream_lookups_after_list (versions, versions->read_at, now);
 }
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -82,6 +82,7 @@
   uint64_t list_era;
   bool list_has_versions;  /* the object with the versions was in it */
   bool list_has_own;       /* this router's object was in it */
+  bool list_was_several;   /* versions, as far as was known when it began */
   bool known_is_partial;   /* streams are missing from KNOWN */
   cs_time_us_t lost_until; /* streams are missing from OWN */
   cs_name_t page_after;    /* last name on the previous page; empty: none */
--- a/tests/router/late_write_test.cc
+++ b/tests/router/late_write_test.cc
@@ -71,6 +71,25 @@
   expect_known_after_loss_of_all (streams);
 }
 
+// As above, where responses do not name the revision that the next write has
+// to require.
+TEST_F (LateWrite, RevisionIsReadWhereResponsesDoNotNameIt)
+{
+  store.shows_written = false;
+  wait_for_base ();
+  let_new_version_join ();
+  ASSERT_EQ (begin (*router, 4).size (), 4U);
+  store.keep_write ("PUT", own_objects);
+  begin (*router, 1, 300);
+  wait_until_kept (1000);
+  std::vector<Stream> streams = begin (*router, 12);
+  EXPECT_EQ (streams.size (), 12U);
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  EXPECT_EQ (store.execute_kept (), 409);
+  kill_all ();
+  expect_known_after_loss_of_all (streams);
+}
+
 // As above, for the write that creates the object.
 TEST_F (LateWrite, CreationIsFollowedByLaterOnes)
 {
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -150,6 +150,8 @@
     return execute (kept_).first;
   }
 
+  // Responses to writes hold the object.
+  std::atomic<bool> shows_written{ true };
   // Stated in all responses, unless 0.
   std::atomic<int> era{ 1 };
   // Calls are read but get no response; this includes watches in progress.
@@ -443,7 +445,7 @@
       }
     auto response = execute (call);
     lock.unlock ();
-    respond (socket, response.first, response.second);
+    respond (socket, response.first, shows_written ? response.second : "{}");
     return true;
   }
 
