Blocked parts: a late write undoes neither a block nor its end

A removal without a response was executed after the part had been blocked again; a write that saves a block was executed after an answer had cleared it.

Entries are renewed and removed only at the revision that was read. As no condition keeps an object from being created, a router whose creation got no response writes an ended entry in its place if the block ends within 10 s, and removes that afterwards. The end of a block costs one read more, the ended entry only comes after a lost response.

CrashingPart.ABlockThatAnAnswerClearedDoesNotComeBack is now ClearedPart.DoesNotComeBack with the same checks.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -129,11 +129,17 @@
 {
   uint64_t part;
   uint64_t blocked_ms; /* wall clock */
+  uint64_t ended_ms;   /* likewise, when that was written; 0: it is blocked */
 } cs_store_blocked_part_t;
 
-/* Appends the path of the object of PART if it EXISTS, or the one at which it
-   is created.  */
-int cs_store_blocked_part_path (uint64_t part, bool exists, cs_buf_t *out);
+/* Appends the path of the object of PART, provided that it is at REVISION
+   unless that is 0; or, if PART is NULL, the one at which it is created.  */
+int cs_store_blocked_part_path (const uint64_t *part, uint64_t revision,
+                                cs_buf_t *out);
+
+/* Whether the object in the response to a write is of a part that is no longer
+   blocked.  */
+bool cs_store_written_part_has_ended (cs_str_t body);
 
 /* Returns 0, or CS_ERR_BAD_REQUEST if the object is invalid.  */
 int cs_store_read_blocked_part (const cs_store_object_t *object,
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -6,7 +6,7 @@
 #include "platform/store.h"
 #include "router/mesh.h"
 #include "router/quarantine.h"
-#include "router/store_client.h"
+#include "router/store/blocked_change.h"
 
 /* Exponential backoff of a call that failed, with jitter.  After an outage of
    the store all routers may be lost within seconds.  */
@@ -20,20 +20,24 @@
 /* A router that starts takes itself for a hub until it has reached others.  */
 #define HUB_SETTLE_US (1 * CS_US_PER_S)
 
+/* A write without a response is executed within this time, or never.  */
+#define LATE_WRITE_US (10 * CS_US_PER_S)
+/* An entry that has ended is kept for longer, as clocks differ.  */
+#define KEEP_ENDED_MS (60 * 1000)
+/* Parts whose creation got no response; more are not looked after.  */
+#define MAX_UNANSWERED 16
+
 #define STATUS_NOT_FOUND 404
-#define STATUS_CONFLICT 409
 #define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_SERVER_ERROR 500
 
+/* A part whose entry may still be created by a call without a response.  */
 typedef struct
 {
   uint64_t part;
-  cs_time_us_t blocked_at;
-  bool remove;  /* the part is no longer blocked */
-  bool replace; /* there is an entry already */
-  bool is_own;  /* this router's report blocked the part; an entry that there
-                   is already is renewed */
-} change_t;
+  cs_time_us_t until;
+  bool has_ended; /* an entry that says so is written */
+} unanswered_t;
 
 struct cs_blocked_parts
 {
@@ -52,26 +56,13 @@
   bool has_saved_all; /* as a hub, in SAVED_ERA of the store */
   uint64_t saved_era;
   cs_name_t page_after;
-  change_t changes[MAX_CHANGES]; /* the first one is being written */
+  cs_blocked_change_t
+      changes[MAX_CHANGES]; /* the first one is being written */
   size_t change_count;
+  unanswered_t unanswered[MAX_UNANSWERED];
+  size_t unanswered_count;
 };
 
-/* Builds the call that writes CHANGE.  Returns 0 or CS_ERR_NO_MEMORY.  */
-static int
-build_write (const change_t *change, const char **method, cs_buf_t *path,
-             cs_buf_t *body, cs_time_us_t now)
-{
-  uint64_t age_ms = (now - change->blocked_at) / CS_US_PER_MS;
-  cs_store_blocked_part_t entry
-      = { change->part, cs_clock_wall_ms () - age_ms };
-  *method = change->remove ? "DELETE" : change->replace ? "PUT" : "POST";
-  int rc = cs_store_blocked_part_path (
-      change->part, change->remove || change->replace, path);
-  if (rc == 0 && !change->remove)
-    rc = cs_store_write_blocked_part (&entry, body);
-  return rc;
-}
-
 static void
 remove_first_change (cs_blocked_parts_t *parts)
 {
@@ -85,7 +76,7 @@
 static void
 drop_cleared (cs_blocked_parts_t *parts, cs_time_us_t now)
 {
-  while (parts->change_count > 0 && !parts->changes[0].remove
+  while (parts->change_count > 0 && parts->changes[0].kind < CS_BLOCKED_END
          && !cs_quarantine_is_blocked (parts->router->quarantine,
                                        parts->changes[0].part, now))
     remove_first_change (parts);
@@ -128,7 +119,8 @@
   if (parts->lists)
     rc = build_list (parts, &path);
   else
-    rc = build_write (&parts->changes[0], &method, &path, &body, now);
+    rc = cs_blocked_change_call (&parts->changes[0], &method, &path, &body,
+                                 now);
   if (rc == 0)
     {
       parts->call_in_flight = true;
@@ -143,7 +135,7 @@
 }
 
 static void
-add_change (cs_blocked_parts_t *parts, const change_t *change)
+add_change (cs_blocked_parts_t *parts, const cs_blocked_change_t *change)
 {
   if (parts->change_count == MAX_CHANGES)
     return;
@@ -166,8 +158,13 @@
   if (entry.blocked_ms < wall_ms)
     age = (wall_ms - entry.blocked_ms) * CS_US_PER_MS;
   cs_part_time_t blocked = { entry.part, age < now ? now - age : 0 };
+  if (entry.ended_ms + KEEP_ENDED_MS > wall_ms)
+    return;
   if (age >= policy.block_us)
-    add_change (parts, &(change_t){ .part = entry.part, .remove = true });
+    add_change (parts,
+                &(cs_blocked_change_t){ .kind = CS_BLOCKED_REMOVE,
+                                        .part = entry.part,
+                                        .revision = object->revision.number });
   else
     cs_router_block_read (parts->router, &blocked, now);
 }
@@ -213,24 +210,65 @@
          || status >= STATUS_SERVER_ERROR;
 }
 
-/* Returns whether the next call need not wait.  */
-static bool
-on_written (cs_blocked_parts_t *parts, int status)
+/* CHANGE was to create an entry, and may still do so.  */
+static void
+add_unanswered (cs_blocked_parts_t *parts, const cs_blocked_change_t *change)
 {
-  change_t *change = &parts->changes[0];
-  bool is_done = cs_http_is_success (status)
-                 || (status == STATUS_NOT_FOUND && change->remove)
-                 || (status == STATUS_CONFLICT && !change->is_own);
-  if (status == STATUS_CONFLICT && change->is_own && !change->replace)
+  unanswered_t *entry = parts->unanswered;
+  unanswered_t *end = entry + parts->unanswered_count;
+  while (entry < end && entry->part != change->part)
+    entry++;
+  if (entry == &parts->unanswered[MAX_UNANSWERED])
+    return;
+  if (entry == end)
+    parts->unanswered_count++;
+  *entry = (unanswered_t){
+    .part = change->part,
+    .until = cs_loop_now (parts->router->loop) + LATE_WRITE_US,
+  };
+}
+
+/* Keeps the entries of parts that are no longer blocked from being created
+   late.  */
+static void
+update_unanswered (cs_blocked_parts_t *parts, cs_time_us_t now)
+{
+  size_t i = 0;
+  while (i < parts->unanswered_count)
     {
-      change->replace = true;
-      return true;
+      unanswered_t *entry = &parts->unanswered[i];
+      cs_blocked_change_t change
+          = { .kind = CS_BLOCKED_END, .part = entry->part };
+      bool is_blocked = cs_quarantine_is_blocked (parts->router->quarantine,
+                                                  entry->part, now);
+      bool is_over = now >= entry->until;
+      if (is_over)
+        change.kind = CS_BLOCKED_REMOVE;
+      if (!is_blocked && entry->has_ended == is_over)
+        {
+          add_change (parts, &change);
+          entry->has_ended = true;
+        }
+      if (is_over)
+        *entry = parts->unanswered[--parts->unanswered_count];
+      else
+        i++;
     }
-  if (is_done)
+}
+
+/* Returns whether the next call need not wait.  */
+static bool
+on_written (cs_blocked_parts_t *parts, const cs_store_response_t *response)
+{
+  cs_blocked_change_t *change = &parts->changes[0];
+  if (response->status == 0 && cs_blocked_change_creates (change))
+    add_unanswered (parts, change);
+  cs_blocked_step_t step = cs_blocked_change_answered (change, response);
+  if (step == CS_BLOCKED_DONE)
     remove_first_change (parts);
-  else if (!is_outage (status) && ++parts->refusals > MAX_REFUSALS)
+  else if (!is_outage (response->status) && ++parts->refusals > MAX_REFUSALS)
     remove_first_change (parts);
-  return is_done;
+  return step != CS_BLOCKED_FAILED;
 }
 
 static double
@@ -254,7 +292,7 @@
   if (parts->lists)
     is_ok = on_listed (parts, response);
   else
-    is_ok = on_written (parts, response->status);
+    is_ok = on_written (parts, response);
   parts->failures = is_ok ? 0 : parts->failures + 1;
   if (needs_list (parts) || parts->change_count > 0)
     cs_timer_set (&parts->timer,
@@ -295,16 +333,18 @@
                        const cs_part_time_t *blocked, bool is_own)
 {
   if (parts != NULL)
-    add_change (parts, &(change_t){ .part = blocked->part,
-                                    .blocked_at = blocked->at,
-                                    .is_own = is_own });
+    add_change (parts, &(cs_blocked_change_t){
+                           .kind = is_own ? CS_BLOCKED_RENEW : CS_BLOCKED_SAVE,
+                           .part = blocked->part,
+                           .blocked_at = blocked->at });
 }
 
 void
 cs_blocked_parts_remove (cs_blocked_parts_t *parts, uint64_t part)
 {
   if (parts != NULL)
-    add_change (parts, &(change_t){ .part = part, .remove = true });
+    add_change (parts, &(cs_blocked_change_t){ .kind = CS_BLOCKED_REMOVE,
+                                               .part = part });
 }
 
 void
@@ -319,6 +359,7 @@
                   || now > parts->hub_since + HUB_SETTLE_US;
   if (parts->is_hub && !was_hub && !parts->call_in_flight)
     cs_timer_set (&parts->timer, 0);
+  update_unanswered (parts, now);
   if (!parts->is_hub || parts->saved_era != router->store_era)
     parts->has_saved_all = false;
   if (!parts->is_hub || !parts->is_read_as_hub || parts->has_saved_all)
--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -333,29 +333,88 @@
   EXPECT_GT (std::atof (response.field ("retry-after").c_str ()), 10);
 }
 
+// A part that is blocked while a request with it runs, whose answer clears it.
+class ClearedPart : public CrashingPart
+{
+protected:
+  void
+  crash_targets (int count)
+  {
+    for (int i = 0; i < count; i++)
+      {
+        ask (i % 2 == 0 ? *router : *peer, "talk", "aa:50,cc:5",
+             crash_body + std::to_string (last_request_number));
+        std::this_thread::sleep_for (std::chrono::milliseconds (60));
+      }
+  }
+
+  void
+  block_and_clear ()
+  {
+    wire::Socket slow (wire::Socket::connect_to (router->callers ()));
+    slow.send (prompt_request ("talk", "aa:50,cc:5", slow_body));
+    keep_slow_target_apart ();
+    crash_targets (3);
+    EXPECT_EQ (ask (*peer, "talk", "aa:50,cc:5").status (), 503);
+    EXPECT_EQ (slow.read (5000).status (), 200);
+    EXPECT_TRUE (Router::eventually (
+        [&] { return ask (*peer, "talk", "aa:50,cc:5").status () == 200; },
+        1000));
+  }
+
+  void
+  restart_both ()
+  {
+    router->signal (SIGKILL);
+    peer->signal (SIGKILL);
+    router->restart ();
+    peer->restart ();
+    ASSERT_TRUE (Router::eventually (
+        [&] { return router->is_ready () && peer->is_ready (); }));
+    std::this_thread::sleep_for (std::chrono::milliseconds (1000));
+  }
+};
+
 // A block that an answer had cleared was still in the store, and was back
 // after a restart of all routers.
-TEST_F (CrashingPart, ABlockThatAnAnswerClearedDoesNotComeBack)
+TEST_F (ClearedPart, DoesNotComeBack)
 {
-  wire::Socket slow (wire::Socket::connect_to (router->callers ()));
-  slow.send (prompt_request ("talk", "aa:50,cc:5", slow_body));
-  keep_slow_target_apart ();
-  for (int i = 0; i < 3; i++)
-    {
-      ask (i % 2 == 0 ? *router : *peer, "talk", "aa:50,cc:5",
-           crash_body + std::to_string (i));
-      std::this_thread::sleep_for (std::chrono::milliseconds (60));
-    }
-  EXPECT_EQ (ask (*peer, "talk", "aa:50,cc:5").status (), 503);
-  EXPECT_EQ (slow.read (5000).status (), 200);
-  EXPECT_TRUE (Router::eventually (
-      [&] { return ask (*peer, "talk", "aa:50,cc:5").status () == 200; },
-      1000));
+  block_and_clear ();
   EXPECT_TRUE (Router::eventually (
       [&] { return store.count ("blockedparts") == 0; }, 2000));
 }
 
+// The entry of the second block was deleted by the call that had been made at
+// the end of the first.
 // Calls that the store refuses were made again without a pause.
+TEST_F (ClearedPart, RemovalDoesNotUndoALaterBlock)
+{
+  store.keep_write ("DELETE", "blockedparts/cc");
+  block_and_clear ();
+  ASSERT_TRUE (Router::eventually ([&] { return store.has_kept (); }, 2000));
+  // An answer keeps the part from suspicion for two seconds.
+  std::this_thread::sleep_for (std::chrono::milliseconds (3000));
+  crash_targets (5);
+  EXPECT_EQ (ask (*peer, "talk", "aa:50,cc:5").status (), 503);
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  store.execute_kept ();
+  restart_both ();
+  EXPECT_EQ (ask (*peer, "talk", "aa:50,cc:5").status (), 503);
+}
+
+// The write that saves a block was executed after an answer had cleared it.
+TEST_F (ClearedPart, LateSaveDoesNotBringABlockBack)
+{
+  store.keep_write ("POST", "blockedparts/cc");
+  block_and_clear ();
+  ASSERT_TRUE (store.has_kept ());
+  std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+  store.execute_kept ();
+  restart_both ();
+  EXPECT_EQ (ask (*router, "talk", "aa:50,cc:5").status (), 200);
+  EXPECT_EQ (ask (*peer, "talk", "aa:50,cc:5").status (), 200);
+}
+
 TEST_F (CrashingPart, RefusedCallsToTheStoreAreNotRepeatedAtOnce)
 {
   store.error_status = 429;
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -372,7 +372,7 @@
 TEST (Codec, BlockedPartsKeepTheirIdInTheStore)
 {
   cs_buf_t text = { nullptr, 0, 0 };
-  cs_store_blocked_part_t part = { 0x5c1e07a2ULL << 32U, 1234 };
+  cs_store_blocked_part_t part = { 0x5c1e07a2ULL << 32U, 1234, 0 };
   cs_store_blocked_part_t read;
   cs_store_object_t object;
   ASSERT_EQ (cs_store_write_blocked_part (&part, &text), 0);
