Streams: tell peers the base, and save what begins where none is known

A router that restarted during an outage of the store let events of the second version pass without a record, and was killed. The others took what has no record for streams of the first version.

Cause: the router had its targets from a peer, but which version is the base only the store told. It took "not known" for "there is none" and required no save (its CS1503 lines show both versions, with first events after the 200 ms that a save may take). By the same conclusion routers let events pass after a restart of all when they could read the targets but not the versions, and trusted a base again for streams begun while it had few targets.

Peers now tell each other the versions and bases (frame Versions). A router that knows no base, from the store or a peer, lets nothing pass unsaved, unless the system starts for the first time. Unrecorded streams are refused for 30 s after a base had less than half of the targets.

--- a/cranberrystile/stream/version_history.c
+++ b/cranberrystile/stream/version_history.c
@@ -39,6 +39,8 @@
     {
       if (seen->seen_at > known->seen_at)
         known->seen_at = seen->seen_at;
+      if (seen->few_at > known->few_at)
+        known->few_at = seen->few_at;
       return false;
     }
   cs_version_history_expire (history, now);
@@ -133,6 +135,33 @@
   return of_base > 0 && 2 * of_base >= all ? base : 0;
 }
 
+void
+cs_version_history_check_bases (cs_version_history_t *history,
+                                cs_time_us_t now)
+{
+  for (size_t i = 0; i < history->count; i++)
+    {
+      cs_version_seen_t *seen = &history->seen[i];
+      if (seen->is_base && has_streams (seen, now)
+          && cs_version_history_main_base (history, seen->service, now) == 0)
+        seen->few_at = now;
+    }
+}
+
+bool
+cs_version_history_had_few (const cs_version_history_t *history,
+                            uint64_t service, cs_time_us_t now)
+{
+  for (size_t i = 0; i < history->count; i++)
+    {
+      const cs_version_seen_t *seen = &history->seen[i];
+      if (seen->service == service && seen->is_base && seen->few_at != 0
+          && now < seen->few_at + CS_STREAM_LIFE_US)
+        return true;
+    }
+  return false;
+}
+
 void
 cs_version_history_count_target (cs_version_history_t *history,
                                  uint64_t version)
--- a/include/cranberrystile/version_history.h
+++ b/include/cranberrystile/version_history.h
@@ -23,8 +23,10 @@
   uint64_t service; /* hash of its name */
   uint64_t version; /* hash of the service and the version */
   cs_time_us_t seen_at;
-  bool is_base;     /* the only version of the service before others joined */
-  uint32_t targets; /* that have it now */
+  bool is_base; /* the only version of the service before others joined */
+  cs_time_us_t few_at; /* when the base last had less than half of the targets;
+                          0: not known to */
+  uint32_t targets;    /* that have it now */
 } cs_version_seen_t;
 
 /* Initialise with zeros.  */
@@ -72,6 +74,16 @@
 uint64_t cs_version_history_main_base (const cs_version_history_t *history,
                                        uint64_t service, cs_time_us_t now);
 
+/* Records that bases have less than half of the targets, which have all been
+   counted.  */
+void cs_version_history_check_bases (cs_version_history_t *history,
+                                     cs_time_us_t now);
+
+/* Whether the base of SERVICE had less than half of its targets within
+   CS_STREAM_LIFE_US.  */
+bool cs_version_history_had_few (const cs_version_history_t *history,
+                                 uint64_t service, cs_time_us_t now);
+
 /* Counts a target of VERSION.  */
 void cs_version_history_count_target (cs_version_history_t *history,
                                       uint64_t version);
--- a/include/router/mesh.h
+++ b/include/router/mesh.h
@@ -73,6 +73,10 @@
 bool cs_mesh_has_restarted (const cs_mesh_t *mesh, cs_time_us_t now,
                             cs_time_us_t *age_us);
 
+/* Whether the platform's list of routers had no entry of an earlier start of
+   this one; false until it has been read.  */
+bool cs_mesh_is_new (const cs_mesh_t *mesh);
+
 /* Called when the routing or the list of targets has changed: a first hub
    sends the change to its peers immediately.  */
 void cs_mesh_push_changes (cs_mesh_t *mesh);
--- a/include/router/stream_versions.h
+++ b/include/router/stream_versions.h
@@ -10,6 +10,7 @@
 #define CS_ROUTER_STREAM_VERSIONS_H
 
 #include "cranberrystile/stream_table.h"
+#include "cranberrystile/version_history.h"
 #include "router/router.h"
 
 /* A save within this time delays no first event.  */
@@ -63,6 +64,19 @@
 void cs_stream_versions_missed (cs_stream_versions_t *versions,
                                 cs_time_us_t now);
 
+/* The versions to tell peers.  Returns their number, and in *STATE a number
+   that changes with them; 0 for both: this router doesn't know which versions
+   are the bases.  */
+size_t
+cs_stream_versions_to_tell (const cs_stream_versions_t *versions,
+                            cs_version_seen_t out[CS_VERSION_HISTORY_MAX],
+                            uint64_t *state);
+
+/* A peer that knows the bases tells its versions.  */
+void cs_stream_versions_told (cs_stream_versions_t *versions,
+                              const cs_version_seen_t *told, size_t count,
+                              cs_time_us_t now);
+
 /* Records that a target of RECORD's version begins its stream for SERVICE, a
    hash of its name.  Returns the number under which the stream is to be saved
    before its caller gets the first event; 0: that is not needed.  */
@@ -77,7 +91,8 @@
                                        uint64_t service, cs_time_us_t now);
 
 /* Whether a stream of SERVICE that begins at VERSION must not bring its caller
-   an event before it is saved: unrecorded ones go on at another version.  */
+   an event before it is saved: unrecorded ones go on at another version, or
+   may do so as far as this router knows.  */
 bool cs_stream_versions_must_save (const cs_stream_versions_t *versions,
                                    uint64_t service, uint64_t version,
                                    cs_time_us_t now);
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -817,6 +817,96 @@
   assert(message->base.descriptor == &cs__router__version_found__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cs__router__version__init
+                     (Cs__Router__Version         *message)
+{
+  static const Cs__Router__Version init_value = CS__ROUTER__VERSION__INIT;
+  *message = init_value;
+}
+size_t cs__router__version__get_packed_size
+                     (const Cs__Router__Version *message)
+{
+  assert(message->base.descriptor == &cs__router__version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__version__pack
+                     (const Cs__Router__Version *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__version__pack_to_buffer
+                     (const Cs__Router__Version *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Version *
+       cs__router__version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Version *)
+     protobuf_c_message_unpack (&cs__router__version__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__version__free_unpacked
+                     (Cs__Router__Version *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cs__router__versions__init
+                     (Cs__Router__Versions         *message)
+{
+  static const Cs__Router__Versions init_value = CS__ROUTER__VERSIONS__INIT;
+  *message = init_value;
+}
+size_t cs__router__versions__get_packed_size
+                     (const Cs__Router__Versions *message)
+{
+  assert(message->base.descriptor == &cs__router__versions__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cs__router__versions__pack
+                     (const Cs__Router__Versions *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cs__router__versions__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cs__router__versions__pack_to_buffer
+                     (const Cs__Router__Versions *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cs__router__versions__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cs__Router__Versions *
+       cs__router__versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cs__Router__Versions *)
+     protobuf_c_message_unpack (&cs__router__versions__descriptor,
+                                allocator, len, data);
+}
+void   cs__router__versions__free_unpacked
+                     (Cs__Router__Versions *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cs__router__versions__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cs__router__kept_evacuation__init
                      (Cs__Router__KeptEvacuation         *message)
 {
@@ -952,7 +1042,7 @@
   assert(message->base.descriptor == &cs__router__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[10] =
 {
   {
     "name",
@@ -1062,6 +1152,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_versions",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Hello, reads_versions),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1072,12 +1174,13 @@
   6,   /* field[6] = needs_members */
   4,   /* field[4] = reads_compressed */
   8,   /* field[8] = reads_evacuations */
+  9,   /* field[9] = reads_versions */
   5,   /* field[5] = saves_streams */
 };
 static const ProtobufCIntRange cs__router__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cs__router__hello__descriptor =
 {
@@ -1087,7 +1190,7 @@
   "Cs__Router__Hello",
   "cs.router",
   sizeof(Cs__Router__Hello),
-  9,
+  10,
   cs__router__hello__field_descriptors,
   cs__router__hello__field_indices_by_name,
   1,  cs__router__hello__number_ranges,
@@ -2650,6 +2753,147 @@
   (ProtobufCMessageInit) cs__router__version_found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cs__router__version__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Version, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Version, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Version, gone_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_base",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Version, is_base),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "had_few",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Version, had_few),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "few_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Version, few_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__version__field_indices_by_name[] = {
+  5,   /* field[5] = few_ms */
+  2,   /* field[2] = gone_ms */
+  4,   /* field[4] = had_few */
+  3,   /* field[3] = is_base */
+  0,   /* field[0] = service */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange cs__router__version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cs__router__version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Version",
+  "Version",
+  "Cs__Router__Version",
+  "cs.router",
+  sizeof(Cs__Router__Version),
+  6,
+  cs__router__version__field_descriptors,
+  cs__router__version__field_indices_by_name,
+  1,  cs__router__version__number_ranges,
+  (ProtobufCMessageInit) cs__router__version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cs__router__versions__field_descriptors[1] =
+{
+  {
+    "versions",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Versions, n_versions),
+    offsetof(Cs__Router__Versions, versions),
+    &cs__router__version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cs__router__versions__field_indices_by_name[] = {
+  0,   /* field[0] = versions */
+};
+static const ProtobufCIntRange cs__router__versions__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cs__router__versions__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cs.router.Versions",
+  "Versions",
+  "Cs__Router__Versions",
+  "cs.router",
+  sizeof(Cs__Router__Versions),
+  1,
+  cs__router__versions__field_descriptors,
+  cs__router__versions__field_indices_by_name,
+  1,  cs__router__versions__number_ranges,
+  (ProtobufCMessageInit) cs__router__versions__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cs__router__kept_evacuation__field_descriptors[3] =
 {
   {
@@ -2791,7 +3035,7 @@
   (ProtobufCMessageInit) cs__router__evacuations__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cs__router__frame__field_descriptors[12] =
 {
   {
     "hello",
@@ -2925,6 +3169,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "versions",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cs__Router__Frame, body_case),
+    offsetof(Cs__Router__Frame, versions),
+    &cs__router__versions__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__frame__field_indices_by_name[] = {
   1,   /* field[1] = beat */
@@ -2938,11 +3194,12 @@
   6,   /* field[6] = streams_saved */
   3,   /* field[3] = targets */
   9,   /* field[9] = version_found */
+  11,   /* field[11] = versions */
 };
 static const ProtobufCIntRange cs__router__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cs__router__frame__descriptor =
 {
@@ -2952,7 +3209,7 @@
   "Cs__Router__Frame",
   "cs.router",
   sizeof(Cs__Router__Frame),
-  11,
+  12,
   cs__router__frame__field_descriptors,
   cs__router__frame__field_indices_by_name,
   1,  cs__router__frame__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -33,6 +33,8 @@
 typedef struct Cs__Router__StreamsSaved Cs__Router__StreamsSaved;
 typedef struct Cs__Router__FindVersion Cs__Router__FindVersion;
 typedef struct Cs__Router__VersionFound Cs__Router__VersionFound;
+typedef struct Cs__Router__Version Cs__Router__Version;
+typedef struct Cs__Router__Versions Cs__Router__Versions;
 typedef struct Cs__Router__KeptEvacuation Cs__Router__KeptEvacuation;
 typedef struct Cs__Router__Evacuations Cs__Router__Evacuations;
 typedef struct Cs__Router__Frame Cs__Router__Frame;
@@ -79,10 +81,14 @@
    * frames with the body EVACUATIONS
    */
   protobuf_c_boolean reads_evacuations;
+  /*
+   * frames with the body VERSIONS
+   */
+  protobuf_c_boolean reads_versions;
 };
 #define CS__ROUTER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cs__Router__Member
@@ -515,6 +521,54 @@
     , 0, 0 }
 
 
+/*
+ * A software version of which targets have served lately.
+ */
+struct  Cs__Router__Version
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t service;
+  /*
+   * hash of the service and the version
+   */
+  uint64_t version;
+  /*
+   * since there were targets of it; 0: there are
+   */
+  uint32_t gone_ms;
+  protobuf_c_boolean is_base;
+  /*
+   * it is the base, and had less than half of the targets
+   */
+  protobuf_c_boolean had_few;
+  /*
+   * since then
+   */
+  uint32_t few_ms;
+};
+#define CS__ROUTER__VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__version__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * All versions that the sender knows.  It knows the base of each service that
+ * has one.
+ */
+struct  Cs__Router__Versions
+{
+  ProtobufCMessage base;
+  size_t n_versions;
+  Cs__Router__Version **versions;
+};
+#define CS__ROUTER__VERSIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cs__router__versions__descriptor) \
+    , 0,NULL }
+
+
 /*
  * An evacuation that a restored store lacks, and which stays in force for a
  * while.
@@ -567,7 +621,8 @@
   CS__ROUTER__FRAME__BODY_MEMBERS = 8,
   CS__ROUTER__FRAME__BODY_FIND_VERSION = 9,
   CS__ROUTER__FRAME__BODY_VERSION_FOUND = 10,
-  CS__ROUTER__FRAME__BODY_EVACUATIONS = 11
+  CS__ROUTER__FRAME__BODY_EVACUATIONS = 11,
+  CS__ROUTER__FRAME__BODY_VERSIONS = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CS__ROUTER__FRAME__BODY__CASE)
 } Cs__Router__Frame__BodyCase;
 
@@ -590,6 +645,7 @@
     Cs__Router__FindVersion *find_version;
     Cs__Router__VersionFound *version_found;
     Cs__Router__Evacuations *evacuations;
+    Cs__Router__Versions *versions;
   };
 };
 #define CS__ROUTER__FRAME__INIT \
@@ -939,6 +995,44 @@
 void   cs__router__version_found__free_unpacked
                      (Cs__Router__VersionFound *message,
                       ProtobufCAllocator *allocator);
+/* Cs__Router__Version methods */
+void   cs__router__version__init
+                     (Cs__Router__Version         *message);
+size_t cs__router__version__get_packed_size
+                     (const Cs__Router__Version   *message);
+size_t cs__router__version__pack
+                     (const Cs__Router__Version   *message,
+                      uint8_t             *out);
+size_t cs__router__version__pack_to_buffer
+                     (const Cs__Router__Version   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Version *
+       cs__router__version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__version__free_unpacked
+                     (Cs__Router__Version *message,
+                      ProtobufCAllocator *allocator);
+/* Cs__Router__Versions methods */
+void   cs__router__versions__init
+                     (Cs__Router__Versions         *message);
+size_t cs__router__versions__get_packed_size
+                     (const Cs__Router__Versions   *message);
+size_t cs__router__versions__pack
+                     (const Cs__Router__Versions   *message,
+                      uint8_t             *out);
+size_t cs__router__versions__pack_to_buffer
+                     (const Cs__Router__Versions   *message,
+                      ProtobufCBuffer     *buffer);
+Cs__Router__Versions *
+       cs__router__versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cs__router__versions__free_unpacked
+                     (Cs__Router__Versions *message,
+                      ProtobufCAllocator *allocator);
 /* Cs__Router__KeptEvacuation methods */
 void   cs__router__kept_evacuation__init
                      (Cs__Router__KeptEvacuation         *message);
@@ -1052,6 +1146,12 @@
 typedef void (*Cs__Router__VersionFound_Closure)
                  (const Cs__Router__VersionFound *message,
                   void *closure_data);
+typedef void (*Cs__Router__Version_Closure)
+                 (const Cs__Router__Version *message,
+                  void *closure_data);
+typedef void (*Cs__Router__Versions_Closure)
+                 (const Cs__Router__Versions *message,
+                  void *closure_data);
 typedef void (*Cs__Router__KeptEvacuation_Closure)
                  (const Cs__Router__KeptEvacuation *message,
                   void *closure_data);
@@ -1085,6 +1185,8 @@
 extern const ProtobufCMessageDescriptor cs__router__streams_saved__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__find_version__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__version_found__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__version__descriptor;
+extern const ProtobufCMessageDescriptor cs__router__versions__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__kept_evacuation__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor cs__router__frame__descriptor;
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/compress.h"
+#include "cranberrystile/version_history.h"
 #include "protocol/framing.h"
 #include "router/peer/internal.h"
 
@@ -118,6 +119,8 @@
     case CS__ROUTER__FRAME__BODY_FIND_VERSION:
     case CS__ROUTER__FRAME__BODY_VERSION_FOUND:
       return true;
+    case CS__ROUTER__FRAME__BODY_VERSIONS:
+      return frame->versions->n_versions <= CS_VERSION_HISTORY_MAX;
     case CS__ROUTER__FRAME__BODY_EVACUATIONS:
       return are_valid_evacuations (frame->evacuations);
     case CS__ROUTER__FRAME__BODY_TARGETS:
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -96,6 +96,7 @@
   bool saves_streams;     /* likewise */
   bool finds_versions;    /* likewise */
   bool reads_evacuations; /* likewise */
+  bool reads_versions;    /* likewise */
   bool reaches_all; /* the peer is a first hub that reaches all routers */
   uint64_t data_centre;
   cs_time_us_t last_received_at;
@@ -121,6 +122,7 @@
   uint64_t streams_saving;
   uint64_t streams_saved;
 
+  uint64_t versions_sent;    /* state of cs_stream_versions_to_tell */
   bool blocked_sent;         /* the list of blocked parts */
   uint32_t last_sent_number; /* of heartbeats */
   uint32_t last_received_number;
@@ -137,6 +139,15 @@
                        starts */
 };
 
+/* known_versions.c */
+
+/* Sends the versions of the targets to the peer of LINK if it has not been
+   told them.  */
+void cs_known_versions_send (cs_link_t *link, cs_time_us_t now);
+void cs_known_versions_read (cs_link_t *link,
+                             const Cs__Router__Versions *message,
+                             cs_time_us_t now);
+
 /* frames.c: a frame is a 4-byte big-endian length and a packed message.  */
 
 /* Appends FRAME to OUT.  Returns 0 or CS_ERR_NO_MEMORY.  */
--- a/router/peer/link.c
+++ b/router/peer/link.c
@@ -59,6 +59,7 @@
   hello.reads_compressed = true;
   hello.saves_streams = true;
   hello.finds_versions = true;
+  hello.reads_versions = true;
   hello.reads_evacuations = link->mesh->router->evacuations != NULL;
   hello.needs_members = !cs_directory_has_list (link->mesh->directory);
   frame.body_case = CS__ROUTER__FRAME__BODY_HELLO;
@@ -94,6 +95,7 @@
   link->reads_compressed = hello->reads_compressed;
   link->saves_streams = hello->saves_streams;
   link->finds_versions = hello->finds_versions;
+  link->reads_versions = hello->reads_versions;
   link->reads_evacuations = hello->reads_evacuations;
   link->hello_received = true;
   cs_log (CS_EV_PEER_CONNECTED, "peer=%016llx name=%s data_centre=%s",
@@ -101,6 +103,7 @@
   cs_mesh_on_link_established (mesh, link->id);
   if (hello->needs_members)
     cs_members_send (link);
+  cs_known_versions_send (link, cs_loop_now (mesh->router->loop));
   /* The peer's next heartbeat echoes this one, and then dates its state.  */
   cs_link_send_heartbeat (link, cs_loop_now (mesh->router->loop));
 }
@@ -134,6 +137,9 @@
     case CS__ROUTER__FRAME__BODY_EVACUATIONS:
       cs_sync_read_evacuations (link, frame->evacuations, now);
       return CS_OK;
+    case CS__ROUTER__FRAME__BODY_VERSIONS:
+      cs_known_versions_read (link, frame->versions, now);
+      return CS_OK;
     case CS__ROUTER__FRAME__BODY_MEMBERS:
       cs_members_read (link->mesh, frame->members);
       return CS_OK;
--- a/router/peer/mesh.c
+++ b/router/peer/mesh.c
@@ -113,7 +113,10 @@
   cs_loads_update_sums (mesh);
   cs_loads_apply (mesh, now);
   for (cs_link_t *link = mesh->links; link != NULL; link = link->next)
-    cs_link_send_heartbeat (link, now);
+    {
+      cs_known_versions_send (link, now);
+      cs_link_send_heartbeat (link, now);
+    }
   cs_loads_discard_sums (mesh);
   cs_timer_set (&mesh->timer, mesh->router->settings.beat_ms * CS_US_PER_MS);
 }
@@ -261,6 +264,13 @@
   return true;
 }
 
+bool
+cs_mesh_is_new (const cs_mesh_t *mesh)
+{
+  return mesh != NULL && cs_directory_has_list (mesh->directory)
+         && !cs_directory_had_entry (mesh->directory);
+}
+
 void
 cs_mesh_push_changes (cs_mesh_t *mesh)
 {
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -42,6 +42,9 @@
   cs_time_us_t synced_at; /* when the targets were first known; 0: not yet */
   cs_time_us_t followed_since; /* all changes of the targets */
   cs_time_us_t updated_at;
+  bool was_told;       /* the bases, by a peer */
+  uint64_t tell_state; /* rises when there is something to tell peers */
+  uint64_t tell_hash;
   cs_version_lookup_t *lookups;
   uint64_t last_question; /* to peers */
   cs_stream_wait_t *waits;
@@ -121,6 +124,14 @@
 /* Passes the streams on to the hub.  Returns false if there is none.  */
 bool cs_stream_pass (cs_stream_versions_t *versions, cs_time_us_t now);
 
+/* stream_bases.c */
+
+/* Whether this router knows the base of each service that has one.  */
+bool cs_stream_knows_bases (const cs_stream_versions_t *versions);
+
+/* Notices what peers have not been told.  */
+void cs_stream_bases_update (cs_stream_versions_t *versions, cs_time_us_t now);
+
 /* stream_object.c */
 
 /* Gives this router's object a new name.  Returns 0 or CS_ERR_NO_MEMORY.  */
--- a/router/store/stream_lookups.c
+++ b/router/store/stream_lookups.c
@@ -174,13 +174,15 @@
 
 /* Decides on LOOKUP when no router has recorded its stream.  Those that begin
    at another version than the base are recorded before their first event while
-   half of the targets have the base.  */
+   half of the targets have the base: so it must have had them for as long as
+   streams live.  */
 static int
 decide_unrecorded (const cs_stream_versions_t *versions,
                    cs_version_lookup_t *lookup, cs_time_us_t now)
 {
   const cs_version_history_t *history = &versions->history;
-  if (versions->known_is_partial)
+  if (versions->known_is_partial
+      || cs_version_history_had_few (history, lookup->service, now))
     return CS_ERR_UNKNOWN_VERSION;
   lookup->version
       = cs_version_history_main_base (history, lookup->service, now);
--- a/router/store/stream_saves.c
+++ b/router/store/stream_saves.c
@@ -48,7 +48,9 @@
   bool is_single
       = cs_version_history_count (&versions->history, service, now, &version)
         < 2;
-  if (is_single && cs_stream_history_is_complete (versions, now))
+  if (is_single
+      && (cs_stream_history_is_complete (versions, now)
+          || cs_version_history_is_base (&versions->history, record->version)))
     return 0;
   if (!versions->is_read
       && (is_single
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -50,6 +50,8 @@
       if (seen.version != 0)
         cs_version_history_count_target (&versions->history, seen.version);
     }
+  if (cs_stream_targets_are_settled (versions, now))
+    cs_version_history_check_bases (&versions->history, now);
   return is_new;
 }
 
@@ -195,6 +197,7 @@
   versions->updated_at = now;
   cs_version_history_expire (&versions->history, now);
   find_bases (versions, now);
+  cs_stream_bases_update (versions, now);
   cs_stream_table_expire (versions->own, now);
   cs_stream_table_expire (versions->known, now);
   /* Streams in progress began when there was one version.  */
@@ -235,16 +238,6 @@
   return cs_version_history_main_base (&versions->history, service, now);
 }
 
-bool
-cs_stream_versions_must_save (const cs_stream_versions_t *versions,
-                              uint64_t service, uint64_t version,
-                              cs_time_us_t now)
-{
-  uint64_t base
-      = cs_version_history_main_base (&versions->history, service, now);
-  return base != 0 && version != 0 && version != base;
-}
-
 bool
 cs_stream_history_is_complete (const cs_stream_versions_t *versions,
                                cs_time_us_t now)
--- a/tests/router/two_versions.h
+++ b/tests/router/two_versions.h
@@ -77,22 +77,33 @@
       store.put ("servers", target->id (), target->entry ("engines"));
   }
 
+  virtual std::vector<Target *>
+  engines ()
+  {
+    return { &engine, &second_engine, &third_engine, &new_engine };
+  }
+
+  bool
+  is_of_old_version (const Target *target) const
+  {
+    return target == &engine || target == &second_engine
+           || target == &third_engine;
+  }
+
   std::string
   version_of (const std::string &id)
   {
-    for (Target *target :
-         { &engine, &second_engine, &third_engine, &new_engine })
+    for (Target *target : engines ())
       for (const auto &message : target->requests ())
         if (message.field ("x-request-id") == id)
-          return target == &new_engine ? "v2" : "v1";
+          return is_of_old_version (target) ? "v1" : "v2";
     return "";
   }
 
   void
   set_scripts (const Target::Script &script)
   {
-    for (Target *target :
-         { &engine, &second_engine, &third_engine, &new_engine })
+    for (Target *target : engines ())
       target->set (script);
   }
 
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -31,9 +31,9 @@
 TEST (VersionHistory, GoneVersionCountsWhileItsStreamsLast)
 {
   cs_version_history_t history = {};
-  cs_version_seen_t old_one = { 1, 10, 100 * SECOND, false, 0 };
-  cs_version_seen_t new_one = { 1, 11, 120 * SECOND, false, 0 };
-  cs_version_seen_t elsewhere = { 2, 12, 120 * SECOND, false, 0 };
+  cs_version_seen_t old_one = { 1, 10, 100 * SECOND, false, 0, 0 };
+  cs_version_seen_t new_one = { 1, 11, 120 * SECOND, false, 0, 0 };
+  cs_version_seen_t elsewhere = { 2, 12, 120 * SECOND, false, 0, 0 };
   EXPECT_TRUE (cs_version_history_see (&history, &old_one, 100 * SECOND));
   EXPECT_TRUE (cs_version_history_see (&history, &new_one, 120 * SECOND));
   EXPECT_TRUE (cs_version_history_see (&history, &elsewhere, 120 * SECOND));
@@ -52,7 +52,7 @@
   cs_version_history_t history = {};
   for (uint64_t i = 0; i <= CS_VERSION_HISTORY_MAX; i++)
     {
-      cs_version_seen_t seen = { 1, 1000 + i, 100 * SECOND + i, false, 0 };
+      cs_version_seen_t seen = { 1, 1000 + i, 100 * SECOND + i, false, 0, 0 };
       EXPECT_TRUE (cs_version_history_see (&history, &seen, 101 * SECOND));
     }
   EXPECT_EQ (history.count, size_t (CS_VERSION_HISTORY_MAX));
@@ -66,7 +66,7 @@
   cs_version_history_t history = {};
   for (uint64_t version : { 10, 11 })
     {
-      cs_version_seen_t seen = { 1, version, 100 * SECOND, false, 0 };
+      cs_version_seen_t seen = { 1, version, 100 * SECOND, false, 0, 0 };
       cs_version_history_see (&history, &seen, 100 * SECOND);
     }
   EXPECT_EQ (cs_version_history_base (&history, 1, 101 * SECOND), 0U);
