Store: read lists past names of any length, and cut none in silence

Cause: the name after which the next page begins was kept in a buffer of 95 bytes. Cut, it sorts before the page that was just read, which came again and counted as a failed call. The other four lists page alike.

Names of targets, services, data centres and routers may have 255 bytes; an entry with a longer one is counted and logged.

--- a/cranberrystile/stream/event_stream.c
+++ b/cranberrystile/stream/event_stream.c
@@ -95,7 +95,9 @@
         return false;
       stream->last_number = number;
     }
-  cs_name_set (&stream->last_id, id);
+  /* A stream does not go on after a part of an id.  */
+  if (!cs_name_set (&stream->last_id, id))
+    stream->last_id.len = 0;
   return true;
 }
 
--- a/cranberrystile/stream/version_history.c
+++ b/cranberrystile/stream/version_history.c
@@ -44,10 +44,20 @@
       return false;
     }
   cs_version_history_expire (history, now);
+  if (history->count == CS_VERSION_HISTORY_MAX)
+    history->forgot_at = now;
   *allocate (history) = *seen;
   return true;
 }
 
+bool
+cs_version_history_lacks (const cs_version_history_t *history,
+                          cs_time_us_t now)
+{
+  return history->forgot_at != 0
+         && now < history->forgot_at + CS_STREAM_LIFE_US;
+}
+
 void
 cs_version_history_expire (cs_version_history_t *history, cs_time_us_t now)
 {
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -25,6 +25,8 @@
   X (STORE_RESTORED, 1203, 4)                                                 \
   X (STORE_RESPONSE_REJECTED, 1204, 4)                                        \
   X (STORE_CONFLICT, 1205, 5)                                                 \
+  X (STORE_NAMES_TOO_LONG, 1206, 4)                                           \
+  X (VERSIONS_FORGOTTEN, 1207, 4)                                             \
   X (PEER_CONNECTED, 1301, 6)                                                 \
   X (PEER_LOST, 1302, 4)                                                      \
   X (PEER_REJECTED, 1303, 4)                                                  \
--- a/include/common/str.h
+++ b/include/common/str.h
@@ -14,9 +14,9 @@
   size_t len;
 } cs_str_t;
 
-/* Maximum length in bytes of the name of an organisation, target, host or data
-   centre.  */
-#define CS_NAME_MAX 95
+/* Maximum length in bytes of the name of an organisation, service, target,
+   host or data centre: that of a host name in the DNS is 253.  */
+#define CS_NAME_MAX 255
 
 /* A short name stored by value.  TEXT is zero-terminated for printing.  */
 typedef struct
--- a/include/cranberrystile/event_stream.h
+++ b/include/cranberrystile/event_stream.h
@@ -14,7 +14,8 @@
 {
   cs_buf_t partial;     /* incomplete event at the end of the input */
   size_t scanned;       /* leading bytes of it that are known to hold no end */
-  cs_name_t last_id;    /* id of the last complete event that had one */
+  cs_name_t last_id;    /* id of the last complete event that had one; empty if
+                           that is longer than CS_NAME_MAX */
   uint64_t last_number; /* the last numeric id; 0: none yet */
   uint64_t count;       /* complete events forwarded, without those that have
                            no field, such as comments */
--- a/include/cranberrystile/fleet.h
+++ b/include/cranberrystile/fleet.h
@@ -36,8 +36,9 @@
   cs_revision_t revision; /* of the platform's store, at this entry */
 } cs_target_entry_t;
 
-/* Longest pause that a target can ask for.  */
-#define CS_TARGET_MAX_PAUSE_US (60 * CS_US_PER_S)
+/* Longest pause that a target can ask for.  A clock that is wrong in seconds
+   must not keep requests from it for good.  */
+#define CS_TARGET_MAX_PAUSE_US (24 * 60 * 60 * CS_US_PER_S)
 
 /* Load that the target last reported with a response.  */
 typedef struct
--- a/include/cranberrystile/version_history.h
+++ b/include/cranberrystile/version_history.h
@@ -34,6 +34,8 @@
 {
   cs_version_seen_t seen[CS_VERSION_HISTORY_MAX];
   size_t count;
+  cs_time_us_t forgot_at; /* when one with streams last had to give way; 0:
+                             never */
 } cs_version_history_t;
 
 /* Records that targets of SERVICE had VERSION at AT; the latest time counts.
@@ -43,6 +45,10 @@
 bool cs_version_history_see (cs_version_history_t *history,
                              const cs_version_seen_t *seen, cs_time_us_t now);
 
+/* Whether a version was forgotten whose streams may not be over at NOW.  */
+bool cs_version_history_lacks (const cs_version_history_t *history,
+                               cs_time_us_t now);
+
 /* Forgets the versions that have no streams left at NOW.  */
 void cs_version_history_expire (cs_version_history_t *history,
                                 cs_time_us_t now);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -115,8 +115,8 @@
   uint32_t renewals; /* counter; makes each renewal a change */
 } cs_router_entry_t;
 
-/* Decodes a router's entry.  Returns 0, or CS_ERR_BAD_REQUEST if it is
-   invalid.  */
+/* Decodes a router's entry.  Returns 0, CS_ERR_BAD_REQUEST if it is invalid,
+   or CS_ERR_TOO_LARGE if a name in it is longer than CS_NAME_MAX.  */
 int cs_store_read_router (const cs_store_object_t *object,
                           cs_router_entry_t *out);
 
@@ -150,8 +150,9 @@
 int cs_store_write_blocked_part (const cs_store_blocked_part_t *part,
                                  cs_buf_t *out);
 
-/* Decodes a target's entry.  Returns 0, or CS_ERR_BAD_REQUEST if it does not
-   describe a usable target.  */
+/* Decodes a target's entry.  Returns 0, CS_ERR_BAD_REQUEST if it does not
+   describe a usable target, or CS_ERR_TOO_LARGE if it does but for a name that
+   is longer than CS_NAME_MAX.  */
 int cs_store_read_target (const cs_store_object_t *object,
                           cs_target_entry_t *out);
 
--- a/router/peer/directory.c
+++ b/router/peer/directory.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "http/head.h"
 #include "platform/store.h"
+#include "router/list_cursor.h"
 #include "router/peer/entry_calls.h"
 #include "router/peer/internal.h"
 #include "router/store_client.h"
@@ -49,13 +50,13 @@
   bool leaving;
   bool call_in_flight;
   size_t delays_used;
-  bool has_answered;    /* the first list was read or failed */
-  bool has_list;        /* a list was read */
-  size_t lists_read;    /* complete lists; the first one if it counts */
-  cs_name_t page_after; /* last name on the previous page */
-  bool had_entry;       /* of an earlier start of this router */
-  bool was_missing;     /* the last renewal found no entry */
-  bool was_changed;     /* the last removal found another revision */
+  bool has_answered;       /* the first list was read or failed */
+  bool has_list;           /* a list was read */
+  size_t lists_read;       /* complete lists; the first one if it counts */
+  cs_list_cursor_t cursor; /* of the list in progress */
+  bool had_entry;          /* of an earlier start of this router */
+  bool was_missing;        /* the last renewal found no entry */
+  bool was_changed;        /* the last removal found another revision */
   uint32_t renewals;
   cs_time_us_t written_at; /* when the own entry was last written */
   uint64_t own_revision;   /* of the own entry; 0: not known */
@@ -87,7 +88,7 @@
       return;
     case STEP_LIST:
       cs_entry_list (settings, directory->client,
-                     cs_name_str (&directory->page_after));
+                     cs_list_cursor_after (&directory->cursor));
       return;
     case STEP_REMOVE:
       cs_entry_remove (settings, directory->client,
@@ -103,7 +104,8 @@
     }
 }
 
-/* Reads one page of the list; returns whether there is another one.  */
+/* Reads one page of the list; returns whether there is another one.  A page
+   that doesn't bring the list forward ends it.  */
 static bool
 read_page (cs_directory_t *directory, const cs_store_response_t *response)
 {
@@ -111,20 +113,25 @@
   cs_store_object_t object;
   cs_router_entry_t entry;
   cs_str_t own_name = cs_str (directory->mesh->router->settings.name);
-  bool is_first_page = directory->page_after.len == 0;
-  directory->page_after.len = 0;
+  bool is_first_page = !cs_list_cursor_is_begun (&directory->cursor);
   if (cs_store_read_list (response->body, response->era, &page) != 0)
-    return false;
+    {
+      cs_list_cursor_reset (&directory->cursor);
+      return false;
+    }
   if (is_first_page)
     {
       cs_mesh_list_begin (directory->mesh);
       directory->own_is_listed = false;
     }
+  cs_list_cursor_begin_page (&directory->cursor);
   while (cs_store_next_object (&page, &object))
     {
-      if (page.truncated)
-        cs_name_set (&directory->page_after, object.name);
-      if (cs_store_read_router (&object, &entry) != 0)
+      cs_list_cursor_pass (&directory->cursor, object.name);
+      int rc = cs_store_read_router (&object, &entry);
+      if (rc == CS_ERR_TOO_LARGE)
+        directory->mesh->router->counters.names_too_long++;
+      if (rc != 0)
         continue;
       if (cs_str_equal (entry.name, own_name))
         {
@@ -135,9 +142,11 @@
       cs_mesh_list_entry (directory->mesh, &entry, object.revision);
     }
   cs_store_page_release (&page);
-  if (directory->page_after.len == 0)
-    cs_mesh_list_end (directory->mesh);
-  return directory->page_after.len > 0;
+  if (page.truncated && cs_list_cursor_has_moved (&directory->cursor))
+    return true;
+  cs_list_cursor_reset (&directory->cursor);
+  cs_mesh_list_end (directory->mesh);
+  return false;
 }
 
 static void
@@ -323,6 +332,7 @@
     return;
   cs_timer_clear (&directory->timer);
   cs_store_client_destroy (directory->client);
+  cs_list_cursor_free (&directory->cursor);
   free (directory);
 }
 
--- a/router/services.c
+++ b/router/services.c
@@ -5,8 +5,12 @@
 cs_service_state_t *
 cs_service_table_get (cs_service_table_t *table, cs_str_t name)
 {
+  /* Services whose names differ only beyond CS_NAME_MAX have no targets and
+     share a state.  */
+  cs_name_t key;
+  cs_name_set (&key, name);
   for (size_t i = 0; i < table->count; i++)
-    if (cs_str_equal (cs_name_str (&table->states[i]->name), name))
+    if (cs_name_equal (&table->states[i]->name, &key))
       return table->states[i];
   cs_service_state_t **states = realloc (
       table->states, (table->count + 1) * sizeof (cs_service_state_t *));
@@ -16,7 +20,7 @@
   cs_service_state_t *state = calloc (1, sizeof *state);
   if (state == NULL)
     return NULL;
-  cs_name_set (&state->name, name);
+  state->name = key;
   cs_retry_window_init (&state->retry_window, table->retry_ratio,
                         table->retry_window_us);
   table->states[table->count++] = state;
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -4,6 +4,7 @@
 
 #include "http/head.h"
 #include "platform/store.h"
+#include "router/list_cursor.h"
 #include "router/mesh.h"
 #include "router/quarantine.h"
 #include "router/store/blocked_change.h"
@@ -55,7 +56,7 @@
   uint32_t refusals;  /* of the change that is being written */
   bool has_saved_all; /* as a hub, in SAVED_ERA of the store */
   uint64_t saved_era;
-  cs_name_t page_after;
+  cs_list_cursor_t cursor; /* of the list in progress */
   cs_blocked_change_t
       changes[MAX_CHANGES]; /* the first one is being written */
   size_t change_count;
@@ -93,7 +94,7 @@
 static int
 build_list (cs_blocked_parts_t *parts, cs_buf_t *path)
 {
-  cs_str_t after = cs_name_str (&parts->page_after);
+  cs_str_t after = cs_list_cursor_after (&parts->cursor);
   if (after.len == 0)
     parts->list_is_old = !parts->is_hub;
   return parts->list_is_old
@@ -179,10 +180,11 @@
   if (cs_store_read_list (response->body, response->era, &page) != 0)
     return response->status == STATUS_NOT_FOUND;
   bool is_last = !page.truncated || page.count == 0;
+  cs_list_cursor_begin_page (&parts->cursor);
   while (cs_store_next_object (&page, &object))
     {
       read_entry (parts, &object, now);
-      cs_name_set (&parts->page_after, object.name);
+      cs_list_cursor_pass (&parts->cursor, object.name);
     }
   cs_store_page_release (&page);
   return is_last;
@@ -192,10 +194,10 @@
 static bool
 on_listed (cs_blocked_parts_t *parts, const cs_store_response_t *response)
 {
-  cs_name_t last = parts->page_after;
   if (!read_page (parts, response, cs_loop_now (parts->router->loop)))
-    return !cs_name_equal (&last, &parts->page_after);
-  parts->page_after.len = 0;
+    return cs_http_is_success (response->status)
+           && cs_list_cursor_has_moved (&parts->cursor);
+  cs_list_cursor_reset (&parts->cursor);
   parts->is_read = true;
   parts->is_read_as_hub = !parts->list_is_old;
   return true;
@@ -325,6 +327,7 @@
     return;
   cs_timer_clear (&parts->timer);
   cs_store_client_destroy (parts->client);
+  cs_list_cursor_free (&parts->cursor);
   free (parts);
 }
 
--- a/router/store/evacuations.c
+++ b/router/store/evacuations.c
@@ -21,6 +21,12 @@
 on_object (cs_router_t *router, const cs_store_object_t *object,
            cs_time_us_t kept_until, cs_time_us_t now)
 {
+  /* No data centre has such a name.  */
+  if (object->name.len > CS_NAME_MAX)
+    {
+      router->counters.names_too_long++;
+      return CS_OK;
+    }
   if (object->is_change)
     return cs_router_evacuations_change (router, object->name,
                                          !object->deleted, object->revision);
--- a/router/store/follower.c
+++ b/router/store/follower.c
@@ -5,6 +5,7 @@
 #include "common/error.h"
 #include "common/log.h"
 #include "cranberrystile/relist.h"
+#include "router/list_cursor.h"
 #include "router/mesh.h"
 #include "router/store_client.h"
 #include "router/stream_versions.h"
@@ -40,7 +41,7 @@
   cs_store_client_t *client;
   cs_timer_t timer; /* starts the next call */
   bool listing;
-  cs_name_t page_after;         /* last name on the previous page */
+  cs_list_cursor_t cursor;      /* of the list in progress */
   cs_revision_t known_revision; /* when the list in progress was begun */
   uint32_t failures;            /* consecutive */
   cs_relist_t relist;
@@ -53,7 +54,7 @@
 restart_list (cs_follower_t *follower)
 {
   follower->listing = true;
-  follower->page_after.len = 0;
+  cs_list_cursor_reset (&follower->cursor);
   follower->known_revision = follower->sync_state->revision;
   follower->sync_state->list_revision = (cs_revision_t){ 0 };
 }
@@ -92,7 +93,7 @@
   follower->call_started_at = now;
   if (follower->listing)
     rc = cs_store_list_path (follower->kind,
-                             cs_name_str (&follower->page_after), &path);
+                             cs_list_cursor_after (&follower->cursor), &path);
   else
     {
       follower->watch_ms
@@ -200,6 +201,8 @@
 read_items (cs_follower_t *follower, cs_store_page_t *page, cs_time_us_t now)
 {
   cs_store_object_t object;
+  const uint64_t *ignored = &follower->router->counters.names_too_long;
+  uint64_t ignored_before = *ignored;
   cs_time_us_t until = kept_until (follower, now);
   while (cs_store_next_object (page, &object))
     {
@@ -208,8 +211,12 @@
       if (rc != 0)
         return rc;
       if (follower->listing)
-        cs_name_set (&follower->page_after, object.name);
+        cs_list_cursor_pass (&follower->cursor, object.name);
     }
+  if (*ignored > ignored_before)
+    cs_log (CS_EV_STORE_NAMES_TOO_LONG, "kind=%s entries=%llu max=%d",
+            cs_store_kind_name (follower->kind),
+            (unsigned long long)(*ignored - ignored_before), CS_NAME_MAX);
   return CS_OK;
 }
 
@@ -269,7 +276,6 @@
 read_list_page (cs_follower_t *follower, cs_store_page_t *page,
                 cs_time_us_t now)
 {
-  cs_name_t last = follower->page_after;
   bool has_begun = follower->sync_state->list_revision.number != 0;
   cs_revision_t revision
       = has_begun ? follower->sync_state->list_revision : page->revision;
@@ -286,9 +292,10 @@
       schedule_list (follower, now);
       return;
     }
+  cs_list_cursor_begin_page (&follower->cursor);
   int rc = read_items (follower, page, now);
   if (rc == 0 && page->truncated
-      && cs_name_equal (&last, &follower->page_after))
+      && !cs_list_cursor_has_moved (&follower->cursor))
     {
       on_call_failed (follower, 0, now);
       return;
@@ -395,5 +402,6 @@
     return;
   cs_timer_clear (&follower->timer);
   cs_store_client_destroy (follower->client);
+  cs_list_cursor_free (&follower->cursor);
   free (follower);
 }
--- a/router/store/stream_calls.c
+++ b/router/store/stream_calls.c
@@ -43,7 +43,7 @@
 static void
 begin_list (cs_stream_versions_t *versions, cs_time_us_t now)
 {
-  if (versions->page_after.len > 0)
+  if (cs_list_cursor_is_begun (&versions->cursor))
     return;
   versions->read_at = now;
   versions->list_era = versions->router->store_era;
@@ -68,8 +68,8 @@
     {
     case CS_STREAM_CALL_READ:
       begin_list (versions, now);
-      rc = cs_store_list_path (CS_STORE_STREAMS,
-                               cs_name_str (&versions->page_after), &path);
+      rc = cs_store_list_path (
+          CS_STORE_STREAMS, cs_list_cursor_after (&versions->cursor), &path);
       break;
     case CS_STREAM_CALL_WRITE_VERSIONS:
       versions->stored_is_current = false;
@@ -117,9 +117,10 @@
   bool is_over = versions->is_saved && !versions->save_due
                  && !cs_stream_versions_are_several (versions, now);
   *at = now;
-  if (versions->page_after.len > 0)
+  if (cs_list_cursor_is_begun (&versions->cursor))
     return CS_STREAM_CALL_READ;
-  if (versions->check_after.len > 0 || cs_stream_check_is_due (versions, now))
+  if (cs_list_cursor_is_begun (&versions->check_cursor)
+      || cs_stream_check_is_due (versions, now))
     return CS_STREAM_CALL_CHECK;
   if (versions->versions_due)
     return is_current ? CS_STREAM_CALL_WRITE_VERSIONS : CS_STREAM_CALL_READ;
@@ -196,6 +197,8 @@
 {
   versions->stored_count = cs_store_read_versions (object, versions->stored,
                                                    CS_VERSION_HISTORY_MAX);
+  if (versions->stored_count == CS_VERSION_HISTORY_MAX)
+    versions->history.forgot_at = now;
   versions->stored_revision = object->revision.number;
   versions->list_has_versions = true;
   cs_stream_versions_merge (versions, now);
@@ -268,32 +271,33 @@
 {
   cs_store_page_t page;
   cs_store_object_t object;
-  cs_name_t last = versions->page_after;
-  versions->page_after.len = 0;
   if (response->status == STATUS_NOT_FOUND)
     {
+      cs_list_cursor_reset (&versions->cursor);
       end_list (versions, now);
       return true;
     }
   if (cs_store_read_list (response->body, response->era, &page) != 0)
-    return false;
+    {
+      cs_list_cursor_reset (&versions->cursor);
+      return false;
+    }
+  cs_list_cursor_begin_page (&versions->cursor);
   while (cs_store_next_object (&page, &object))
     {
-      if (page.truncated)
-        cs_name_set (&versions->page_after, object.name);
+      cs_list_cursor_pass (&versions->cursor, object.name);
       if (cs_store_is_versions (&object))
         read_versions (versions, &object, now);
       else
         read_streams (versions, &object, now);
     }
   cs_store_page_release (&page);
+  if (page.truncated && cs_list_cursor_has_moved (&versions->cursor))
+    return true;
+  cs_list_cursor_reset (&versions->cursor);
   if (!page.truncated)
-    {
-      end_list (versions, now);
-      return true;
-    }
-  return versions->page_after.len > 0
-         && !cs_name_equal (&last, &versions->page_after);
+    end_list (versions, now);
+  return !page.truncated;
 }
 
 /* The object that was written, if it was, is read before the next write: its
--- a/router/store/stream_check.c
+++ b/router/store/stream_check.c
@@ -14,14 +14,14 @@
                       cs_time_us_t now)
 {
   const cs_router_t *router = versions->router;
-  if (versions->check_after.len == 0)
+  if (!cs_list_cursor_is_begun (&versions->check_cursor))
     versions->check_at = now;
   /* A revision of an earlier era means nothing to the store.  */
   if (router->targets_sync.revision.era != router->store_era)
     versions->check_lists = true;
   if (versions->check_lists)
-    return cs_store_list_path (CS_STORE_TARGETS,
-                               cs_name_str (&versions->check_after), out);
+    return cs_store_list_path (
+        CS_STORE_TARGETS, cs_list_cursor_after (&versions->check_cursor), out);
   return cs_store_watch_path (
       CS_STORE_TARGETS, router->targets_sync.revision.number, WAIT_MS, out);
 }
@@ -54,8 +54,7 @@
   cs_target_entry_t entry;
   while (cs_store_next_object (page, &object))
     {
-      if (page->truncated)
-        cs_name_set (&versions->check_after, object.name);
+      cs_list_cursor_pass (&versions->check_cursor, object.name);
       if (object.deleted)
         see_removal (versions, object.name, now);
       if (object.deleted || cs_store_read_target (&object, &entry) != 0
@@ -86,10 +85,10 @@
 {
   cs_store_page_t page;
   bool is_list = versions->check_lists;
-  cs_name_t last = versions->check_after;
-  versions->check_after.len = 0;
+  cs_list_cursor_t *cursor = &versions->check_cursor;
   if (response->status == STATUS_GONE && !is_list)
     {
+      cs_list_cursor_reset (cursor);
       begin_list (versions, now);
       return true;
     }
@@ -98,21 +97,25 @@
                ? cs_store_read_list (response->body, response->era, &page)
                : cs_store_read_watch (response->body, response->era, &page);
   if (rc != 0)
-    return false;
+    {
+      cs_list_cursor_reset (cursor);
+      return false;
+    }
   bool is_current
       = is_list
         || page.revision.era == versions->router->targets_sync.revision.era;
   bool is_truncated = page.truncated;
+  cs_list_cursor_begin_page (cursor);
   if (is_current)
     see_page (versions, &page, now);
   else
     begin_list (versions, now);
   cs_store_page_release (&page);
-  if (!is_current)
+  if (is_current && is_truncated && cs_list_cursor_has_moved (cursor))
     return true;
-  if (is_truncated)
-    return versions->check_after.len > 0
-           && !cs_name_equal (&last, &versions->check_after);
+  cs_list_cursor_reset (cursor);
+  if (!is_current || is_truncated)
+    return !is_current;
   versions->check_lists = false;
   cs_stream_lookups_after_check (versions, versions->check_at, now);
   return true;
--- a/router/store/stream_internal.h
+++ b/router/store/stream_internal.h
@@ -6,6 +6,7 @@
 
 #include "cranberrystile/version_history.h"
 #include "platform/streams.h"
+#include "router/list_cursor.h"
 #include "router/store_client.h"
 #include "router/stream_versions.h"
 
@@ -42,6 +43,7 @@
   cs_time_us_t synced_at; /* when the targets were first known; 0: not yet */
   cs_time_us_t followed_since; /* all changes of the targets */
   cs_time_us_t updated_at;
+  bool lacks_versions; /* as the log says */
   bool was_told;       /* the bases, by a peer */
   uint64_t tell_state; /* rises when there is something to tell peers */
   uint64_t tell_hash;
@@ -88,14 +90,14 @@
   bool list_was_several;   /* versions, as far as was known when it began */
   bool known_is_partial;   /* streams are missing from KNOWN */
   cs_time_us_t lost_until; /* streams are missing from OWN */
-  cs_name_t page_after;    /* last name on the previous page; empty: none */
+  cs_list_cursor_t cursor; /* of the list in progress */
   cs_removable_t
       removable[CS_STREAM_REMOVABLE_MAX]; /* their streams are over */
   size_t removable_count;
 
   cs_time_us_t check_at; /* when the latest check of the targets began */
   bool check_lists;      /* it lists them, as the changes aren't known */
-  cs_name_t check_after; /* last name on its previous page; empty: none */
+  cs_list_cursor_t check_cursor; /* of that list */
 
   cs_store_version_t
       stored[CS_VERSION_HISTORY_MAX]; /* in the versions object */
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -176,6 +176,15 @@
          && differs_from_stored (versions, now);
 }
 
+static void
+log_forgotten (cs_stream_versions_t *versions, cs_time_us_t now)
+{
+  bool lacks = cs_version_history_lacks (&versions->history, now);
+  if (lacks && !versions->lacks_versions)
+    cs_log (CS_EV_VERSIONS_FORGOTTEN, "max=%d", CS_VERSION_HISTORY_MAX);
+  versions->lacks_versions = lacks;
+}
+
 void
 cs_stream_versions_update (cs_stream_versions_t *versions, cs_time_us_t now)
 {
@@ -196,6 +205,7 @@
   bool is_new = see_targets (versions, now);
   versions->updated_at = now;
   cs_version_history_expire (&versions->history, now);
+  log_forgotten (versions, now);
   find_bases (versions, now);
   cs_stream_bases_update (versions, now);
   cs_stream_table_expire (versions->own, now);
@@ -242,9 +252,10 @@
 cs_stream_history_is_complete (const cs_stream_versions_t *versions,
                                cs_time_us_t now)
 {
-  return versions->is_read
-         || (versions->followed_since != 0
-             && now >= versions->followed_since + CS_STREAM_LIFE_US);
+  return !cs_version_history_lacks (&versions->history, now)
+         && (versions->is_read
+             || (versions->followed_since != 0
+                 && now >= versions->followed_since + CS_STREAM_LIFE_US));
 }
 
 void
@@ -285,5 +296,7 @@
   cs_store_client_destroy (versions->client);
   cs_stream_table_destroy (versions->own);
   cs_stream_table_destroy (versions->known);
+  cs_list_cursor_free (&versions->cursor);
+  cs_list_cursor_free (&versions->check_cursor);
   free (versions);
 }
--- a/router/store/targets.c
+++ b/router/store/targets.c
@@ -45,8 +45,11 @@
     }
   /* Entries of other writers that don't describe a target are skipped without
      a log line, which would recur with each list.  */
-  if (cs_store_read_target (object, &entry) == 0)
+  int rc = cs_store_read_target (object, &entry);
+  if (rc == 0)
     cs_apply_target (router, &entry, "platform");
+  else if (rc == CS_ERR_TOO_LARGE)
+    router->counters.names_too_long++;
   return CS_OK;
 }
 
--- a/tests/router/stand_ins.h
+++ b/tests/router/stand_ins.h
@@ -299,7 +299,23 @@
     if (at == std::string::npos)
       return "";
     at += name.size () + 1;
-    return target.substr (at, target.find ('&', at) - at);
+    return decoded (target.substr (at, target.find ('&', at) - at));
+  }
+
+  static std::string
+  decoded (const std::string &text)
+  {
+    std::string out;
+    for (size_t i = 0; i < text.size (); i++)
+      if (text[i] == '%')
+        {
+          out += static_cast<char> (
+              std::stoi (text.substr (i + 1, 2), nullptr, 16));
+          i += 2;
+        }
+      else
+        out += text[i];
+    return out;
   }
 
   void
@@ -335,7 +351,7 @@
     size_t slash = kind.find ('/');
     if (slash != std::string::npos)
       {
-        name = kind.substr (slash + 1);
+        name = decoded (kind.substr (slash + 1));
         kind = kind.substr (0, slash);
       }
     std::string since = query (target, "watch");
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -263,11 +263,17 @@
   {
     const char *text;
     cs_time_us_t pause_us;
-  } cases[] = { { "2", 2000000 },    { "0.25", 250000 },
-                { "-3", 0 },         { "nan", 0 },
-                { "inf", 0 },        { "0x10", 0 },
-                { "", 0 },           { "2 s", 0 },
-                { "1e9", 60000000 }, { "1000000000000000000000", 60000000 },
+  } cases[] = { { "2", 2000000 },
+                { "0.25", 250000 },
+                { "-3", 0 },
+                { "nan", 0 },
+                { "inf", 0 },
+                { "0x10", 0 },
+                { "", 0 },
+                { "2 s", 0 },
+                { "120", 120000000 },
+                { "1e9", 86400000000 },
+                { "1000000000000000000000", 86400000000 },
                 { "Fri, 04 Dec", 0 } };
   for (const auto &one : cases)
     {
@@ -542,6 +548,22 @@
     }
 }
 
+// The stream went on after the part of the id that was kept.
+TEST (Codec, AStreamDoesNotGoOnAfterAPartOfAnId)
+{
+  cs_event_stream_t stream = {};
+  cs_buf_t whole = {};
+  std::string events
+      = "id: a\ndata: x\n\nid: " + std::string (300, '7') + "\ndata: y\n\n";
+  cs_event_stream_add (&stream, view (events), &whole);
+  EXPECT_EQ (whole.len, events.size ());
+  EXPECT_EQ (stream.last_id.len, 0);
+  cs_event_stream_add (&stream, view ("id: b\ndata: z\n\n"), &whole);
+  EXPECT_STREQ (stream.last_id.text, "b");
+  cs_event_stream_free (&stream);
+  cs_buf_free (&whole);
+}
+
 // Four times the bytes take about four times the time, not sixteen times.
 TEST (Codec, ReadsAnEventInSmallPartsInLinearTime)
 {
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -56,6 +56,9 @@
       EXPECT_TRUE (cs_version_history_see (&history, &seen, 101 * SECOND));
     }
   EXPECT_EQ (history.count, size_t (CS_VERSION_HISTORY_MAX));
+  // Streams that nobody recorded may be of the one that is forgotten.
+  EXPECT_TRUE (cs_version_history_lacks (&history, 130 * SECOND));
+  EXPECT_FALSE (cs_version_history_lacks (&history, 132 * SECOND));
   EXPECT_EQ (cs_version_history_seen_at (&history, 1000), 0U);
   EXPECT_NE (cs_version_history_seen_at (&history, 1001), 0U);
 }
