Quarantine: look at all parts of a prompt

The part was the 17th of 18.

Cause: the list of a request's parts held 16, and the parser left out the rest without a trace.

The list of a request now grows with its head, so all parts are checked, reported and remembered. A report holds 1,024 parts, those further back; what it leaves out is counted and logged. Peers of earlier releases are sent 16. The table of suspects is found by a hash and holds 2,048 instead of 256, as one prompt of many parts would have displaced all others; that of answered parts 16,384.

In the unit tests the ids of other suspects moved, as the larger table made one of them equal to the bad one.

--- a/cranberrystile/quarantine/answers.c
+++ b/cranberrystile/quarantine/answers.c
@@ -21,11 +21,10 @@
   return at != 0 && now < at + limit;
 }
 
-static size_t
+static void
 list_served (cs_quarantine_t *quarantine, const cs_id_list_t *list,
-             cs_time_us_t now, cs_part_time_t *out)
+             cs_time_us_t now, cs_part_served_fn *announce, void *context)
 {
-  size_t count = 0;
   for (uint32_t i = 0; i < list->count; i++)
     {
       uint64_t part = list->ids[i];
@@ -37,26 +36,23 @@
           || at < suspect->served_at + ANNOUNCE_INTERVAL_US)
         continue;
       suspect->served_at = at;
-      out[count++] = (cs_part_time_t){ part, at };
+      announce (context, &(cs_part_time_t){ part, at });
     }
-  return count;
 }
 
-size_t
+void
 cs_quarantine_list_served (cs_quarantine_t *quarantine,
                            const cs_crash_t *crash, cs_time_us_t now,
-                           cs_part_time_t out[CS_MAX_CAUSES])
+                           cs_part_served_fn *announce, void *context)
 {
-  size_t count = list_served (quarantine, &crash->causes.requests, now, out);
-  return count
-         + list_served (quarantine, &crash->causes.parts, now, out + count);
+  list_served (quarantine, &crash->causes.requests, now, announce, context);
+  list_served (quarantine, &crash->causes.parts, now, announce, context);
 }
 
-static size_t
+static void
 record_served (cs_quarantine_t *quarantine, const cs_id_list_t *list,
-               cs_time_us_t now, cs_part_time_t *out)
+               cs_time_us_t now, cs_part_served_fn *announce, void *context)
 {
-  size_t count = 0;
   for (uint32_t i = 0; i < list->count; i++)
     {
       cs_part_time_t served = { list->ids[i], now };
@@ -69,19 +65,19 @@
           && now >= suspect->served_at + ANNOUNCE_INTERVAL_US)
         {
           suspect->served_at = now;
-          out[count++] = served;
+          announce (context, &served);
         }
       clear (quarantine, suspect, now);
     }
-  return count;
 }
 
-size_t
+void
 cs_quarantine_served (cs_quarantine_t *quarantine, const cs_causes_t *causes,
-                      cs_time_us_t now, cs_part_time_t out[CS_MAX_CAUSES])
+                      cs_time_us_t now, cs_part_served_fn *announce,
+                      void *context)
 {
-  size_t count = record_served (quarantine, &causes->requests, now, out);
-  return count + record_served (quarantine, &causes->parts, now, out + count);
+  record_served (quarantine, &causes->requests, now, announce, context);
+  record_served (quarantine, &causes->parts, now, announce, context);
 }
 
 bool
--- a/cranberrystile/quarantine/quarantine.c
+++ b/cranberrystile/quarantine/quarantine.c
@@ -77,15 +77,6 @@
   return quarantine->policy.crashes;
 }
 
-static bool
-contains (const cs_id_list_t *list, uint64_t id)
-{
-  for (uint32_t i = 0; i < list->count; i++)
-    if (list->ids[i] == id)
-      return true;
-  return false;
-}
-
 /* Whether the crash is due to a part that is blocked, or also, with
    BY_REQUESTS, to a request.  */
 static bool
@@ -99,8 +90,8 @@
           || (suspect->is_request && !by_requests))
         continue;
       if (cs_suspect_has_crash (suspect, crash->target)
-          || contains (&crash->causes.parts, suspect->part)
-          || contains (&crash->causes.requests, suspect->part))
+          || cs_id_list_has (&crash->causes.parts, suspect->part)
+          || cs_id_list_has (&crash->causes.requests, suspect->part))
         return true;
     }
   return false;
@@ -184,25 +175,37 @@
   return cause != NULL;
 }
 
+/* Removes from LIST what was answered less than LIMIT ago.  */
 static void
 drop_answered (const cs_quarantine_t *quarantine, cs_id_list_t *list,
-               cs_time_us_t now)
+               cs_time_us_t limit, cs_time_us_t now)
 {
   uint32_t kept = 0;
   for (uint32_t i = 0; i < list->count; i++)
     if (!cs_quarantine_is_within (
-            cs_served_at (&quarantine->served, list->ids[i]),
-            quarantine->policy.trusted_us, now))
+            cs_served_at (&quarantine->served, list->ids[i]), limit, now))
       list->ids[kept++] = list->ids[i];
   list->count = kept;
 }
 
-void
+uint32_t
 cs_quarantine_drop_answered (const cs_quarantine_t *quarantine,
                              cs_crash_t *crash, cs_time_us_t now)
 {
-  drop_answered (quarantine, &crash->causes.requests, now);
-  drop_answered (quarantine, &crash->causes.parts, now);
+  const cs_quarantine_policy_t *policy = &quarantine->policy;
+  cs_id_list_t *parts = &crash->causes.parts;
+  drop_answered (quarantine, &crash->causes.requests, policy->trusted_us, now);
+  drop_answered (quarantine, parts, policy->trusted_us, now);
+  if (parts->count <= CS_CRASH_PARTS_MAX)
+    return 0;
+  drop_answered (quarantine, parts, policy->served_us, now);
+  uint32_t rest = parts->count <= CS_CRASH_PARTS_MAX
+                      ? 0
+                      : parts->count - CS_CRASH_PARTS_MAX;
+  for (uint32_t i = rest; i < parts->count; i++)
+    parts->ids[i - rest] = parts->ids[i];
+  parts->count -= rest;
+  return rest;
 }
 
 /* Counts CRASH against each id of LIST, or only against those that are blocked
--- a/cranberrystile/quarantine/served.h
+++ b/cranberrystile/quarantine/served.h
@@ -7,7 +7,7 @@
 #include "cranberrystile/quarantine.h"
 
 /* Parts that share a row displace the one that was answered longest ago.  */
-#define CS_SERVED_ROWS 1024
+#define CS_SERVED_ROWS 4096
 #define CS_SERVED_COLUMNS 4
 
 /* Initialise with zeros.  */
--- a/cranberrystile/quarantine/suspect.c
+++ b/cranberrystile/quarantine/suspect.c
@@ -2,6 +2,9 @@
 
 #include <stdlib.h>
 
+/* Entries of a full table that are looked at for a place.  */
+#define SAMPLE 64
+
 bool
 cs_suspect_is_blocked (const cs_suspect_t *suspect, cs_time_us_t now)
 {
@@ -50,10 +53,9 @@
 cs_suspect_t *
 cs_suspect_table_find (const cs_suspect_table_t *table, uint64_t part)
 {
-  for (size_t i = 0; i < table->count; i++)
-    if (table->entries[i].part == part)
-      return &table->entries[i];
-  return NULL;
+  cs_suspect_t *found = NULL;
+  HASH_FIND (hh, table->by_part, &part, sizeof part, found);
+  return found;
 }
 
 /* Returns the number of crashes under SUSPECT that still count.  */
@@ -79,6 +81,35 @@
   return a->changed_at < b->changed_at;
 }
 
+/* Returns the one under the least suspicion of COUNT entries from the next one
+   on.  */
+static cs_suspect_t *
+least_suspect (cs_suspect_table_t *table, size_t count,
+               cs_time_us_t evidence_us, cs_time_us_t now)
+{
+  cs_suspect_t *least = NULL;
+  for (size_t i = 0; i < count; i++)
+    {
+      cs_suspect_t *suspect = &table->entries[table->next++ % table->count];
+      if (least == NULL || is_less_suspect (suspect, least, evidence_us, now))
+        least = suspect;
+    }
+  return least;
+}
+
+/* Frees a place in TABLE, which is full.  */
+static cs_suspect_t *
+displace (cs_suspect_table_t *table, cs_time_us_t evidence_us,
+          cs_time_us_t now)
+{
+  cs_suspect_t *suspect = least_suspect (table, SAMPLE, evidence_us, now);
+  if (cs_suspect_is_blocked (suspect, now)
+      || recent_crashes (suspect, evidence_us, now) > 1)
+    suspect = least_suspect (table, table->count, evidence_us, now);
+  HASH_DELETE (hh, table->by_part, suspect);
+  return suspect;
+}
+
 cs_suspect_t *
 cs_suspect_table_add (cs_suspect_table_t *table, uint64_t part,
                       cs_time_us_t evidence_us, cs_time_us_t now)
@@ -90,22 +121,18 @@
     table->entries = calloc (CS_QUARANTINE_SUSPECTS, sizeof *table->entries);
   if (table->entries == NULL)
     return NULL;
-  if (table->count < CS_QUARANTINE_SUSPECTS)
-    suspect = &table->entries[table->count++];
-  else
-    {
-      suspect = &table->entries[0];
-      for (size_t i = 1; i < table->count; i++)
-        if (is_less_suspect (&table->entries[i], suspect, evidence_us, now))
-          suspect = &table->entries[i];
-    }
+  suspect = table->count < CS_QUARANTINE_SUSPECTS
+                ? &table->entries[table->count++]
+                : displace (table, evidence_us, now);
   *suspect = (cs_suspect_t){ .part = part };
+  HASH_ADD (hh, table->by_part, part, sizeof suspect->part, suspect);
   return suspect;
 }
 
 void
 cs_suspect_table_free (cs_suspect_table_t *table)
 {
+  HASH_CLEAR (hh, table->by_part);
   free (table->entries);
   *table = (cs_suspect_table_t){ 0 };
 }
--- a/cranberrystile/quarantine/suspect.h
+++ b/cranberrystile/quarantine/suspect.h
@@ -3,6 +3,8 @@
 #ifndef CS_QUARANTINE_SUSPECT_H
 #define CS_QUARANTINE_SUSPECT_H
 
+#include <uthash.h>
+
 #include "cranberrystile/quarantine.h"
 
 /* Crashes that are kept for each part.  */
@@ -20,6 +22,7 @@
   cs_time_us_t blocked_at;
   cs_time_us_t blocked_until; /* 0: not blocked */
   uint32_t blocks;            /* so far, without an answer since */
+  UT_hash_handle hh;          /* by PART */
 } cs_suspect_t;
 
 bool cs_suspect_is_blocked (const cs_suspect_t *suspect, cs_time_us_t now);
@@ -36,6 +39,8 @@
 {
   cs_suspect_t *entries; /* allocated with the first one */
   size_t count;
+  cs_suspect_t *by_part;
+  size_t next; /* to be looked at for a place */
 } cs_suspect_table_t;
 
 /* Returns NULL if PART is not in TABLE.  */
--- a/include/common/event.h
+++ b/include/common/event.h
@@ -60,6 +60,7 @@
   X (CALLER_CLOSED, 1505, 5)                                                  \
   X (PART_BLOCKED, 1506, 4)                                                   \
   X (PART_UNBLOCKED, 1507, 5)                                                 \
+  X (PARTS_NOT_REPORTED, 1508, 4)                                             \
   X (CALL_REFUSED, 1540, 5)                                                   \
   X (REQUEST_HELD, 1550, 6)                                                   \
   X (CLAIM_UNKNOWN, 1601, 4)                                                  \
--- a/include/cranberrystile/quarantine.h
+++ b/include/cranberrystile/quarantine.h
@@ -18,7 +18,12 @@
 #include "cranberrystile/id_list.h"
 
 /* Number of parts that are under suspicion or blocked at a time.  */
-#define CS_QUARANTINE_SUSPECTS 256
+#define CS_QUARANTINE_SUSPECTS 2048
+
+/* Most parts, and most requests, that a report holds.  Of more parts those
+   further back are reported: fewer requests share them.  */
+#define CS_CRASH_PARTS_MAX 1024
+#define CS_CRASH_REQUESTS_MAX 16
 
 typedef struct
 {
@@ -42,9 +47,6 @@
   cs_id_list_t parts;    /* of their prompts */
 } cs_causes_t;
 
-/* Number of ids in a cs_causes_t.  */
-#define CS_MAX_CAUSES (2 * CS_ID_LIST_MAX)
-
 typedef struct
 {
   uint64_t target;    /* hash of the incarnation */
@@ -66,6 +68,9 @@
   CS_CRASH_BLOCKED /* likewise; a part of it is now blocked */
 } cs_crash_result_t;
 
+/* Called for a part that is to be announced to peers.  */
+typedef void cs_part_served_fn (void *context, const cs_part_time_t *served);
+
 /* Called when PART is blocked after CRASHES, 0 if another router found that,
    or no longer is.  */
 typedef void cs_part_blocked_fn (void *context, uint64_t part, bool is_blocked,
@@ -79,26 +84,27 @@
                                        void *context);
 void cs_quarantine_destroy (cs_quarantine_t *quarantine);
 
-/* Removes from CRASH what this router has just answered.  */
-void cs_quarantine_drop_answered (const cs_quarantine_t *quarantine,
-                                  cs_crash_t *crash, cs_time_us_t now);
+/* Removes from CRASH what this router has just answered, and what a report has
+   no room for.  Returns the number of parts that there was no room for.  */
+uint32_t cs_quarantine_drop_answered (const cs_quarantine_t *quarantine,
+                                      cs_crash_t *crash, cs_time_us_t now);
 
 /* Records a crash that this router or a peer saw.  */
 cs_crash_result_t cs_quarantine_add_crash (cs_quarantine_t *quarantine,
                                            const cs_crash_t *crash,
                                            cs_time_us_t now);
 
-/* Stores in OUT which parts of CRASH this router has answered more recently
-   than its peers know, and returns their number.  They are to be told.  */
-size_t cs_quarantine_list_served (cs_quarantine_t *quarantine,
-                                  const cs_crash_t *crash, cs_time_us_t now,
-                                  cs_part_time_t out[CS_MAX_CAUSES]);
-
-/* Records that this router has answered a request with CAUSES.  Stores in OUT
-   those that are to be announced to peers, and returns their number.  */
-size_t cs_quarantine_served (cs_quarantine_t *quarantine,
-                             const cs_causes_t *causes, cs_time_us_t now,
-                             cs_part_time_t out[CS_MAX_CAUSES]);
+/* Calls ANNOUNCE for the parts of CRASH that this router has answered more
+   recently than its peers know.  */
+void cs_quarantine_list_served (cs_quarantine_t *quarantine,
+                                const cs_crash_t *crash, cs_time_us_t now,
+                                cs_part_served_fn *announce, void *context);
+
+/* Records that this router has answered a request with CAUSES, and calls
+   ANNOUNCE for those of them that peers are to be told of.  */
+void cs_quarantine_served (cs_quarantine_t *quarantine,
+                           const cs_causes_t *causes, cs_time_us_t now,
+                           cs_part_served_fn *announce, void *context);
 
 /* Records that a peer has.  Returns whether that is to be
    announced.  */
--- a/include/platform/headers.h
+++ b/include/platform/headers.h
@@ -26,7 +26,7 @@
   cs_str_t resumes; /* id of the request that brought the first event of the
                        stream that this one takes up; empty if absent */
   cs_prompt_context_t context;
-  cs_id_list_t parts;
+  cs_str_t prompt; /* its parts, for cs_prompt_parts_parse */
 } cs_caller_request_t;
 
 /* Decodes HEAD.  Returns 0, or CS_ERR_BAD_REQUEST with *REASON set to a static
--- a/include/platform/prompt.h
+++ b/include/platform/prompt.h
@@ -12,9 +12,9 @@
    placement uses only the load of targets.  */
 void cs_prompt_context_parse (cs_str_t text, cs_prompt_context_t *out);
 
-/* Reads the ids of all entries but the last into OUT, up to the number that it
-   holds.  Unlike a context, a part is the same whatever stands before it.
-   Token counts are not checked.  */
-void cs_prompt_parts_parse (cs_str_t text, cs_id_list_t *out);
+/* Replaces OUT by the ids of all entries but the last: as many as fit into the
+   head of a request.  Unlike a context, a part is the same whatever stands
+   before it.  Token counts are not checked.  Returns 0 or CS_ERR_NO_MEMORY. */
+int cs_prompt_parts_parse (cs_str_t text, cs_id_list_t *out);
 
 #endif
--- a/include/router/counters.h
+++ b/include/router/counters.h
@@ -43,6 +43,7 @@
   X (start_beyond, "requests not held as too much was held")                  \
   X (store_calls, "calls to the platform")                                    \
   X (store_failures, "calls to the platform that failed")                     \
+  X (parts_not_reported, "parts of prompts that a report had no room for")    \
   X (names_too_long, "entries of the store ignored for a name's length")      \
   X (directory_lists, "lists of routers read")                                \
   X (log_lines_dropped, "log lines dropped")
--- a/protocol/router.pb-c.c
+++ b/protocol/router.pb-c.c
@@ -1042,7 +1042,7 @@
   assert(message->base.descriptor == &cs__router__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cs__router__hello__field_descriptors[11] =
 {
   {
     "name",
@@ -1164,12 +1164,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "max_crash_parts",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cs__Router__Hello, max_crash_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cs__router__hello__field_indices_by_name[] = {
   2,   /* field[2] = address */
   3,   /* field[3] = capacity */
   1,   /* field[1] = data_centre */
   7,   /* field[7] = finds_versions */
+  10,   /* field[10] = max_crash_parts */
   0,   /* field[0] = name */
   6,   /* field[6] = needs_members */
   4,   /* field[4] = reads_compressed */
@@ -1180,7 +1193,7 @@
 static const ProtobufCIntRange cs__router__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cs__router__hello__descriptor =
 {
@@ -1190,7 +1203,7 @@
   "Cs__Router__Hello",
   "cs.router",
   sizeof(Cs__Router__Hello),
-  10,
+  11,
   cs__router__hello__field_descriptors,
   cs__router__hello__field_indices_by_name,
   1,  cs__router__hello__number_ranges,
--- a/protocol/router.pb-c.h
+++ b/protocol/router.pb-c.h
@@ -85,10 +85,14 @@
    * frames with the body VERSIONS
    */
   protobuf_c_boolean reads_versions;
+  /*
+   * of a Crash; 0: 16
+   */
+  uint32_t max_crash_parts;
 };
 #define CS__ROUTER__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cs__router__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cs__Router__Member
--- a/router/forward/attempt.c
+++ b/router/forward/attempt.c
@@ -102,8 +102,8 @@
           "id=%.*s request=%llx target=%s error=%s sent=%d after_ms=%llu "
           "events=%llu parts=%.*s next=%s",
           CS_STR_ARG (forward->request.id),
-          (unsigned long long)forward->causes.requests.ids[0],
-          forward->target->id.text, cs_error_name (error), was_sent,
+          (unsigned long long)forward->fingerprint, forward->target->id.text,
+          cs_error_name (error), was_sent,
           (unsigned long long)(was_sent
                                    ? (now - forward->sent_at) / CS_US_PER_MS
                                    : 0),
--- a/router/forward/forward.c
+++ b/router/forward/forward.c
@@ -6,6 +6,7 @@
 #include "cranberrystile/error_response.h"
 #include "cranberrystile/fingerprint.h"
 #include "http/response.h"
+#include "platform/prompt.h"
 #include "router/caller.h"
 #include "router/forward/internal.h"
 
@@ -77,6 +78,7 @@
     cs_target_release (forward->tried_targets[i]);
   cs_target_release (forward->source);
   cs_http_head_free (&forward->head);
+  cs_id_list_free (&forward->causes.parts);
   forward->router->body_bytes -= forward->body.len;
   cs_buf_free (&forward->body);
   cs_buf_free (&forward->response_head);
@@ -324,8 +326,14 @@
       cs_forward_fail (forward, rc, now);
       return;
     }
-  forward->causes.requests = (cs_id_list_t){ { fingerprint (forward) }, 1 };
-  forward->causes.parts = forward->request.parts;
+  forward->fingerprint = fingerprint (forward);
+  forward->causes.requests = (cs_id_list_t){ &forward->fingerprint, 1, 0 };
+  rc = cs_prompt_parts_parse (forward->request.prompt, &forward->causes.parts);
+  if (rc != 0)
+    {
+      cs_forward_fail (forward, rc, now);
+      return;
+    }
   set_deadline_timer (forward, now);
   if (may_outlast_stop (forward, now))
     {
--- a/router/forward/internal.h
+++ b/router/forward/internal.h
@@ -36,7 +36,8 @@
   const cs_route_t *route;
   const cs_organisation_t *organisation; /* may be NULL */
   cs_service_state_t *service;
-  bool is_plain;      /* SERVICE is no engine */
+  bool is_plain; /* SERVICE is no engine */
+  uint64_t fingerprint;
   cs_causes_t causes; /* of a crash of its target: itself, and its parts */
   uint64_t stream;    /* hash of the id of the request that began the stream */
   uint64_t version;   /* of the targets that may go on with a stream that has
--- a/router/peer/crash_notices.c
+++ b/router/peer/crash_notices.c
@@ -10,18 +10,47 @@
 #define MAX_NOTICES_PER_S 100
 
 static void
-announce (cs_mesh_t *mesh, const cs_crash_notice_t *notice)
+free_notice (cs_crash_notice_t *notice)
 {
-  if (mesh == NULL || notice->hops > CS_MAX_HOPS)
+  if (notice->kind != CS_NOTICE_CRASH)
+    return;
+  cs_id_list_free (&notice->crash.causes.requests);
+  cs_id_list_free (&notice->crash.causes.parts);
+}
+
+void
+cs_crash_notices_free (cs_crash_notices_t *ring)
+{
+  if (ring == NULL)
     return;
+  for (size_t i = 0; i < CS_CRASH_NOTICES && i < ring->count; i++)
+    free_notice (&ring->notices[i]);
+  free (ring);
+}
+
+/* Takes what NOTICE holds.  */
+static void
+announce (cs_mesh_t *mesh, cs_crash_notice_t *notice)
+{
+  if (mesh == NULL || notice->hops > CS_MAX_HOPS)
+    {
+      free_notice (notice);
+      return;
+    }
   if (mesh->crash_notices == NULL)
     mesh->crash_notices = calloc (1, sizeof *mesh->crash_notices);
   cs_crash_notices_t *ring = mesh->crash_notices;
   if (ring == NULL
       || !cs_notice_is_within_rate (&ring->rate, MAX_NOTICES_PER_S,
                                     cs_loop_now (mesh->router->loop)))
-    return;
-  ring->notices[ring->count++ % CS_CRASH_NOTICES] = *notice;
+    {
+      free_notice (notice);
+      return;
+    }
+  cs_crash_notice_t *place = &ring->notices[ring->count % CS_CRASH_NOTICES];
+  if (ring->count++ >= CS_CRASH_NOTICES)
+    free_notice (place);
+  *place = *notice;
   cs_mesh_send_notices (mesh);
 }
 
@@ -30,7 +59,12 @@
                         uint32_t hops)
 {
   cs_crash_notice_t notice = { .kind = CS_NOTICE_CRASH, .hops = hops };
-  notice.crash = *crash;
+  notice.crash = (cs_crash_t){ .target = crash->target, .at = crash->at };
+  cs_causes_t *causes = &notice.crash.causes;
+  (void)cs_id_list_copy (&causes->requests, &crash->causes.requests,
+                         CS_CRASH_REQUESTS_MAX);
+  (void)cs_id_list_copy (&causes->parts, &crash->causes.parts,
+                         CS_CRASH_PARTS_MAX);
   announce (mesh, &notice);
 }
 
@@ -69,17 +103,21 @@
   Cs__Router__Blocked *blocked_list[CS_QUARANTINE_SUSPECTS + CS_CRASH_NOTICES];
 } frames_t;
 
+/* Adds the last MAX_PARTS parts of the crash.  */
 static void
-add_crash (frames_t *frames, cs_crash_notice_t *notice, Cs__Router__Beat *beat,
-           cs_time_us_t now)
+add_crash (frames_t *frames, cs_crash_notice_t *notice, uint32_t max_parts,
+           Cs__Router__Beat *beat, cs_time_us_t now)
 {
+  const cs_id_list_t *parts = &notice->crash.causes.parts;
+  uint32_t count = parts->count < max_parts ? parts->count : max_parts;
   Cs__Router__Crash *crash = &frames->crashes[beat->n_crashes];
   cs__router__crash__init (crash);
   crash->target = notice->crash.target;
   crash->requests = notice->crash.causes.requests.ids;
   crash->n_requests = notice->crash.causes.requests.count;
-  crash->parts = notice->crash.causes.parts.ids;
-  crash->n_parts = notice->crash.causes.parts.count;
+  crash->n_parts = count;
+  if (count > 0)
+    crash->parts = parts->ids + parts->count - count;
   crash->age_ms = cs_notice_age_ms (notice->crash.at, now);
   crash->hops = notice->hops;
   frames->crash_list[beat->n_crashes++] = crash;
@@ -109,14 +147,14 @@
 }
 
 static void
-add_notice (frames_t *frames, cs_crash_notice_t *notice,
+add_notice (frames_t *frames, cs_crash_notice_t *notice, uint32_t max_parts,
             Cs__Router__Beat *beat, cs_time_us_t now)
 {
   switch (notice->kind)
     {
     case CS_NOTICE_CRASH:
       if (now < notice->crash.at + MAX_AGE_US)
-        add_crash (frames, notice, beat, now);
+        add_crash (frames, notice, max_parts, beat, now);
       return;
     case CS_NOTICE_SERVED:
       if (now < notice->part.at + MAX_AGE_US)
@@ -159,16 +197,7 @@
   while (link->crash_notices_sent < ring->count)
     add_notice (&frames,
                 &ring->notices[link->crash_notices_sent++ % CS_CRASH_NOTICES],
-                beat, now);
-}
-
-static cs_id_list_t
-read_ids (const uint64_t *ids, size_t count)
-{
-  cs_id_list_t list = { .count = (uint32_t)count };
-  for (size_t i = 0; i < count; i++)
-    list.ids[i] = ids[i];
-  return list;
+                link->max_crash_parts, beat, now);
 }
 
 static void
@@ -177,8 +206,9 @@
 {
   cs_crash_t crash
       = { .target = entry->target,
-          .causes.requests = read_ids (entry->requests, entry->n_requests),
-          .causes.parts = read_ids (entry->parts, entry->n_parts),
+          .causes.requests
+          = { entry->requests, (uint32_t)entry->n_requests, 0 },
+          .causes.parts = { entry->parts, (uint32_t)entry->n_parts, 0 },
           .at = cs_notice_time (entry->age_ms, now) };
   cs_router_crash_reported (router, &crash, entry->hops + 1, now);
 }
--- a/router/peer/frames.c
+++ b/router/peer/frames.c
@@ -83,8 +83,8 @@
         || beat->leaving[i]->port > UINT16_MAX)
       return false;
   for (size_t i = 0; i < beat->n_crashes; i++)
-    if (beat->crashes[i]->n_parts > CS_ID_LIST_MAX
-        || beat->crashes[i]->n_requests > CS_ID_LIST_MAX)
+    if (beat->crashes[i]->n_parts > CS_CRASH_PARTS_MAX
+        || beat->crashes[i]->n_requests > CS_CRASH_REQUESTS_MAX)
       return false;
   return true;
 }
--- a/router/peer/internal.h
+++ b/router/peer/internal.h
@@ -97,6 +97,7 @@
   bool finds_versions;    /* likewise */
   bool reads_evacuations; /* likewise */
   bool reads_versions;    /* likewise */
+  uint32_t max_crash_parts; /* that the peer reads of a crash */
   bool reaches_all; /* the peer is a first hub that reaches all routers */
   uint64_t data_centre;
   cs_time_us_t last_received_at;
--- a/router/peer/link.c
+++ b/router/peer/link.c
@@ -11,6 +11,8 @@
 /* While more than this is queued for a peer, further frames to it are dropped.
    The peer's heartbeats then show which state it lacks.  */
 #define MAX_QUEUED_BYTES (8U << 20)
+/* Parts of a crash that peers of earlier releases read.  */
+#define DEFAULT_CRASH_PARTS 16
 
 void
 cs_link_close (cs_link_t *link)
@@ -60,6 +62,7 @@
   hello.saves_streams = true;
   hello.finds_versions = true;
   hello.reads_versions = true;
+  hello.max_crash_parts = CS_CRASH_PARTS_MAX;
   hello.reads_evacuations = link->mesh->router->evacuations != NULL;
   hello.needs_members = !cs_directory_has_list (link->mesh->directory);
   frame.body_case = CS__ROUTER__FRAME__BODY_HELLO;
@@ -96,6 +99,8 @@
   link->saves_streams = hello->saves_streams;
   link->finds_versions = hello->finds_versions;
   link->reads_versions = hello->reads_versions;
+  link->max_crash_parts = hello->max_crash_parts > 0 ? hello->max_crash_parts
+                                                     : DEFAULT_CRASH_PARTS;
   link->reads_evacuations = hello->reads_evacuations;
   link->hello_received = true;
   cs_log (CS_EV_PEER_CONNECTED, "peer=%016llx name=%s data_centre=%s",
--- a/router/peer/notices.c
+++ b/router/peer/notices.c
@@ -298,5 +298,5 @@
     }
   free (mesh->cold.notices);
   free (mesh->cold.messages);
-  free (mesh->crash_notices);
+  cs_crash_notices_free (mesh->crash_notices);
 }
--- a/router/peer/notices.h
+++ b/router/peer/notices.h
@@ -83,4 +83,7 @@
   cs_notice_rate_t rate;
 } cs_crash_notices_t;
 
+/* Accepts NULL.  */
+void cs_crash_notices_free (cs_crash_notices_t *ring);
+
 #endif
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -26,16 +26,20 @@
   return cs_quarantine_create (&policy, on_blocked, router);
 }
 
+static void
+announce_part (void *context, const cs_part_time_t *served)
+{
+  const cs_router_t *router = context;
+  cs_mesh_announce_served (router->mesh, served, 0);
+}
+
 /* Tells peers which of the causes of CRASH this router has answered.  */
 static void
 announce_served (cs_router_t *router, const cs_crash_t *crash,
                  cs_time_us_t now)
 {
-  cs_part_time_t served[CS_MAX_CAUSES];
-  size_t count
-      = cs_quarantine_list_served (router->quarantine, crash, now, served);
-  for (size_t i = 0; i < count; i++)
-    cs_mesh_announce_served (router->mesh, &served[i], 0);
+  cs_quarantine_list_served (router->quarantine, crash, now, announce_part,
+                             router);
 }
 
 static cs_crash_result_t
@@ -88,7 +92,12 @@
 void
 cs_router_crash_seen (cs_router_t *router, cs_crash_t *crash, cs_time_us_t now)
 {
-  cs_quarantine_drop_answered (router->quarantine, crash, now);
+  uint32_t left_out
+      = cs_quarantine_drop_answered (router->quarantine, crash, now);
+  router->counters.parts_not_reported += left_out;
+  if (left_out > 0)
+    cs_log (CS_EV_PARTS_NOT_REPORTED, "parts=%u max=%d", left_out,
+            CS_CRASH_PARTS_MAX);
   if (add_crash (router, crash, 0, now) == CS_CRASH_BLOCKED)
     save_blocked (router, crash, true, now);
 }
@@ -106,7 +115,8 @@
 add_block (cs_router_t *router, const cs_part_time_t *blocked,
            cs_time_us_t now)
 {
-  cs_crash_t crash = { .causes.parts = { { blocked->part }, 1 } };
+  uint64_t part = blocked->part;
+  cs_crash_t crash = { .causes.parts = { &part, 1, 0 } };
   if (cs_quarantine_block (router->quarantine, blocked, now))
     return true;
   announce_served (router, &crash, now);
@@ -132,11 +142,8 @@
 cs_router_served (cs_router_t *router, const cs_causes_t *causes,
                   cs_time_us_t now)
 {
-  cs_part_time_t served[CS_MAX_CAUSES];
   remove_blocked (router, &causes->requests, now);
   remove_blocked (router, &causes->parts, now);
-  size_t count
-      = cs_quarantine_served (router->quarantine, causes, now, served);
-  for (size_t i = 0; i < count; i++)
-    cs_mesh_announce_served (router->mesh, &served[i], 0);
+  cs_quarantine_served (router->quarantine, causes, now, announce_part,
+                        router);
 }
--- a/router/store/blocked_parts.c
+++ b/router/store/blocked_parts.c
@@ -16,7 +16,7 @@
 /* A change that the store refuses more often is left to the peers.  */
 #define MAX_REFUSALS 8
 /* Changes that wait to be written; more are left to the peers.  */
-#define MAX_CHANGES CS_QUARANTINE_SUSPECTS
+#define MAX_CHANGES 256
 
 /* A router that starts takes itself for a hub until it has reached others.  */
 #define HUB_SETTLE_US (1 * CS_US_PER_S)
--- a/router/target/crash_check.c
+++ b/router/target/crash_check.c
@@ -31,6 +31,8 @@
   *link = check->next;
   cs_channel_close (check->channel);
   cs_target_release (check->target);
+  cs_id_list_free (&check->crash.causes.requests);
+  cs_id_list_free (&check->crash.causes.parts);
   free (check);
 }
 
@@ -83,35 +85,26 @@
 static const cs_channel_handlers_t handlers
     = { .on_open = on_open, .on_data = on_data, .on_end = on_end };
 
-/* Adds the ids of FROM to LIST.  Returns false if there is no room for them
-   all; some may have been added then.  */
-static bool
+/* Adds the ids of FROM to LIST.  Returns 0 or CS_ERR_NO_MEMORY.  */
+static int
 add_ids (cs_id_list_t *list, const cs_id_list_t *from)
 {
-  for (uint32_t i = 0; i < from->count; i++)
-    {
-      uint32_t at = 0;
-      while (at < list->count && list->ids[at] != from->ids[i])
-        at++;
-      if (at < list->count)
-        continue;
-      if (list->count == CS_ID_LIST_MAX)
-        return false;
-      list->ids[list->count++] = from->ids[i];
-    }
-  return true;
+  int rc = CS_OK;
+  for (uint32_t i = 0; rc == CS_OK && i < from->count; i++)
+    if (!cs_id_list_has (list, from->ids[i]))
+      rc = cs_id_list_add (list, from->ids[i]);
+  return rc;
 }
 
 /* Adds CAUSES to the check unless there is no room for them.  */
 static bool
 add_causes (cs_crash_check_t *check, const cs_causes_t *causes)
 {
-  cs_causes_t merged = check->crash.causes;
-  if (!add_ids (&merged.requests, &causes->requests)
-      || !add_ids (&merged.parts, &causes->parts))
-    return false;
-  check->crash.causes = merged;
-  return true;
+  cs_causes_t *merged = &check->crash.causes;
+  return merged->requests.count < CS_CRASH_REQUESTS_MAX
+         && merged->parts.count + causes->parts.count <= CS_CRASH_PARTS_MAX
+         && add_ids (&merged->requests, &causes->requests) == CS_OK
+         && add_ids (&merged->parts, &causes->parts) == CS_OK;
 }
 
 void
@@ -142,11 +135,10 @@
     }
   check->router = router;
   check->target = cs_target_reference (target);
-  check->crash = (cs_crash_t){
-    .target = target->incarnation,
-    .causes = *causes,
-    .at = now,
-  };
+  check->crash = (cs_crash_t){ .target = target->incarnation, .at = now };
+  (void)add_ids (&check->crash.causes.requests, &causes->requests);
+  (void)cs_id_list_copy (&check->crash.causes.parts, &causes->parts,
+                         UINT32_MAX);
   check->cut_us = cut_us;
   check->next = router->crash_checks;
   router->crash_checks = check;
--- a/tests/router/crash_test.cc
+++ b/tests/router/crash_test.cc
@@ -170,6 +170,48 @@
   EXPECT_LE (reached - before, 3);
 }
 
+// The number of sound parts in front of the bad one, which another sound one
+// follows.
+class LongPrompt : public CrashingPart, public testing::WithParamInterface<int>
+{
+protected:
+  // Sends COUNT requests, no two alike, to both routers in turn.  Returns how
+  // many are served.
+  int
+  send (int count, const std::string &parts)
+  {
+    int served = 0;
+    for (int i = 0; i < count; i++)
+      {
+        served += ask (i % 2 == 0 ? *router : *peer, "talk", parts,
+                       std::to_string (last_request_number))
+                      .status ()
+                  == 200;
+        std::this_thread::sleep_for (std::chrono::milliseconds (60));
+      }
+    return served;
+  }
+};
+
+// Only the first 16 parts of a prompt were looked at.
+TEST_P (LongPrompt, IsKeptFromTargetsWhereverItsBadPartIs)
+{
+  std::string sound = "aa:50";
+  for (int i = 1; i < GetParam (); i++)
+    sound += ",c" + std::to_string (100 + i) + ":5";
+  std::string prompt = sound + "," + bad_part + ":30,cc:5";
+  EXPECT_EQ (send (4, sound + ",cc:5"), 4);
+  send (5, prompt);
+  std::this_thread::sleep_for (std::chrono::milliseconds (500));
+  EXPECT_LE (reached, 5);
+  int before = reached;
+  send (8, prompt);
+  EXPECT_LE (reached - before, 3);
+  EXPECT_EQ (send (4, sound + ",cc:5"), 4);
+}
+
+INSTANTIATE_TEST_SUITE_P (Parts, LongPrompt, testing::Values (16, 60, 150));
+
 // A stream that may be resumed ended two targets with each request.
 TEST_F (CrashingPart, IsKeptFromTargetsWhereStreamsAreResumed)
 {
--- a/tests/unit/codec_test.cc
+++ b/tests/unit/codec_test.cc
@@ -344,7 +344,7 @@
 // A part is the same whatever stands before it, unlike in a context.
 TEST (Codec, ReadsTheIdsOfTheSharedParts)
 {
-  cs_id_list_t parts;
+  cs_id_list_t parts = {};
   cs_prompt_parts_parse (cs_str ("5C1e07a2:800,91bd3f06:410,e4402b7d:250"),
                          &parts);
   ASSERT_EQ (parts.count, 2U);
@@ -356,6 +356,13 @@
   EXPECT_NE (parts.ids[1], 0U);
   cs_prompt_parts_parse (cs_str ("e4:250"), &parts);
   EXPECT_EQ (parts.count, 0U);
+  std::string many;
+  for (int i = 0; i < 3000; i++)
+    many += std::to_string (i) + ":1,";
+  cs_prompt_parts_parse (view (many + "e4:250"), &parts);
+  ASSERT_EQ (parts.count, 3000U);
+  EXPECT_EQ (parts.ids[2999], 0x2999U);
+  cs_id_list_free (&parts);
 }
 
 // A list of the store with the object OBJECT.
@@ -400,7 +407,7 @@
 {
   cs_random_t random = { 22, 0 };
   cs_prompt_context_t context;
-  cs_id_list_t parts;
+  cs_id_list_t parts = {};
   for (int i = 0; i < CORRUPTIONS; i++)
     {
       std::string text = corrupt ("5c:800,91:410,1:2,3:4,5:6,7:8,9:1,2:3,4:5,"
@@ -409,6 +416,7 @@
       cs_prompt_context_parse (view (text), &context);
       cs_prompt_parts_parse (view (text), &parts);
     }
+  cs_id_list_free (&parts);
 }
 
 const char CONFIG[]
--- a/tests/unit/quarantine_test.cc
+++ b/tests/unit/quarantine_test.cc
@@ -1,6 +1,7 @@
 // Which requests and parts of prompts are blocked after targets have crashed
 // under them.
 
+#include <list>
 #include <map>
 #include <vector>
 
@@ -38,16 +39,38 @@
         { part, is_blocked });
   }
 
-  static cs_id_list_t
+  // The list is borrowed from the fixture.
+  cs_id_list_t
   parts (const std::vector<uint64_t> &ids)
   {
-    cs_id_list_t out = {};
-    for (uint64_t id : ids)
-      out.ids[out.count++] = id;
-    return out;
+    lists.push_back (ids);
+    return { lists.back ().data (), (uint32_t)ids.size (), 0 };
   }
 
-  static cs_causes_t
+  static void
+  announce (void *context, const cs_part_time_t *served)
+  {
+    static_cast<Quarantine *> (context)->announced.push_back (*served);
+  }
+
+  // Returns how many parts are to be announced.
+  size_t
+  serve (cs_quarantine_t *at, const cs_causes_t &answered)
+  {
+    announced.clear ();
+    cs_quarantine_served (at, &answered, now, announce, this);
+    return announced.size ();
+  }
+
+  size_t
+  list_served (const cs_crash_t &report)
+  {
+    announced.clear ();
+    cs_quarantine_list_served (quarantine, &report, now, announce, this);
+    return announced.size ();
+  }
+
+  cs_causes_t
   causes (const std::vector<uint64_t> &part_ids,
           const std::vector<uint64_t> &requests = {})
   {
@@ -65,9 +88,7 @@
   size_t
   answer (const std::vector<uint64_t> &ids)
   {
-    cs_part_time_t out[CS_MAX_CAUSES];
-    cs_causes_t answered = causes (ids);
-    return cs_quarantine_served (quarantine, &answered, now, out);
+    return serve (quarantine, causes (ids));
   }
 
   bool
@@ -96,6 +117,8 @@
   cs_quarantine_t *quarantine;
   cs_time_us_t now = 1000 * CS_US_PER_S;
   std::vector<Change> changes;
+  std::vector<cs_part_time_t> announced;
+  std::list<std::vector<uint64_t>> lists;
 };
 
 TEST_F (Quarantine, BlocksAPartUnderWhichThreeTargetsCrashed)
@@ -167,15 +190,14 @@
 
 TEST_F (Quarantine, TellsPeersWhatItAnsweredOfAReport)
 {
-  cs_part_time_t out[CS_MAX_CAUSES];
   cs_crash_t report = { 1, causes ({ other, bad }), now };
   answer ({ other });
   now += 3 * CS_US_PER_S;
   report.at = now;
   cs_quarantine_add_crash (quarantine, &report, now);
-  ASSERT_EQ (cs_quarantine_list_served (quarantine, &report, now, out), 1U);
-  EXPECT_EQ (out[0].part, other);
-  EXPECT_EQ (cs_quarantine_list_served (quarantine, &report, now, out), 0U);
+  ASSERT_EQ (list_served (report), 1U);
+  EXPECT_EQ (announced[0].part, other);
+  EXPECT_EQ (list_served (report), 0U);
 }
 
 // The crash of a target under a bad part was counted against the requests that
@@ -316,7 +338,7 @@
   for (uint64_t target = 1; target <= 3; target++)
     crash (target, { bad });
   for (uint64_t i = 0; i < 3 * CS_QUARANTINE_SUSPECTS; i++)
-    crash (100 + i, { 1000 + i });
+    crash (100 + i, { 100000 + i });
   EXPECT_TRUE (blocks (bad));
 }
 
@@ -370,9 +392,7 @@
 {
   for (uint64_t target = 1; target <= 4; target++)
     {
-      cs_part_time_t out[CS_MAX_CAUSES];
-      cs_causes_t answered = causes ({}, { other });
-      cs_quarantine_served (quarantine, &answered, now, out);
+      serve (quarantine, causes ({}, { other }));
       now += 3 * CS_US_PER_S;
       crash (target, {}, { other, bad });
       now += CS_US_PER_S;
@@ -388,7 +408,7 @@
   crash (1, {}, { bad });
   crash (2, {}, { bad });
   for (uint64_t i = 0; i < 3 * CS_QUARANTINE_SUSPECTS; i++)
-    crash (100 + i, {}, { 1000 + i });
+    crash (100 + i, {}, { 100000 + i });
   EXPECT_EQ (crash (3, {}, { bad }), CS_CRASH_BLOCKED);
 }
 
@@ -397,8 +417,8 @@
 {
   for (uint64_t i = 0; i < CS_QUARANTINE_SUSPECTS; i++)
     {
-      crash (1000 + 2 * i, {}, { 1000 + i });
-      crash (1001 + 2 * i, {}, { 1000 + i });
+      crash (1000 + 2 * i, {}, { 100000 + i });
+      crash (1001 + 2 * i, {}, { 100000 + i });
     }
   now += policy.evidence_us + 1;
   for (uint64_t target = 1; target <= 3; target++)
@@ -418,15 +438,13 @@
       cs_quarantine_t *fleet
           = cs_quarantine_create (&policy, on_blocked, this);
       cs_random_t random = { seed, 0 };
-      cs_part_time_t out[CS_MAX_CAUSES];
       changes.clear ();
       int crashes_under_bad = 0;
       for (uint64_t step = 0; step < 2000; step++)
         {
           now += 20 * CS_US_PER_MS;
-          cs_causes_t answered
-              = causes ({ shared, 1000 + cs_random_u64 (&random) % 300 });
-          cs_quarantine_served (fleet, &answered, now, out);
+          serve (fleet,
+                 causes ({ shared, 1000 + cs_random_u64 (&random) % 300 }));
           if (step % 40 != 0)
             continue;
           bool is_bad = step % 80 == 0 && changes.empty ();
@@ -473,4 +491,45 @@
   EXPECT_NE (cs_fingerprint (&one), cs_fingerprint (&shifted));
 }
 
+// Only the first 16 parts of a prompt were known, wherever the bad one was.
+TEST_F (Quarantine, FindsTheBadPartAmongManyOfAPrompt)
+{
+  for (size_t before : { 16, 200, 1200, 3000 })
+    {
+      uint64_t cause = 50000 + before;
+      for (uint64_t target = 1; target <= 3; target++)
+        {
+          std::vector<uint64_t> ids;
+          // Sound requests share the parts in front.
+          for (uint64_t i = 0; i < before; i++)
+            ids.push_back (200000 + i);
+          answer (ids);
+          now += 3 * CS_US_PER_S;
+          ids.push_back (cause);
+          // Those behind are of this request alone.
+          for (uint64_t i = 0; i < 20; i++)
+            ids.push_back (300000 + 1000 * before + 100 * target + i);
+          cs_crash_t report = { before + target, causes (ids), now };
+          EXPECT_EQ (cs_quarantine_drop_answered (quarantine, &report, now),
+                     0U);
+          cs_quarantine_add_crash (quarantine, &report, now);
+        }
+      EXPECT_TRUE (blocks (cause)) << before;
+      EXPECT_FALSE (blocks (200000));
+      EXPECT_FALSE (blocks (200000 + before - 1));
+    }
+}
+
+// What a report has no room for is counted.
+TEST_F (Quarantine, ReportsTheLastOfTooManyParts)
+{
+  std::vector<uint64_t> ids;
+  for (uint64_t i = 0; i < CS_CRASH_PARTS_MAX + 10; i++)
+    ids.push_back (200000 + i);
+  cs_crash_t report = { 1, causes (ids), now };
+  EXPECT_EQ (cs_quarantine_drop_answered (quarantine, &report, now), 10U);
+  ASSERT_EQ (report.causes.parts.count, (uint32_t)CS_CRASH_PARTS_MAX);
+  EXPECT_EQ (report.causes.parts.ids[0], 200010U);
+}
+
 }
