Streams: a version that comes back as its streams end counts as new

The version had come back within 250 ms after its 30 s had run out (its engine is listed 0.53 s before the kill; events arrived without a save).

Cause: until the next update a version whose streams are over is still in the history. A target of it did not lead to an update, so the streams that began counted the other version as the only one and were not recorded; and as it was not new, those in progress were not saved.

It now counts as new in both places. VersionHistory.OneThatComesBackAfterIts- StreamsIsNew fails without this (the second sighting was not new). The check of the time at which a version was seen is now one from both sides of the end of its streams.

--- a/cranberrystile/stream/version_history.c
+++ b/cranberrystile/stream/version_history.c
@@ -35,6 +35,11 @@
   cs_version_seen_t *known = find (history, seen->version);
   if (!has_streams (seen, now))
     return false;
+  if (known != NULL && !has_streams (known, now))
+    {
+      *known = *seen;
+      return true;
+    }
   if (known != NULL)
     {
       if (seen->seen_at > known->seen_at)
@@ -68,14 +73,14 @@
   history->count = kept;
 }
 
-cs_time_us_t
-cs_version_history_seen_at (const cs_version_history_t *history,
-                            uint64_t version)
+bool
+cs_version_history_has (const cs_version_history_t *history, uint64_t version,
+                        cs_time_us_t now)
 {
   for (size_t i = 0; i < history->count; i++)
     if (history->seen[i].version == version)
-      return history->seen[i].seen_at;
-  return 0;
+      return has_streams (&history->seen[i], now);
+  return false;
 }
 
 size_t
--- a/include/cranberrystile/version_history.h
+++ b/include/cranberrystile/version_history.h
@@ -41,7 +41,7 @@
 /* Records that targets of SERVICE had VERSION at AT; the latest time counts.
    Versions that have no streams left at NOW are forgotten; if there are too
    many, so is the one that was seen least recently.  Returns whether VERSION
-   was not known.  */
+   was not known, or had no streams left.  */
 bool cs_version_history_see (cs_version_history_t *history,
                              const cs_version_seen_t *seen, cs_time_us_t now);
 
@@ -53,9 +53,9 @@
 void cs_version_history_expire (cs_version_history_t *history,
                                 cs_time_us_t now);
 
-/* Returns when VERSION was last seen; 0: not within CS_STREAM_LIFE_US.  */
-cs_time_us_t cs_version_history_seen_at (const cs_version_history_t *history,
-                                         uint64_t version);
+/* Whether VERSION was seen within CS_STREAM_LIFE_US.  */
+bool cs_version_history_has (const cs_version_history_t *history,
+                             uint64_t version, cs_time_us_t now);
 
 /* Returns the number of versions of SERVICE that may have begun streams which
    are not over at NOW, and stores one of them in *VERSION.  */
--- a/router/store/stream_versions.c
+++ b/router/store/stream_versions.c
@@ -233,7 +233,7 @@
                         cs_time_us_t now)
 {
   if (versions != NULL && version != 0
-      && cs_version_history_seen_at (&versions->history, version) == 0)
+      && !cs_version_history_has (&versions->history, version, now))
     cs_stream_versions_update (versions, now);
 }
 
--- a/tests/unit/version_test.cc
+++ b/tests/unit/version_test.cc
@@ -42,11 +42,29 @@
   EXPECT_EQ (count_at (history, 1, 131 * SECOND), 1U);
   EXPECT_EQ (count_at (history, 3, 121 * SECOND), 0U);
   EXPECT_FALSE (cs_version_history_see (&history, &old_one, 140 * SECOND));
-  EXPECT_EQ (cs_version_history_seen_at (&history, 11), 120 * SECOND);
+  EXPECT_TRUE (cs_version_history_has (&history, 11, 150 * SECOND - 1));
+  EXPECT_FALSE (cs_version_history_has (&history, 11, 150 * SECOND));
   cs_version_history_expire (&history, 140 * SECOND);
   EXPECT_EQ (history.count, 2U);
 }
 
+// A version that came back as its streams were over, before that was noticed,
+// was taken for the one that had been there: its streams were not recorded.
+TEST (VersionHistory, OneThatComesBackAfterItsStreamsIsNew)
+{
+  cs_version_history_t history = {};
+  cs_version_seen_t seen = { 1, 10, 100 * SECOND, false, 0, 0 };
+  EXPECT_TRUE (cs_version_history_see (&history, &seen, 100 * SECOND));
+  cs_version_history_set_base (&history, 10);
+  EXPECT_TRUE (cs_version_history_has (&history, 10, 129 * SECOND));
+  EXPECT_FALSE (cs_version_history_has (&history, 10, 130 * SECOND));
+  seen.seen_at = 130 * SECOND;
+  EXPECT_TRUE (cs_version_history_see (&history, &seen, 130 * SECOND));
+  EXPECT_FALSE (cs_version_history_is_base (&history, 10));
+  EXPECT_FALSE (cs_version_history_see (&history, &seen, 131 * SECOND));
+  EXPECT_EQ (history.count, 1U);
+}
+
 TEST (VersionHistory, FullOneForgetsTheLeastRecentlySeen)
 {
   cs_version_history_t history = {};
@@ -59,8 +77,8 @@
   // Streams that nobody recorded may be of the one that is forgotten.
   EXPECT_TRUE (cs_version_history_lacks (&history, 130 * SECOND));
   EXPECT_FALSE (cs_version_history_lacks (&history, 132 * SECOND));
-  EXPECT_EQ (cs_version_history_seen_at (&history, 1000), 0U);
-  EXPECT_NE (cs_version_history_seen_at (&history, 1001), 0U);
+  EXPECT_FALSE (cs_version_history_has (&history, 1000, 101 * SECOND));
+  EXPECT_TRUE (cs_version_history_has (&history, 1001, 101 * SECOND));
 }
 
 // A base version with few targets left does not decide where streams go on.
